--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,353 @@
+//! Types, settings, events and actions of the gatekeeper. No logic lives here.
+
+/// A point in time or a span, in microseconds. Points are read off one clock that never goes back.
+pub type Micros = u64;
+
+/// A client's request, by the id its gateway gave it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub String);
+
+/// A customer, whose plan's quota all its gateways share.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CustomerId(pub String);
+
+/// A worker process; it keeps its id when it restarts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerId(pub u64);
+
+/// A class of requests: its place in [`Settings::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+
+/// A plan: its place in [`Settings::plans`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PlanId(pub usize);
+
+/// A zone, compared for equality only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Zone(pub String);
+
+/// The name of a number that the counter service keeps; 1 to 64 bytes without spaces.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CounterName(pub String);
+
+/// What a timer says when it fires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerToken(pub u64);
+
+/// How often the effect of a request may happen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Effect {
+    /// It may be repeated freely.
+    Idempotent,
+    /// Workers of one group drop repeats for a time.
+    Deduplicated,
+    /// It must not run twice.
+    #[default]
+    AtMostOnce,
+}
+
+/// Which workers drop each other's repeats of a deduplicated request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DedupGroup {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    #[default]
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Default)]
+pub struct Class {
+    /// Answered within this time, a request earns its full worth.
+    pub aim: Micros,
+    /// How long a client waits at most.
+    pub deadline: Micros,
+    /// What may be repeated.
+    pub effect: Effect,
+    /// Who drops repeats, for [`Effect::Deduplicated`].
+    pub group: DedupGroup,
+    /// How long repeats are dropped, counted from the first send that may have run.
+    pub key_window: Micros,
+}
+
+/// A plan. Quotas and ceilings hold for each customer, over all gateways together.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Units a second that fill the quota's store; 0 means no such quota.
+    pub rate: f64,
+    /// Units the quota's store holds.
+    pub burst: f64,
+    /// Attempts a customer may have out at once; 0 means no such quota.
+    pub open: f64,
+    /// Units a second that fill the ceiling's store; 0 means no ceiling.
+    pub ceiling_rate: f64,
+    /// Units the ceiling's store holds.
+    pub ceiling_burst: f64,
+    /// How far below nothing the ceiling's store may go.
+    pub ceiling_slack: f64,
+    /// Part of its worth that a request beyond the quota earns when served.
+    pub over_earns: f64,
+    /// Part of its worth that a request beyond the quota costs when sent on.
+    pub over_cost: f64,
+}
+
+/// Figures of the rules that bind a gatekeeper.
+#[derive(Clone, Debug, Default)]
+pub struct RuleFigures {
+    /// A worker starts with this share of its capacity at least.
+    pub cold_from: f64,
+    /// A worker is warm after this time at the latest.
+    pub cold_for: Micros,
+    /// A cold worker falls over when sent more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... over this time.
+    pub fall_after: Micros,
+}
+
+/// What the deployment permits.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    /// Attempts one request may have.
+    pub max_attempts: usize,
+    /// Whether two attempts of one request may be out together.
+    pub second_copies: bool,
+    /// Whether an attempt may be called off.
+    pub cancel: bool,
+    /// The longest retry advice that a client follows.
+    pub max_retry_after: Micros,
+}
+
+/// What a gatekeeper is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// How many gatekeepers there are.
+    pub instances: u32,
+    /// Shortest time between two calls of `handle`.
+    pub resolution: Micros,
+    /// The zone this gatekeeper is in.
+    pub zone: Zone,
+    /// Whether there is a counter service to call.
+    pub counter: bool,
+    /// A call to the counter without an answer ends after this time.
+    pub counter_timeout: Micros,
+    /// The most units one request counts.
+    pub most_units: f64,
+    /// Whether a request's units are a guess that its answer settles.
+    pub settles: bool,
+    /// Whether changes to the list of workers must be subscribed to.
+    pub subscribe: bool,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+    /// What the deployment permits.
+    pub limits: Limits,
+    /// Figures of the rules.
+    pub rules: RuleFigures,
+}
+
+/// Whether a worker takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Availability {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It is no more.
+    #[default]
+    Gone,
+}
+
+/// One worker as discovery lists it.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerInfo {
+    /// Which worker.
+    pub id: WorkerId,
+    /// Whether it takes new work.
+    pub availability: Availability,
+    /// Where it is.
+    pub zone: Zone,
+    /// The group of workers that share which keys they have seen.
+    pub cell: u64,
+    /// Its size, for comparison with others.
+    pub size: f64,
+    /// When it last started; `None` means long ago.
+    pub started: Option<Micros>,
+}
+
+impl WorkerInfo {
+    /// A warm worker that takes work, of size 1, in the nameless zone.
+    pub fn ready(id: WorkerId) -> Self {
+        let availability = Availability::Ready;
+        WorkerInfo { id, availability, zone: Zone::default(), cell: 0, size: 1.0, started: None }
+    }
+}
+
+/// What a list of workers covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// Only what changed.
+    Delta,
+    /// All workers; those absent are gone.
+    Full,
+    /// All workers as last known before a restart, possibly stale.
+    Cached,
+    /// A call to discovery failed or the subscription broke; the old list holds.
+    Failed,
+}
+
+/// Discovery's news about the workers.
+#[derive(Clone, Debug)]
+pub struct WorkerList {
+    /// What it covers.
+    pub scope: ListScope,
+    /// The workers it names.
+    pub workers: Vec<WorkerInfo>,
+}
+
+/// A client's request. Exactly one final answer is owed for it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id, never seen twice.
+    pub id: RequestId,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// Its class; `None` when the settings do not name it.
+    pub class: Option<ClassId>,
+    /// The customer's plan; `None` when the settings do not name it.
+    pub plan: Option<PlanId>,
+    /// Units it takes from the quota.
+    pub units: f64,
+    /// How many gateways this customer's requests come through.
+    pub gateways: u32,
+    /// Time until the client gives this try up.
+    pub time_left: Micros,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// The worker answered with an error; it may have run.
+    Error,
+    /// Turned away unseen; it never ran.
+    Full,
+    /// No answer in time; it may have run.
+    Timeout,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Not transmitted; it never ran.
+    NotSent,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct AttemptDone {
+    /// Its request.
+    pub request: RequestId,
+    /// Its number, from 0.
+    pub attempt: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was sent.
+    pub latency: Micros,
+    /// Whether the request has its final answer.
+    pub closed: bool,
+    /// The true units that replace the guess.
+    pub true_units: Option<f64>,
+}
+
+/// How a call to the counter ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CounterOutcome {
+    /// The amount was added; this is the total.
+    Total(f64),
+    /// Nothing was added.
+    Refused,
+    /// No answer in time; the amount may have been added.
+    Timeout,
+}
+
+/// What a gatekeeper is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the workers.
+    Workers(WorkerList),
+    /// A request has come in.
+    Request(Request),
+    /// A timer fired.
+    Timer(TimerToken),
+    /// An attempt ended.
+    AttemptDone(AttemptDone),
+    /// An attempt's answer has begun to stream to the client, which now owns it.
+    StreamStarted {
+        /// Its request.
+        request: RequestId,
+    },
+    /// The client left; no answer is owed any more.
+    ClientGone(RequestId),
+    /// A call to the counter ended.
+    Counter {
+        /// The number called for.
+        name: CounterName,
+        /// How it ended.
+        outcome: CounterOutcome,
+    },
+}
+
+/// What a gatekeeper wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a request to a worker.
+    Send {
+        /// Which request.
+        request: RequestId,
+        /// Where to.
+        worker: WorkerId,
+        /// Time the attempt may take.
+        timeout: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// Its request.
+        request: RequestId,
+        /// Its number.
+        attempt: usize,
+    },
+    /// Final answer: turned away, and trying again is harmless.
+    Refuse {
+        /// Which request.
+        request: RequestId,
+        /// How long the client should stay away.
+        retry_after: Micros,
+    },
+    /// Final answer: failed, with nothing promised.
+    Fail(RequestId),
+    /// Wake the gatekeeper.
+    SetTimer {
+        /// What the timer shall say.
+        token: TimerToken,
+        /// When, from now.
+        after: Micros,
+    },
+    /// Add to a number of the counter service and read the total.
+    Count {
+        /// Which number.
+        name: CounterName,
+        /// How much to add; 0 only reads.
+        amount: f64,
+        /// How long a new number is kept.
+        keep: Micros,
+    },
+    /// Ask discovery for changes from now on.
+    Subscribe,
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,123 @@
+//! Records that the decisions in `src/rules.rs` keep, and helpers without a choice in them.
+use crate::api::*;
+
+/// One customer's own and others' units in one slot, as the counter has them.
+#[derive(Clone, Copy, Default)]
+pub struct Slot {
+    pub mine: f64,
+    pub others: f64,
+    pub read: bool,
+}
+
+pub type Key = (usize, CustomerId);
+
+#[derive(Default)]
+pub struct Customer {
+    pub gateways: f64,
+    /// Moves this customer's slots, so that not all customers start one at the same time.
+    pub shift: Micros,
+    pub slot: u64,
+    pub cur: Slot,
+    pub prev: Slot,
+    pub pending: f64,
+    pub pending_since: Micros,
+    pub flying: f64,
+    pub known: bool,
+    pub level: f64,
+    pub at: Micros,
+    pub read_at: Micros,
+    pub predicted: f64,
+    pub others_rate: f64,
+    pub boxed_until: Micros,
+    pub ceiling: f64,
+    pub ceiling_at: Micros,
+    pub open: f64,
+    pub seen: Micros,
+    /// Calls to the counter in flight, the requests whose decision waits for their answers, and the units of
+    /// these that are in the counts already.
+    pub calls_out: u32,
+    pub waiting: Vec<RequestId>,
+    pub prepaid: f64,
+}
+
+/// What one class of requests met at one worker.
+#[derive(Clone, Default)]
+pub struct Health {
+    pub answered: Micros,
+    pub avoid_until: Micros,
+    pub strikes: u32,
+}
+
+#[derive(Default)]
+pub struct Worker {
+    pub info: WorkerInfo,
+    pub inflight: f64,
+    pub slow: f64,
+    /// Samples behind the above, and the time of the last.
+    pub samples: f64,
+    pub at: Micros,
+    pub health: Vec<Health>,
+    pub credit: f64,
+    pub credit_at: Micros,
+}
+
+pub struct Attempt {
+    pub worker: WorkerId,
+    pub zone: Zone,
+    pub cell: u64,
+    pub sent: Micros,
+    pub out: bool,
+    pub suspected: bool,
+    /// False once the outcome proves that it never ran.
+    pub may_have_run: bool,
+}
+
+#[derive(Default)]
+pub struct Open {
+    pub key: Key,
+    pub class: Class,
+    pub class_ix: usize,
+    pub units: f64,
+    pub arrived: Micros,
+    pub deadline: Micros,
+    pub attempts: Vec<Attempt>,
+    pub charged: bool,
+    /// What the counter has been told of it before its decision.
+    pub prepaid: f64,
+    pub held: bool,
+    pub closed: bool,
+    pub streaming: bool,
+}
+
+pub enum Ending {
+    TurnedAway(Micros),
+    Failed,
+    Answered,
+}
+
+pub struct Call {
+    pub key: Key,
+    pub slot: u64,
+    pub amount: f64,
+    pub units: f64,
+    pub sent: Micros,
+}
+
+pub fn secs(span: Micros) -> f64 {
+    span as f64 / 1e6
+}
+
+/// The same name at every gateway: customer and slot. Long names are cut and told apart by a hash.
+pub fn counter_name(key: &Key, slot: u64) -> CounterName {
+    let name = &key.1 .0;
+    if name.len() <= 40 {
+        return CounterName(format!("{name}.{slot}"));
+    }
+    CounterName(format!("~{:016x}.{slot}", hash(&key.1)))
+}
+
+/// FNV, the same at every gateway.
+pub fn hash(customer: &CustomerId) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100000001b3);
+    customer.0.bytes().fold(0xcbf29ce484222325, mix)
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,225 @@
+//! Many gateways at once: what their decisions sum to, and workers that fail in part.
+
+mod common;
+use common::*;
+use myrtlecart::*;
+use std::collections::BTreeMap;
+
+const GATEWAYS: u32 = 300;
+
+fn fleet_settings() -> Settings {
+    Settings { instances: GATEWAYS, ..settings() }
+}
+
+/// A gatekeeper of the fleet, with its own seed.
+fn gateway(seed: u64, figures: &Settings, workers: &[u64]) -> Stage {
+    let mut s = Stage::new(figures.clone(), &[]);
+    s.keeper = Gatekeeper::new(figures.clone(), seed, START);
+    (s.timers, s.log) = (Vec::new(), Vec::new());
+    s.list(ListScope::Full, workers.iter().map(|id| worker(*id)).collect());
+    s
+}
+
+/// A request of a customer that comes in through `gateways`.
+fn ask(s: &mut Stage, customer: &str, plan: usize, units: f64, gateways: u32) -> String {
+    s.named += 1;
+    let id = RequestId(format!("r-{}", s.named));
+    let customer = CustomerId(customer.into());
+    let (class, plan) = (Some(ClassId(0)), Some(PlanId(plan)));
+    let name = id.0.clone();
+    s.event(Event::Request(Request { id, customer, class, plan, units, gateways, time_left: 2 * S }));
+    name
+}
+
+fn serve_all(s: &mut Stage) {
+    while !s.out.is_empty() {
+        s.done(Outcome::Ok);
+    }
+}
+
+#[test]
+fn three_hundred_gateways_do_not_push_a_cold_worker_over() {
+    let figures = fleet_settings();
+    let mut fleet: Vec<Stage> = (0..u64::from(GATEWAYS)).map(|n| gateway(n, &figures, &[1, 2, 3])).collect();
+    let mut by_second = BTreeMap::new();
+    for step in 0..500u64 {
+        for (n, s) in fleet.iter_mut().enumerate() {
+            if step == 50 {
+                s.list(ListScope::Delta, vec![WorkerInfo { started: Some(s.now), ..worker(4) }]);
+            }
+            let before = s.sends.len();
+            // Each gateway has about two requests a second, all warm workers together 600.
+            if (step + n as u64) % 25 == 0 {
+                s.ask(&format!("c{n}-{step}"), 0, 0, 0.1);
+            }
+            s.pass(20 * MS);
+            let cold = s.sends[before..].iter().filter(|(_, _, w)| *w == 4).count();
+            *by_second.entry(step / 50).or_insert(0usize) += cold;
+            if step % 5 == 0 {
+                serve_all(s);
+            }
+        }
+    }
+    // Answers take up to 100 ms here: a worker of one core does 10 a second, at its start a fifth of that,
+    // and falls over past twice its capacity; at the end of the 9 s nearly all of it.
+    for (second, sent) in &by_second {
+        let age = second.saturating_sub(1) as f64;
+        let capacity = 10.0 * (0.2 + 0.08 * (age + 1.0));
+        assert!((*sent as f64) <= 2.0 * capacity + 2.0, "second {second}: {sent} sent to the cold worker");
+    }
+    assert!(by_second.values().sum::<usize>() > 10, "it must get something: {by_second:?}");
+}
+
+#[test]
+fn three_hundred_gateways_keep_a_ceiling_without_talking() {
+    let mut figures = fleet_settings();
+    figures.counter = false;
+    figures.plans[1] =
+        Plan { ceiling_rate: 600.0, ceiling_burst: 1200.0, ceiling_slack: 120.0, ..Plan::default() };
+    let mut fleet: Vec<Stage> = (0..u64::from(GATEWAYS)).map(|n| gateway(n, &figures, &[1])).collect();
+    // Left alone until all parts are full.
+    fleet.iter_mut().for_each(|s| s.pass(5 * S));
+    let (mut store, mut lowest) = (1200.0f64, 1200.0f64);
+    for _ in 0..200 {
+        store = (store + 600.0 * 0.05).min(1200.0);
+        for s in fleet.iter_mut() {
+            let before = s.sends.len();
+            ask(s, "ada", 1, 2.0, GATEWAYS);
+            serve_all(s);
+            s.pass(50 * MS);
+            store -= 2.0 * (s.sends.len() - before) as f64;
+            serve_all(s);
+        }
+        lowest = lowest.min(store);
+    }
+    assert!(lowest >= -120.0, "the store fell to {lowest}");
+    assert!(lowest < 100.0, "the test must press against the ceiling: {lowest}");
+}
+
+#[test]
+fn a_share_below_one_request_waits_for_a_total_and_is_then_decided_by_it() {
+    for (already, served) in [(0.0, true), (30.0, false)] {
+        let mut s = gateway(5, &fleet_settings(), &[1]);
+        s.pass(2 * S);
+        let id = ask(&mut s, "ada", 0, 4.0, 150);
+        assert_eq!((s.sent(&id), s.calls.len()), (0, 1), "one call asks and counts");
+        let name = s.calls[0].0.clone();
+        s.event(Event::Counter { name, outcome: CounterOutcome::Total(already + s.calls[0].1) });
+        assert_eq!(s.sent(&id) == 1, served, "{already} of 20 used by others");
+        assert_eq!(matches!(s.answer_of(&id), Some(Answer::Refused(_))), !served);
+    }
+}
+
+#[test]
+fn shares_below_one_request_sum_to_the_quota_while_the_counter_is_away() {
+    let mut figures = fleet_settings();
+    figures.counter = false;
+    let mut fleet: Vec<Stage> = (0..100).map(|n| gateway(n, &figures, &[1])).collect();
+    let mut later = 0.0;
+    for second in 0..100u64 {
+        for s in fleet.iter_mut() {
+            let before = s.sends.len();
+            ask(s, "ada", 0, 2.0, 100);
+            serve_all(s);
+            s.pass(S);
+            later += if second >= 40 { 2.0 * (s.sends.len() - before) as f64 } else { 0.0 };
+        }
+    }
+    // 200 units a second asked, 10 a second allowed: over 60 s about 600.
+    assert!((300.0..=700.0).contains(&later), "{later} units let in over 60 s");
+}
+
+#[test]
+fn calls_of_many_gateways_find_what_a_small_counter_can_take_and_come_back_after_an_outage() {
+    // A counter that answers 40 calls in each 100 ms at once and turns the rest away.
+    let figures = fleet_settings();
+    let mut fleet: Vec<Stage> = (0..u64::from(GATEWAYS)).map(|n| gateway(n, &figures, &[1])).collect();
+    let (mut asked, mut answered) = (vec![0; 30], vec![0; 30]);
+    for step in 0..300u64 {
+        let mut room = if (150..200).contains(&step) { 0 } else { 40 };
+        for n in 0..fleet.len() {
+            // The order changes, so that no gateway is always turned away.
+            let at = (n + 37 * step as usize) % fleet.len();
+            let s = &mut fleet[at];
+            ask(s, &format!("c{at}-{step}"), 0, 2.0, 150);
+            for (name, amount) in std::mem::take(&mut s.calls) {
+                let ok = room > 0;
+                room -= i32::from(ok);
+                asked[step as usize / 10] += 1;
+                answered[step as usize / 10] += i32::from(ok);
+                let outcome = if ok { CounterOutcome::Total(amount) } else { CounterOutcome::Refused };
+                s.event(Event::Counter { name, outcome });
+            }
+            serve_all(s);
+            s.pass(100 * MS);
+        }
+    }
+    assert!(asked[0] <= 800, "{} calls in the first second", asked[0]);
+    for second in [8, 11, 14, 26, 29] {
+        assert!(answered[second] >= 200, "second {second}: {} of 400 answered", answered[second]);
+        assert!(asked[second] <= 900, "second {second}: {} calls where 400 can be taken", asked[second]);
+    }
+    assert!(asked[19] <= asked[14], "fewer while it is away: {asked:?}");
+}
+
+#[test]
+fn a_worker_that_fails_one_class_is_avoided_for_that_class_only() {
+    for silent in [false, true] {
+        let mut s = Stage::new(settings(), &[1, 2, 3]);
+        let mut at_bad = [0, 0];
+        for step in 0..600u64 {
+            let class = (step % 2) as usize * 2;
+            let before = s.sends.len();
+            s.ask(&format!("c{step}"), class, 0, 1.0);
+            for (_, _, w) in &s.sends[before..] {
+                at_bad[class / 2] += usize::from(*w == 1 && step >= 200);
+            }
+            s.pass(20 * MS);
+            // Class 0 fails at worker 1; odd requests are of class 2 there and are served.
+            let fails = |o: &Out| o.worker == 1 && o.request.ends_with(['1', '3', '5', '7', '9']);
+            for o in std::mem::take(&mut s.out) {
+                match (fails(&o), silent && s.answer_of(&o.request).is_none()) {
+                    (true, true) => s.out.push(o),
+                    (true, false) => s.end(o, if silent { Outcome::Cancelled } else { Outcome::Error }),
+                    (false, _) => s.end(o, Outcome::Ok),
+                }
+            }
+        }
+        assert!(at_bad[0] <= 20, "{} of the failing class sent there, silent: {silent}", at_bad[0]);
+        assert!(at_bad[1] >= 30, "{} of the other class sent there, silent: {silent}", at_bad[1]);
+    }
+}
+
+#[test]
+fn lost_answers_do_not_empty_the_fleet_nor_run_an_effect_twice() {
+    // Every fifth answer of all workers is lost; the keyed class stays in its cell and its window.
+    let cell = |id: u64| WorkerInfo { cell: id % 3, ..worker(id) };
+    let mut s = Stage::with(settings(), (1..=9).map(cell).collect());
+    let mut class_of = BTreeMap::new();
+    for step in 0..900u64 {
+        let class = (step % 3) as usize;
+        class_of.insert(s.ask(&format!("c{step}"), class, 0, 1.0), class);
+        s.pass(20 * MS);
+        let (due, rest) = std::mem::take(&mut s.out).into_iter().partition(|o: &Out| {
+            let n = o.request.trim_start_matches("r-").parse::<u64>().unwrap();
+            (n + o.attempt as u64) % 5 != 0
+        });
+        s.out = rest;
+        let due: Vec<Out> = due;
+        due.into_iter().for_each(|o| s.end(o, Outcome::Ok));
+    }
+    let mut used: Vec<u64> = s.sends[s.sends.len() - 200..].iter().map(|(_, _, w)| *w).collect();
+    used.sort_unstable();
+    used.dedup();
+    assert!(used.len() >= 5, "only workers {used:?} are used");
+    for (id, class) in &class_of {
+        let sends: Vec<&(Micros, String, u64)> = s.sends.iter().filter(|(_, other, _)| other == id).collect();
+        match class {
+            1 => assert!(sends.iter().all(|x| x.2 % 3 == sends[0].2 % 3 && x.0 < sends[0].0 + S)),
+            2 => assert!(sends.len() <= 1, "{id} may have run and was sent again"),
+            _ => {}
+        }
+    }
+    let refused = class_of.keys().filter(|id| matches!(s.answer_of(id), Some(Answer::Refused(_)))).count();
+    assert!(refused <= 20, "{refused} of 900 refused");
+}
