--- a/src/bin/myrtlecart-adapter/main.rs
+++ b/src/bin/hingestage-adapter/main.rs
@@ -4,18 +4,19 @@
 
 mod wire;
 
-use myrtlecart::{Action, Event, Gatekeeper};
+use hingestage::settings::{Fields, Names};
+use hingestage::{Action, Event, Gatekeeper};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
-use wire::{Fields, Input};
+use wire::Input;
 
 fn main() -> ExitCode {
     match run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("myrtlecart-adapter: {message}");
+            eprintln!("hingestage-adapter: {message}");
             ExitCode::FAILURE
         }
     }
@@ -41,7 +42,7 @@
 
 fn run(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut lines = Lines { input, number: 0 };
-    let mut hosted: BTreeMap<u32, (Gatekeeper, wire::Names)> = BTreeMap::new();
+    let mut hosted: BTreeMap<u32, (Gatekeeper, Names)> = BTreeMap::new();
     while let Some(head) = lines.next()? {
         if head.is_empty() {
             continue;
@@ -75,7 +76,7 @@
                         let line = lines.next()?.ok_or("input ends inside a list")?;
                         workers.push(wire::row(&Fields::parse(&line, lines.number)?)?);
                     }
-                    Event::Workers(myrtlecart::WorkerList { scope, workers })
+                    Event::Workers(hingestage::WorkerList { scope, workers })
                 }
                 Input::Event(event) => event,
             };
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,63 @@
+//! One gateway: reads its configuration, serves until told to stop, and exits when all is answered.
+#![forbid(unsafe_code)]
+
+use hingestage::net::config::Config;
+use hingestage::net::discovery::{follow, Book};
+use hingestage::net::driver::Driver;
+use hingestage::net::server::Server;
+use hingestage::ListScope;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Past the longest deadline after the call to stop nothing can be owed any more.
+const STOP_SPARE: Duration = Duration::from_millis(600);
+
+fn main() -> ExitCode {
+    let run = || -> Result<(), String> {
+        let config = Config::load(|name| std::env::var(name).ok())?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, serve(config))
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("hingestage: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
+    let driver = Driver::new(&config);
+    let server = Server::new(driver.clone(), &config);
+    let book = Book::default();
+    book.apply(&driver, &config.known, ListScope::Cached);
+    spawn_local({
+        let (driver, server) = (driver.clone(), server.clone());
+        follow(driver, book, config.discovery, config.known.rev, move || server.set_ready())
+    });
+    spawn_local({
+        let driver = driver.clone();
+        async move { driver.counter.run(driver.clone()).await }
+    });
+    spawn_local(async move {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            driver.workers.retire_idle();
+        }
+    });
+    tokio::select! {
+        () = server.accept(&listener) => {}
+        _ = term.recv() => {}
+    }
+    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    server.stop(listener, Duration::from_micros(longest) + STOP_SPARE).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,101 @@
+//! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
+
+use crate::net::discovery::HostList;
+use crate::settings::{flatten, settings, Fields, Names};
+use crate::{Micros, Settings};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The configuration as it is written down.
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: FileLimits,
+    counter: Option<String>,
+    #[serde(default)]
+    known: HostList,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    sockets: usize,
+}
+
+/// The configuration, checked.
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the list of workers comes from.
+    pub discovery: SocketAddr,
+    /// The counter, where there is one.
+    pub counter: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// The workers as this gateway last had them; may be old.
+    pub known: HostList,
+    /// What the decisions go by.
+    pub settings: Settings,
+    /// The names of classes and plans.
+    pub names: Names,
+    /// Most connections of clients, and most to workers: parts of the limit on descriptors.
+    pub clients_max: usize,
+    /// See `clients_max`.
+    pub workers_max: usize,
+    /// A connection to a worker not established by then never is.
+    pub connect_timeout: Duration,
+    /// A worker closes a connection that has been idle for so long.
+    pub worker_idle: Duration,
+}
+
+/// Descriptors kept back: listener, counter, discovery, runtime, standard streams, and each one's successor.
+const SPARE_SOCKETS: usize = 32;
+
+impl Config {
+    /// Reads the file that `RELAY_CONFIG` names. The message of an error names the field.
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+        Config::parse(&text, variable)
+    }
+
+    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+        let mut pairs = Vec::new();
+        flatten("", &file.settings, &mut pairs);
+        let fields = Fields::from_pairs("settings", &pairs);
+        let (settings, names) = settings(&fields)?;
+        let span = |field: &str| -> Result<Duration, String> {
+            Ok(Duration::from_micros(fields.optional::<Micros>(field)?.filter(|n| *n > 0).unwrap_or(250_000)))
+        };
+        let sockets = file.limits.sockets;
+        if sockets < 2 * SPARE_SOCKETS {
+            return Err(format!("configuration: field `limits.sockets`: {sockets} is too few"));
+        }
+        let share = sockets - SPARE_SOCKETS;
+        Ok(Config {
+            listen: address("listen", variable("RELAY_LISTEN").or(file.listen))?,
+            discovery: address("discovery", variable("RELAY_DISCOVERY").or(file.discovery))?,
+            counter: file.counter.map(|at| address("counter", Some(at))).transpose()?,
+            seed: u64::from_str_radix(&file.seed, 16)
+                .map_err(|_| format!("configuration: field `seed`: `{}` is not hexadecimal", file.seed))?,
+            known: file.known,
+            connect_timeout: span("limits.connectTimeoutUs")?,
+            worker_idle: span("limits.connIdleUs")?,
+            settings,
+            names,
+            clients_max: share * 2 / 3,
+            workers_max: share / 3,
+        })
+    }
+}
+
+fn address(field: &str, value: Option<String>) -> Result<SocketAddr, String> {
+    let value = value.ok_or_else(|| format!("configuration: field `{field}`: missing"))?;
+    value
+        .parse()
+        .map_err(|_| format!("configuration: field `{field}`: `{value}` is not an address with a port"))
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,285 @@
+//! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
+
+use crate::net::config::Config;
+use crate::net::counter::Counter;
+use crate::net::workers::{Attempted, Parts, Progress, Served, Workers};
+use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId};
+use crate::{Request, RequestId, WorkerId};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::{Duration, Instant};
+
+/// Time kept back from each client's own, so that the last moment's answer reaches it before it leaves.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+
+/// Unix time, read once: from then on it runs evenly and never goes back. All gateways share it because
+/// the names of counts hold the number of a slot of time.
+struct Clock {
+    at: Micros,
+    since: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { at: at.as_micros() as Micros, since: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.at + self.since.elapsed().as_micros() as Micros
+    }
+}
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// A worker's.
+    Served(Served),
+    /// Trying again is harmless, and best after so long.
+    Refused(Micros),
+    /// Nothing is promised; whether time ran out.
+    Failed {
+        /// No worker answered in time.
+        late: bool,
+    },
+}
+
+/// A client's request as the server has read it.
+pub struct Taken {
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// Its class.
+    pub class: ClassId,
+    /// The customer's plan.
+    pub plan: PlanId,
+    /// Units, as guessed.
+    pub units: f64,
+    /// Gateways that the customer's requests come through.
+    pub gateways: u32,
+    /// When the client gives up.
+    pub until: Instant,
+    /// What goes on to a worker.
+    pub parts: Parts,
+}
+
+struct Open {
+    parts: Rc<Parts>,
+    /// Where its answer goes; none once it has been given or the client has left.
+    reply: Option<oneshot::Sender<Answer>>,
+    /// By number; none once they have ended.
+    attempts: Vec<Option<Running>>,
+    late: bool,
+}
+
+struct Running {
+    worker: WorkerId,
+    progress: Rc<Progress>,
+    task: AbortHandle,
+    sent: Instant,
+}
+
+/// The gateway's heart.
+pub struct Driver {
+    /// The workers' side.
+    pub workers: Workers,
+    /// The counter's side.
+    pub counter: Counter,
+    gatekeeper: RefCell<Gatekeeper>,
+    clock: Clock,
+    open: RefCell<HashMap<RequestId, Open>>,
+    next: Cell<u64>,
+    events: RefCell<VecDeque<Event>>,
+    feeding: Cell<bool>,
+}
+
+impl Driver {
+    /// A driver that has heard nothing yet.
+    pub fn new(config: &Config) -> Rc<Driver> {
+        let clock = Clock::new();
+        let settings = config.settings.clone();
+        Rc::new(Driver {
+            workers: Workers::new(config.workers_max, config.connect_timeout, config.worker_idle),
+            counter: Counter::new(config.counter, settings.counter_timeout),
+            gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
+            clock,
+            open: RefCell::default(),
+            next: Cell::new(0),
+            events: RefCell::default(),
+            feeding: Cell::new(false),
+        })
+    }
+
+    /// Tells the decisions of something, and does what they want done about it. What that leads to at once
+    /// waits its turn, so that actions are carried out in the order in which they were decided.
+    pub fn feed(self: &Rc<Self>, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.feeding.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            self.gatekeeper.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+        self.feeding.set(false);
+    }
+
+    fn act(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { request, worker, timeout } => self.send(request, worker, timeout),
+            Action::Cancel { request, attempt } => self.cancel(&request, attempt),
+            Action::Refuse { request, retry_after } => {
+                self.answer(&request, |_| Answer::Refused(retry_after))
+            }
+            Action::Fail(request) => self.answer(&request, |open| Answer::Failed { late: open.late }),
+            Action::SetTimer { token, after } => {
+                let driver = self.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(Duration::from_micros(after)).await;
+                    driver.feed(Event::Timer(token));
+                });
+            }
+            Action::Count { name, amount, keep } => self.counter.call(self, name, amount, keep),
+            // The watch is always on.
+            Action::Subscribe => {}
+        }
+    }
+
+    /// Takes a request in. Its answer comes on the channel; dropping the ticket says that the client left.
+    pub fn take(self: &Rc<Self>, taken: Taken) -> (Ticket, oneshot::Receiver<Answer>) {
+        self.next.set(self.next.get() + 1);
+        let id = RequestId(self.next.get().to_string());
+        let (reply, answer) = oneshot::channel();
+        let open =
+            Open { parts: Rc::new(taken.parts), reply: Some(reply), attempts: Vec::new(), late: false };
+        self.open.borrow_mut().insert(id.clone(), open);
+        let left = taken.until.saturating_duration_since(Instant::now()).saturating_sub(ANSWER_MARGIN);
+        self.feed(Event::Request(Request {
+            id: id.clone(),
+            customer: taken.customer,
+            class: Some(taken.class),
+            plan: Some(taken.plan),
+            units: taken.units,
+            gateways: taken.gateways,
+            time_left: left.as_micros() as Micros,
+        }));
+        (Ticket { driver: self.clone(), id }, answer)
+    }
+
+    /// Requests that have no answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.open.borrow().values().filter(|open| open.reply.is_some()).count()
+    }
+
+    fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros) {
+        let mut all = self.open.borrow_mut();
+        let Some(open) = all.get_mut(&id) else { return };
+        let (parts, n) = (open.parts.clone(), open.attempts.len());
+        let progress = Rc::new(Progress::default());
+        let sent = Instant::now();
+        let (driver, told, request) = (self.clone(), progress.clone(), id.clone());
+        let task = tokio::task::spawn_local(async move {
+            let deadline = sent + Duration::from_micros(timeout);
+            let mut attempted = driver.workers.attempt(worker, &parts, deadline, &told).await;
+            driver.attempt_done(&request, n, &mut attempted);
+            driver.workers.give_back(worker, attempted).await;
+        });
+        open.attempts.push(Some(Running { worker, progress, task: task.abort_handle(), sent }));
+    }
+
+    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, attempted: &mut Attempted) {
+        let ended = self.open.borrow_mut().get_mut(id).and_then(|open| {
+            open.late |= attempted.outcome == Outcome::Timeout;
+            open.attempts.get_mut(n).and_then(Option::take)
+        });
+        let Some(running) = ended else { return };
+        if let Some(served) = attempted.served.take() {
+            self.answer(id, |_| Answer::Served(served));
+        }
+        self.tell_end(id, n, attempted.outcome, running.sent, attempted.true_units);
+    }
+
+    /// Calls an attempt off: its connection ends before the decisions hear of it, so that no further attempt
+    /// can be out together with it.
+    fn cancel(self: &Rc<Self>, id: &RequestId, n: usize) {
+        let slot = self.open.borrow_mut().get_mut(id).and_then(|o| o.attempts.get_mut(n)?.take());
+        let Some(running) = slot else { return };
+        let outcome = if running.progress.give_up() { Outcome::Cancelled } else { Outcome::NotSent };
+        running.task.abort();
+        self.tell_end(id, n, outcome, running.sent, None);
+    }
+
+    /// Calls off what waits for a connection to a worker that takes no more work: once told of a drain,
+    /// nothing new may go out, and a connect that hangs would sit on the request for nothing.
+    pub fn recall_unwritten(self: &Rc<Self>) {
+        let mut recalled = Vec::new();
+        for (id, open) in self.open.borrow().iter() {
+            for (n, running) in open.attempts.iter().enumerate() {
+                if running.as_ref().is_some_and(|r| r.progress.waits() && !self.workers.takes_work(r.worker))
+                {
+                    recalled.push((id.clone(), n));
+                }
+            }
+        }
+        recalled.iter().for_each(|(id, n)| self.cancel(id, *n));
+    }
+
+    fn tell_end(
+        self: &Rc<Self>,
+        id: &RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        sent: Instant,
+        true_units: Option<f64>,
+    ) {
+        let closed = self.open.borrow().get(id).is_none_or(|open| open.reply.is_none());
+        self.forget_if_over(id);
+        let latency = sent.elapsed().as_micros() as Micros;
+        let request = id.clone();
+        self.feed(Event::AttemptDone(AttemptDone { request, attempt, outcome, latency, closed, true_units }));
+    }
+
+    /// The only place that answers a client.
+    fn answer(&self, id: &RequestId, answer: impl FnOnce(&Open) -> Answer) {
+        if let Some(open) = self.open.borrow_mut().get_mut(id) {
+            if let Some(reply) = open.reply.take() {
+                // A client that has just left needs none.
+                let _ = reply.send(answer(open));
+            }
+        }
+        self.forget_if_over(id);
+    }
+
+    fn client_gone(self: &Rc<Self>, id: &RequestId) {
+        let waited = self.open.borrow_mut().get_mut(id).and_then(|open| open.reply.take());
+        if waited.is_some() {
+            self.feed(Event::ClientGone(id.clone()));
+            self.forget_if_over(id);
+        }
+    }
+
+    fn forget_if_over(&self, id: &RequestId) {
+        let mut all = self.open.borrow_mut();
+        if all.get(id).is_some_and(|o| o.reply.is_none() && o.attempts.iter().all(Option::is_none)) {
+            all.remove(id);
+        }
+    }
+}
+
+/// Stands for a client that waits.
+pub struct Ticket {
+    driver: Rc<Driver>,
+    id: RequestId,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.driver.client_gone(&self.id);
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,47 @@
+//! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
+
+pub mod config;
+pub mod counter;
+pub mod discovery;
+pub mod driver;
+pub mod server;
+pub mod wire;
+pub mod workers;
+
+use tokio::time::Duration;
+
+/// The longest body, of a request or an answer, in bytes.
+pub const BODY_MAX: usize = 64 * 1024;
+
+/// Reports something odd from outside, sparsely: what repeats says so at powers of two only.
+pub fn note(count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
+    count.set(count.get() + 1);
+    if count.get().is_power_of_two() {
+        eprintln!("hingestage: {what} (time {})", count.get());
+    }
+}
+
+/// Waits between tries at a peer that may be down: doubling, so that it is neither flooded nor missed.
+pub struct Backoff(Duration);
+
+impl Backoff {
+    const FIRST: Duration = Duration::from_millis(50);
+    const LONGEST: Duration = Duration::from_secs(1);
+
+    /// Starts with the shortest wait.
+    pub fn new() -> Self {
+        Backoff(Self::FIRST)
+    }
+
+    /// Waits, the longer the more often in a row.
+    pub async fn wait(&mut self) {
+        tokio::time::sleep(self.0).await;
+        self.0 = (self.0 * 2).min(Self::LONGEST);
+    }
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Backoff::new()
+    }
+}
--- /dev/null
+++ b/src/net/server.rs
@@ -0,0 +1,335 @@
+//! The clients' side: connections and their number, requests read and checked, answers written.
+
+use crate::net::config::Config;
+use crate::net::driver::{Answer, Driver, Taken};
+use crate::net::workers::Parts;
+use crate::net::{note, BODY_MAX};
+use crate::settings::Names;
+use crate::{ClassId, CustomerId, Effect, PlanId};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How long a client may take over a request's head, or be silent between two requests.
+const HEAD_TIME: Duration = Duration::from_secs(60);
+/// How long a client may take over a body.
+const BODY_TIME: Duration = Duration::from_secs(5);
+/// The largest head of a request, bytes.
+const HEAD_MAX: usize = 16 * 1024;
+/// How long new connections are taken in after the call to stop.
+const STILL_ACCEPT: Duration = Duration::from_millis(500);
+/// What a client may ask us to wait at most.
+const PATIENCE_MAX: f64 = 3600.0;
+/// Pause where the system has no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// One client's connection, as far as closing it between requests goes.
+#[derive(Default)]
+struct Client {
+    busy: Cell<bool>,
+    served: Cell<bool>,
+    idle_since: Cell<u64>,
+    close: Notify,
+}
+
+/// The clients' side.
+pub struct Server {
+    driver: Rc<Driver>,
+    names: Names,
+    effects: Vec<Effect>,
+    instances: u32,
+    clients_max: usize,
+    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    left: Notify,
+    turns: Cell<u64>,
+    ready: Cell<bool>,
+    stopping: Cell<bool>,
+    odd: Cell<u64>,
+}
+
+impl Server {
+    /// A server without clients, not ready yet.
+    pub fn new(driver: Rc<Driver>, config: &Config) -> Rc<Server> {
+        Rc::new(Server {
+            driver,
+            names: config.names.clone(),
+            effects: config.settings.classes.iter().map(|class| class.effect).collect(),
+            instances: config.settings.instances.max(1),
+            clients_max: config.clients_max,
+            clients: RefCell::default(),
+            left: Notify::new(),
+            turns: Cell::new(0),
+            ready: Cell::new(false),
+            stopping: Cell::new(false),
+            odd: Cell::new(0),
+        })
+    }
+
+    /// Says from now on that requests can be served.
+    pub fn set_ready(&self) {
+        self.ready.set(true);
+    }
+
+    /// Takes connections in for ever. At the limit one that idles makes room, or the next waits in line.
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        loop {
+            while self.clients.borrow().len() >= self.clients_max {
+                let left = self.left.notified();
+                self.close_an_idle_one();
+                left.await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream),
+                // Out of descriptors, or the client has gone already: neither may end the gateway.
+                Err(e) => {
+                    note(&self.odd, format_args!("accept: {e}"));
+                    self.close_an_idle_one();
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Stops as the deployment expects it: connections still come for a while and are taken in; all that was
+    /// taken is answered; those between requests are closed at once, while there is still someone to take in
+    /// a request that crosses the closing.
+    pub async fn stop(self: &Rc<Self>, listener: TcpListener, longest: Duration) {
+        self.stopping.set(true);
+        let until = Instant::now() + longest;
+        self.close_idle(|client| client.served.get());
+        let _ = tokio::time::timeout(STILL_ACCEPT, self.accept(&listener)).await;
+        drop(listener);
+        self.close_idle(|_| true);
+        while !self.clients.borrow().is_empty() && Instant::now() < until {
+            let left = self.left.notified();
+            let _ = tokio::time::timeout_at(until, left).await;
+        }
+    }
+
+    fn close_idle(&self, which: impl Fn(&Client) -> bool) {
+        let clients = self.clients.borrow();
+        clients.values().filter(|c| !c.busy.get() && which(c)).for_each(|c| c.close.notify_one());
+    }
+
+    fn close_an_idle_one(&self) {
+        let clients = self.clients.borrow();
+        let idle = clients.values().filter(|c| !c.busy.get() && c.served.get());
+        if let Some(client) = idle.min_by_key(|c| c.idle_since.get()) {
+            client.close.notify_one();
+        }
+    }
+
+    fn turn(&self) -> u64 {
+        self.turns.set(self.turns.get() + 1);
+        self.turns.get()
+    }
+
+    fn admit(self: &Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (server, number, client) = (self.clone(), self.turn(), Rc::new(Client::default()));
+        self.clients.borrow_mut().insert(number, client.clone());
+        tokio::task::spawn_local(async move {
+            server.serve(stream, &client).await;
+            server.clients.borrow_mut().remove(&number);
+            server.left.notify_one();
+        });
+    }
+
+    async fn serve(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
+        let service = service_fn(|request| {
+            let (server, client) = (self.clone(), client.clone());
+            client.busy.set(true);
+            async move {
+                let mut answer = server.answer(request).await;
+                if server.stopping.get() {
+                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                client.busy.set(false);
+                client.served.set(true);
+                client.idle_since.set(server.turn());
+                Ok::<_, Infallible>(answer)
+            }
+        });
+        let conn = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIME)
+            .max_buf_size(HEAD_MAX)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut conn = std::pin::pin!(conn);
+        // A client that misbehaves or leaves ends its own connection and nothing else.
+        tokio::select! {
+            ended = conn.as_mut() => return drop(ended),
+            () = client.close.notified() => conn.as_mut().graceful_shutdown(),
+        }
+        let _ = conn.await;
+    }
+
+    async fn answer(self: &Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() == "/up" && request.method() == Method::GET {
+            let up = self.ready.get() && !self.stopping.get();
+            return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        }
+        let taken = match self.read(request).await {
+            Ok(taken) => taken,
+            Err((status, what)) => {
+                let mut answer = plain(status, what);
+                // What is left of it on the connection can't be told from a next request.
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return answer;
+            }
+        };
+        // The ticket ends with this call: dropped early it says that the client has left.
+        let (_ticket, answer) = self.driver.take(taken);
+        match answer.await {
+            Ok(answer) => respond(answer),
+            Err(_) => plain(StatusCode::BAD_GATEWAY, "no answer"),
+        }
+    }
+
+    /// Reads a request whole. Nothing that is malformed goes any further.
+    async fn read(&self, request: Request<Incoming>) -> Result<Taken, Bad> {
+        let (head, body) = request.into_parts();
+        if body.size_hint().lower() > BODY_MAX as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+        }
+        let class_name = header(&head.headers, "request-class")?;
+        let class = place(&self.names.classes, class_name).ok_or(bad("unknown class"))?;
+        let plan = place(&self.names.plans, header(&head.headers, "x-tier")?).ok_or(bad("unknown plan"))?;
+        if head.uri.path().split('/').nth(1) != Some(class_name) {
+            return Err(bad("path and class differ"));
+        }
+        let safe = self.effects.get(class) == Some(&Effect::Idempotent);
+        if head.method != if safe { Method::GET } else { Method::POST } {
+            return Err(bad("method and class differ"));
+        }
+        let customer = customer(&head.headers)?;
+        let (units, gateways) = terms(header(&head.headers, "x-call-terms")?, self.instances)?;
+        let patience =
+            decimal(header(&head.headers, "request-timeout")?).ok_or(bad("bad Request-Timeout"))?;
+        header(&head.headers, "request-id")?;
+        let id = head.headers.get("request-id").cloned().ok_or(bad("no Request-Id"))?;
+        let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
+        let body = if body.is_end_stream() { Bytes::new() } else { read_body(body).await? };
+        if safe && !body.is_empty() {
+            return Err(bad("a body where none belongs"));
+        }
+        Ok(Taken {
+            customer,
+            class: ClassId(class),
+            plan: PlanId(plan),
+            units,
+            gateways,
+            // The request's last byte has just been read.
+            until: Instant::now() + Duration::from_secs_f64(patience.min(PATIENCE_MAX)),
+            parts: Parts {
+                method: head.method,
+                uri: uri.ok_or(bad("bad path"))?,
+                id,
+                content_type: head.headers.get(CONTENT_TYPE).cloned(),
+                body,
+            },
+        })
+    }
+}
+
+type Bad = (StatusCode, &'static str);
+
+fn bad(what: &'static str) -> Bad {
+    (StatusCode::BAD_REQUEST, what)
+}
+
+async fn read_body(body: Incoming) -> Result<Bytes, Bad> {
+    let read = tokio::time::timeout(BODY_TIME, Limited::new(body, BODY_MAX).collect()).await;
+    match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body takes too long"))? {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
+        Err(_) => Err(bad("bad framing")),
+    }
+}
+
+/// A header that must be there once, as text.
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Bad> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next().and_then(|value| value.to_str().ok()), values.next()) {
+        (Some(value), None) if !value.is_empty() => Ok(value),
+        _ => Err(bad("a header is missing or bad")),
+    }
+}
+
+fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+/// A plain decimal number above 0.
+fn decimal(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|n: &f64| plain && n.is_finite() && *n > 0.0)
+}
+
+/// The customer: the cookie `client`, 16 hexadecimal digits below 2^33.
+fn customer(headers: &HeaderMap) -> Result<CustomerId, Bad> {
+    let cookies = headers.get_all(COOKIE).iter().filter_map(|value| value.to_str().ok());
+    let mut clients =
+        cookies.flat_map(|value| value.split(';')).filter_map(|c| c.trim().strip_prefix("client="));
+    let (Some(client), None) = (clients.next(), clients.next()) else { return Err(bad("no client")) };
+    let digits = client.len() == 16 && client.bytes().all(|b| b.is_ascii_hexdigit());
+    match u64::from_str_radix(client, 16) {
+        Ok(number) if digits && number < 1 << 33 => Ok(CustomerId(format!("{number:x}"))),
+        _ => Err(bad("bad client")),
+    }
+}
+
+/// Units and number of gateways, from `units=2,spread=3,first=1`.
+fn terms(text: &str, instances: u32) -> Result<(f64, u32), Bad> {
+    let (mut units, mut spread) = (None, None);
+    for term in text.split(',') {
+        match term.trim().split_once('=') {
+            Some(("units", value)) => units = decimal(value),
+            Some(("spread", value)) => spread = value.parse().ok().filter(|n| (1..=instances).contains(n)),
+            Some(("first", value)) if value.parse::<u32>().is_ok_and(|n| n < instances) => {}
+            Some((name, _)) if name != "first" => {}
+            _ => return Err(bad("bad X-Call-Terms")),
+        }
+    }
+    units.zip(spread).ok_or(bad("bad X-Call-Terms"))
+}
+
+fn plain(status: StatusCode, what: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(what.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn respond(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Served(served) => {
+            let mut response = Response::new(Full::new(served.body));
+            if let Some(value) = served.content_type {
+                response.headers_mut().insert(CONTENT_TYPE, value);
+            }
+            response
+        }
+        Answer::Refused(wait) => {
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused: trying again is harmless");
+            let value = HeaderValue::from_str(&format!("{:.3}", wait as f64 / 1e6));
+            if let (Ok(value), true) = (value, wait > 0) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+            response
+        }
+        Answer::Failed { late: true } => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        Answer::Failed { late: false } => plain(StatusCode::BAD_GATEWAY, "failed"),
+    }
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -17,7 +17,7 @@
     graceUs=900000\tcontract=small\tfirstDoor=1\tunheardOf=1";
 
 fn run(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_myrtlecart-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hingestage-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use myrtlecart::*;
+use hingestage::*;
 use std::collections::BTreeMap;
 
 #[test]
