Tests over loopback sockets for the traps of the real gateway; ready from the known list

Seen while writing them: with discovery down at the start /up never answered 200, although the list of an earlier life was known (main.rs: set_ready only on news). Now that list will do after 1 s of silence. Ruled out by test: silent resends, shifted counter answers, lost requests at SIGTERM, malformed requests sent on, more connections than descriptors.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,8 @@
 
 /// Past the longest deadline after the call to stop nothing can be owed any more.
 const STOP_SPARE: Duration = Duration::from_millis(600);
+/// How long discovery may stay silent before the list of an earlier life is gone by.
+const KNOWN_WILL_DO: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
     let run = || -> Result<(), String> {
@@ -35,6 +37,8 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
+    let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
+    eprintln!("hingestage: listening on {bound}");
     let driver = Driver::new(&config);
     let server = Server::new(driver.clone(), &config);
     let book = Book::default();
@@ -43,6 +47,14 @@
         let (driver, server) = (driver.clone(), server.clone());
         follow(driver, book, config.discovery, config.known.rev, move || server.set_ready())
     });
+    if !config.known.targets.is_empty() {
+        // While discovery is down the list of before is all there is, and serves well enough.
+        let server = server.clone();
+        spawn_local(async move {
+            tokio::time::sleep(KNOWN_WILL_DO).await;
+            server.set_ready();
+        });
+    }
     spawn_local({
         let driver = driver.clone();
         async move { driver.counter.run(driver.clone()).await }
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,469 @@
+//! The real program, and small peers for it on loopback sockets: workers, discovery, counter, client.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes on the slowest machine: running into it is a failure.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const CLIENT: &str = "00000000b4d65521";
+
+/// What a worker does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Answers: status line and headers without framing, and the body.
+    Answer(String, String),
+    /// These bytes, then the connection ends.
+    RawThenClose(String),
+    /// Nothing, for as long as the connection stays open.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Answer("200 OK".into(), body.into())
+}
+
+/// A message as a peer read it.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub first_line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first_line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Reads one; `None` where the connection ends first.
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut line = || {
+            let mut text = String::new();
+            (from.read_line(&mut text).ok()? > 0).then(|| text.trim_end().to_owned())
+        };
+        let first_line = line()?;
+        let mut headers = Vec::new();
+        loop {
+            let text = line()?;
+            let Some((name, value)) = text.split_once(':') else { break };
+            headers.push((name.to_owned(), value.trim().to_owned()));
+        }
+        let mut message = Message { first_line, headers, body: String::new() };
+        let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        from.read_exact(&mut body).ok()?;
+        message.body = String::from_utf8(body).unwrap();
+        Some(message)
+    }
+}
+
+/// Something that happened at a worker.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    Request { conn: usize, message: Message },
+    Closed { conn: usize },
+}
+
+pub struct Worker {
+    pub addr: SocketAddr,
+    seen: Receiver<Seen>,
+    reply: Arc<Mutex<Reply>>,
+}
+
+impl Worker {
+    pub fn start(reply: Reply) -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (tell, seen) = channel();
+        let reply = Arc::new(Mutex::new(reply));
+        let shared = reply.clone();
+        thread::spawn(move || {
+            for (conn, stream) in listener.incoming().flatten().enumerate() {
+                let (tell, reply) = (tell.clone(), shared.clone());
+                thread::spawn(move || Worker::serve(conn, stream, &tell, &reply));
+            }
+        });
+        Worker { addr, seen, reply }
+    }
+
+    fn serve(conn: usize, stream: TcpStream, tell: &Sender<Seen>, reply: &Mutex<Reply>) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(message) = Message::read(&mut reader) {
+            let _ = tell.send(Seen::Request { conn, message });
+            let reply = reply.lock().unwrap().clone();
+            match reply {
+                Reply::Answer(head, body) => {
+                    let text = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    let _ = (&stream).write_all(text.as_bytes());
+                }
+                Reply::RawThenClose(text) => {
+                    let _ = (&stream).write_all(text.as_bytes());
+                    break;
+                }
+                Reply::Silence => {
+                    let _ = reader.read(&mut [0]);
+                    break;
+                }
+            }
+        }
+        let _ = tell.send(Seen::Closed { conn });
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    pub fn set(&self, reply: Reply) {
+        *self.reply.lock().unwrap() = reply;
+    }
+
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(PATIENCE).expect("nothing came to the worker")
+    }
+
+    /// The next request, passing over connections that end.
+    pub fn request(&self) -> Message {
+        loop {
+            if let Seen::Request { message, .. } = self.next() {
+                return message;
+            }
+        }
+    }
+
+    /// All that has happened so far and was not asked for yet.
+    pub fn rest(&self) -> Vec<Seen> {
+        self.seen.try_iter().collect()
+    }
+
+    pub fn requests(&self) -> usize {
+        self.rest().iter().filter(|seen| matches!(seen, Seen::Request { .. })).count()
+    }
+
+    pub fn listed(&self, uid: &str, state: &str) -> Value {
+        json!({"uid": uid, "endpoint": self.addr.to_string(), "az": "a", "model": "m", "pod_group": 1,
+               "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+    }
+}
+
+/// The list service: each watch gets the lines pushed from its start on, and a sign of life.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+    pub watches: Arc<AtomicUsize>,
+    /// Whether it says anything at all.
+    pub speaks: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (lines, watches) = (Arc::new(Mutex::new(Vec::<String>::new())), Arc::new(AtomicUsize::new(0)));
+        let speaks = Arc::new(AtomicUsize::new(1));
+        let (all, count, voice) = (lines.clone(), watches.clone(), speaks.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (all, count, voice) = (all.clone(), count.clone(), voice.clone());
+                thread::spawn(move || Discovery::serve(stream, &all, &count, &voice));
+            }
+        });
+        Discovery { addr, lines, watches, speaks }
+    }
+
+    fn serve(stream: TcpStream, lines: &Mutex<Vec<String>>, watches: &AtomicUsize, speaks: &AtomicUsize) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        if Message::read(&mut reader).is_none() {
+            return;
+        }
+        // A watch that begins later gets the last list whole, as after a long gap.
+        let mut told = lines.lock().unwrap().len().saturating_sub(1);
+        watches.fetch_add(1, Ordering::SeqCst);
+        let mut head = Some("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned());
+        for turn in 0u64.. {
+            if speaks.load(Ordering::SeqCst) == 1 {
+                let mut text = head.take().unwrap_or_default();
+                let all = lines.lock().unwrap();
+                for line in &all[told..] {
+                    text.push_str(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+                }
+                told = all.len();
+                if turn % 20 == 0 {
+                    text.push_str("1\r\n\n\r\n");
+                }
+                drop(all);
+                if (&stream).write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn say(&self, line: String) {
+        self.lines.lock().unwrap().push(line);
+    }
+
+    pub fn list(&self, rev: u64, all: bool, targets: &[Value]) {
+        self.say(json!({"rev": rev, "all": all, "targets": targets}).to_string());
+    }
+}
+
+/// The counter service: `answer` gives the reply to a call by its name and number; `None` ends the connection.
+pub struct Counter {
+    pub addr: SocketAddr,
+    pub calls: Receiver<(usize, String)>,
+}
+
+impl Counter {
+    pub fn start(answer: impl Fn(&str, usize) -> Option<String> + Send + Sync + 'static) -> Counter {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (tell, calls) = channel();
+        thread::spawn(move || {
+            let mut number = 0;
+            for (conn, stream) in listener.incoming().flatten().enumerate() {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(words) = Counter::read(&mut reader) {
+                    let text = if words[0] == "PING" {
+                        Some("+PONG\r\n".to_owned())
+                    } else {
+                        let _ = tell.send((conn, words[1].clone()));
+                        number += 1;
+                        answer(&words[1], number - 1)
+                    };
+                    let Some(text) = text else { break };
+                    if (&stream).write_all(text.as_bytes()).is_err() {
+                        break;
+                    }
+                }
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
+        Counter { addr, calls }
+    }
+
+    fn read(from: &mut impl BufRead) -> Option<Vec<String>> {
+        let mut line = || {
+            let mut text = String::new();
+            (from.read_line(&mut text).ok()? > 0).then(|| text.trim_end().to_owned())
+        };
+        let words: usize = line()?.strip_prefix('*')?.parse().ok()?;
+        (0..words).map(|_| line().and_then(|_| line())).collect()
+    }
+}
+
+pub fn total(n: f64) -> String {
+    let text = n.to_string();
+    format!("${}\r\n{text}\r\n", text.len())
+}
+
+/// The configuration of a lone gateway with two classes and two plans.
+pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"rev": 1, "all": true, "targets": known},
+        "settings": {
+            "instances": 1, "me": 0, "resolutionUs": 1000, "zone": "a", "registryMode": "pushed",
+            "familyInfo": {"mayCount": false, "countWaitUs": 50000, "mostUnits": 6, "costAfter": true},
+            "limits": {"maxAttempts": 6, "mayCancel": true, "mayDuplicate": false, "retryAfter": true,
+                       "maxRetryAfterUs": 500000, "connIdleUs": 30000000, "connectTimeoutUs": 250000},
+            "rules": {"coldFrom": 0.22, "coldUs": 14000000, "fallMultiple": 3.0, "tipAfterUs": 1500000},
+            "services": [
+                {"name": "pull", "aimUs": 600000, "giveUpUs": 1500000, "effect": "idempotent", "group": "all"},
+                {"name": "push", "aimUs": 750000, "giveUpUs": 2500000, "effect": "at_most_once", "group": "all"}],
+            "tiersOfService": [
+                {"name": "large", "rate": 1000.0, "storeSize": 1000.0, "overCost": 1.0},
+                {"name": "small", "rate": 1.0, "storeSize": 20.0, "overCost": 1.0}]
+        }
+    })
+}
+
+/// The program under test; ended with the test.
+pub struct Gateway {
+    child: Child,
+    pub addr: SocketAddr,
+    _folder: Folder,
+}
+
+struct Folder(std::path::PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn spawn(config: &str) -> (Child, Folder) {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let folder = Folder(std::env::temp_dir().join(format!("hingestage-{}-{number}", std::process::id())));
+    std::fs::create_dir_all(&folder.0).unwrap();
+    let path = folder.0.join("config.json");
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hingestage"));
+    for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"] {
+        command.env_remove(variable);
+    }
+    let child = command.env("RELAY_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+    (child, folder)
+}
+
+/// Runs the program on a configuration that it can't take; gives exit code and standard error.
+pub fn run_to_end(config: &str) -> (Option<i32>, String) {
+    let (child, _folder) = spawn(config);
+    let out = child.wait_with_output().unwrap();
+    (out.status.code(), String::from_utf8(out.stderr).unwrap())
+}
+
+impl Gateway {
+    pub fn start(config: &Value) -> Gateway {
+        let (mut child, folder) = spawn(&config.to_string());
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let addr = line
+            .trim()
+            .rsplit(' ')
+            .next()
+            .unwrap()
+            .parse()
+            .expect("the first log line ends with the address");
+        // What follows is drained, so that the program never waits for its log.
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
+        Gateway { child, addr, _folder: folder }
+    }
+
+    /// Starts and waits until requests can be served.
+    pub fn ready(config: &Value) -> Gateway {
+        let gateway = Gateway::start(config);
+        let until = Instant::now() + PATIENCE;
+        while gateway.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+            assert!(Instant::now() < until, "never ready");
+            thread::sleep(Duration::from_millis(10));
+        }
+        gateway
+    }
+
+    pub fn connect(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    /// One exchange on a connection of its own.
+    pub fn ask(&self, request: &str) -> Message {
+        self.connect().ask(request)
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the program does not end");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client {
+    reader: BufReader<TcpStream>,
+    stream: TcpStream,
+}
+
+impl Client {
+    pub fn send(&mut self, request: &str) {
+        self.stream.write_all(request.as_bytes()).unwrap();
+    }
+
+    /// The next answer, or none where the connection ends first.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
+    pub fn ask(&mut self, request: &str) -> Message {
+        self.send(request);
+        self.answer().expect("the connection ended without an answer")
+    }
+}
+
+/// A request as clients send it.
+pub struct Ask {
+    pub head: String,
+    pub class: &'static str,
+    pub tier: &'static str,
+    pub client: String,
+    pub timeout: &'static str,
+    pub terms: String,
+    pub body: Option<String>,
+}
+
+static IDS: AtomicUsize = AtomicUsize::new(0);
+
+pub fn pull() -> Ask {
+    Ask {
+        head: "GET /pull/v2/image?tag=1".into(),
+        class: "pull",
+        tier: "large",
+        client: CLIENT.into(),
+        timeout: "1.500",
+        terms: "units=1,spread=1,first=0".into(),
+        body: None,
+    }
+}
+
+pub fn push() -> Ask {
+    Ask {
+        head: "POST /push/v2/image".into(),
+        class: "push",
+        timeout: "2.5",
+        body: Some("layer".into()),
+        ..pull()
+    }
+}
+
+impl Ask {
+    pub fn id(&self) -> String {
+        format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst))
+    }
+
+    pub fn text(&self) -> String {
+        let length =
+            self.body.as_ref().map(|b| format!("Content-Length: {}\r\n", b.len())).unwrap_or_default();
+        format!(
+            "{} HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: {}\r\nRequest-Class: {}\r\nX-Tier: {}\r\n\
+             Cookie: client={}\r\nRequest-Timeout: {}\r\nX-Call-Terms: {}\r\n{length}\r\n{}",
+            self.head,
+            self.id(),
+            self.class,
+            self.tier,
+            self.client,
+            self.timeout,
+            self.terms,
+            self.body.as_deref().unwrap_or_default()
+        )
+    }
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,339 @@
+//! The real program against small peers on loopback sockets. Each test names the trap that it guards.
+
+mod peers;
+
+use peers::*;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// A gateway that knows the given workers as `w0`, `w1`, ...
+fn stage(workers: &[&Worker]) -> (Gateway, Discovery) {
+    let discovery = Discovery::start();
+    let listed: Vec<_> = workers.iter().enumerate().map(|(i, w)| w.listed(&format!("w{i}"), "up")).collect();
+    discovery.list(2, true, &listed);
+    (Gateway::ready(&config(discovery.addr, &[])), discovery)
+}
+
+#[test]
+fn a_request_and_its_answer_pass_unchanged() {
+    let worker = Worker::start(Reply::Answer(
+        "200 OK\r\nX-Cost-Units: 1e9\r\nContent-Type: a/b".into(),
+        "whole".into(),
+    ));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let mut client = gateway.connect();
+    for ask in [pull(), push(), Ask { body: Some("x".repeat(64 * 1024)), ..push() }] {
+        let answer = client.ask(&ask.text());
+        let seen = worker.request();
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "whole"));
+        assert_eq!(answer.header("content-type"), Some("a/b"));
+        assert_eq!(seen.first_line, format!("{} HTTP/1.1", ask.head));
+        assert_eq!(seen.body, ask.body.unwrap_or_default());
+        assert_eq!(seen.header("request-id").map(str::len), Some(16));
+        assert!(seen.header("request-timeout").is_some());
+    }
+}
+
+#[test]
+fn up_only_once_the_list_is_known() {
+    let discovery = Discovery::start();
+    let gateway = Gateway::start(&config(discovery.addr, &[]));
+    let up = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    assert_eq!(gateway.ask(up).status(), 503);
+    discovery.list(2, true, &[]);
+    let until = Instant::now() + PATIENCE;
+    while gateway.ask(up).status() != 200 {
+        assert!(Instant::now() < until);
+    }
+}
+
+#[test]
+fn up_with_the_list_of_before_while_discovery_is_down() {
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.speaks.store(0, Ordering::SeqCst);
+    let gateway = Gateway::ready(&config(discovery.addr, &[worker.listed("w0", "up")]));
+    assert_eq!(gateway.ask(&pull().text()).body, "served");
+}
+
+#[test]
+fn malformed_requests_are_answered_at_once_and_never_sent_on() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let good = pull().text();
+    let without = |name: &str| -> String {
+        good.split_inclusive("\r\n").filter(|line| !line.starts_with(name)).collect()
+    };
+    let asks = [
+        (400, "nonsense\r\n\r\n".to_owned()),
+        (400, without("Request-Id")),
+        (400, without("Request-Class")),
+        (400, without("X-Tier")),
+        (400, without("Cookie")),
+        (400, without("Request-Timeout")),
+        (400, without("X-Call-Terms")),
+        (400, good.replace("Request-Id:", "Request-Id: twice\r\nRequest-Id:")),
+        (400, Ask { class: "fetch", ..pull() }.text()),
+        (400, Ask { tier: "huge", ..pull() }.text()),
+        (400, Ask { head: "GET /push/x".into(), ..pull() }.text()),
+        (400, Ask { head: "POST /pull/x".into(), ..pull() }.text()),
+        (400, Ask { client: "b4d65521".into(), ..pull() }.text()),
+        (400, Ask { client: "ffffffffffffffff".into(), ..pull() }.text()),
+        (400, Ask { timeout: "soon", ..pull() }.text()),
+        (400, Ask { timeout: "-1", ..pull() }.text()),
+        (400, Ask { timeout: "inf", ..pull() }.text()),
+        (400, Ask { terms: "units=NaN,spread=1,first=0".into(), ..pull() }.text()),
+        (400, Ask { terms: "units=1,spread=0,first=0".into(), ..pull() }.text()),
+        (400, Ask { terms: "units=1,spread=1,first=9".into(), ..pull() }.text()),
+        (400, Ask { body: Some("a body".into()), ..pull() }.text()),
+        (413, Ask { body: Some("x".repeat(64 * 1024 + 1)), ..push() }.text()),
+        (413, push().text().replace("Content-Length: 5", "Content-Length: 99999999999")),
+        (431, good.replace("Host:", &format!("X-Long: {}\r\nHost:", "x".repeat(100_000)))),
+    ];
+    for (status, ask) in asks {
+        let mut client = gateway.connect();
+        // The gateway may answer and close before it has read all of a large one.
+        let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| client.send(&ask)));
+        match client.answer() {
+            Some(answer) => assert_eq!(answer.status(), status, "{}", &ask[..ask.len().min(400)]),
+            None => assert!(ask.len() > 50_000, "no answer to {ask}"),
+        }
+    }
+    assert_eq!(worker.requests(), 0);
+    assert_eq!(gateway.ask(&good).body, "served");
+}
+
+/// May it have run? After its last byte was written, a broken connection proves nothing.
+#[test]
+fn an_unsafe_request_that_may_have_run_is_failed_and_never_sent_again() {
+    let worker = Worker::start(ok(""));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    for reply in [
+        Reply::RawThenClose(String::new()),
+        Reply::RawThenClose(short.into()),
+        Reply::RawThenClose("what is this\r\n\r\n".into()),
+        Reply::Answer("500 Oops".into(), "no".into()),
+        Reply::Answer("503 Full".into(), "no".into()),
+        Reply::Answer("504 Late\r\nNot-Started: 0".into(), "no".into()),
+        Reply::Answer("201 Created".into(), "no".into()),
+        Reply::Answer("200 OK".into(), "x".repeat(64 * 1024 + 1)),
+    ] {
+        worker.set(reply.clone());
+        let answer = gateway.ask(&push().text());
+        assert!(matches!(answer.status(), 502 | 504), "{reply:?}: {}", answer.first_line);
+        assert_eq!(worker.requests(), 1, "{reply:?}");
+    }
+}
+
+#[test]
+fn what_never_began_may_be_refused() {
+    let worker = Worker::start(Reply::Answer("503 Full\r\nNot-Started: 1".into(), "no".into()));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let answer = gateway.ask(&push().text());
+    assert!(matches!(answer.status(), 429 | 503), "{}", answer.first_line);
+}
+
+/// A connection that the worker has closed in between is no reason to fail: nothing was written on it.
+#[test]
+fn a_kept_connection_that_has_been_closed_is_replaced() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    let worker = Worker::start(Reply::RawThenClose(answer.into()));
+    let (gateway, _discovery) = stage(&[&worker]);
+    for _ in 0..20 {
+        assert_eq!(gateway.ask(&push().text()).body, "done");
+        while !matches!(worker.next(), Seen::Closed { .. }) {}
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Never two attempts out at once: the connection of the one given up ends, and the next goes elsewhere.
+#[test]
+fn a_lost_attempt_is_closed_and_the_next_goes_elsewhere() {
+    let (silent, other) = (Worker::start(ok("quick")), Worker::start(ok("other")));
+    let (gateway, discovery) = stage(&[&silent]);
+    let mut client = gateway.connect();
+    // Quick answers teach what silence is.
+    (0..50).for_each(|_| assert_eq!(client.ask(&pull().text()).body, "quick"));
+    silent.rest();
+    silent.set(Reply::Silence);
+    client.send(&pull().text());
+    let Seen::Request { conn, .. } = silent.next() else { panic!("no request") };
+    discovery.list(3, false, &[other.listed("w1", "up")]);
+    while !matches!(silent.next(), Seen::Closed { conn: closed } if closed == conn) {}
+    assert!(client.answer().is_some());
+    let until = Instant::now() + PATIENCE;
+    while client.ask(&pull().text()).body != "other" {
+        assert!(Instant::now() < until);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let worker = Worker::start(Reply::Silence);
+    let (gateway, _discovery) = stage(&[&worker]);
+    let mut client = gateway.connect();
+    client.send(&push().text().replace("Request-Timeout: 2.5", "Request-Timeout: 60"));
+    assert!(matches!(worker.next(), Seen::Request { .. }));
+    drop(client);
+    assert!(matches!(worker.next(), Seen::Closed { .. }));
+}
+
+/// Late work is failed, not lost: the answer is out while the client still waits.
+#[test]
+fn a_silent_worker_is_given_up_in_the_clients_time() {
+    let worker = Worker::start(Reply::Silence);
+    let (gateway, _discovery) = stage(&[&worker]);
+    let answer = gateway.ask(&push().text());
+    assert!(matches!(answer.status(), 502 | 504), "{}", answer.first_line);
+    assert_eq!(worker.requests(), 1);
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new_and_a_removed_one_neither() {
+    let (first, second) = (Worker::start(ok("first")), Worker::start(ok("second")));
+    for state in ["draining", "removed", "unheard-of"] {
+        let (gateway, discovery) = stage(&[&first]);
+        assert_eq!(gateway.ask(&pull().text()).body, "first");
+        discovery.list(3, false, &[first.listed("w0", state), second.listed("w1", "up")]);
+        let until = Instant::now() + PATIENCE;
+        while gateway.ask(&pull().text()).body != "second" {
+            assert!(Instant::now() < until);
+        }
+        first.rest();
+        (0..20).for_each(|_| assert_eq!(gateway.ask(&pull().text()).body, "second"));
+        assert_eq!(first.requests(), 0, "{state}");
+    }
+}
+
+/// Nonsense on the watch, a watch that ends or one that falls silent: the list is followed all the same.
+#[test]
+fn the_watch_is_taken_up_again() {
+    let (first, second) = (Worker::start(ok("first")), Worker::start(ok("second")));
+    let (gateway, discovery) = stage(&[&first]);
+    discovery.say("{\"rev\": nonsense".into());
+    discovery.list(4, true, &[second.listed("w1", "up")]);
+    let until = Instant::now() + PATIENCE;
+    while gateway.ask(&pull().text()).body != "second" {
+        assert!(Instant::now() < until);
+    }
+    discovery.speaks.store(0, Ordering::SeqCst);
+    let watches = discovery.watches.load(Ordering::SeqCst);
+    while discovery.watches.load(Ordering::SeqCst) == watches {
+        assert!(Instant::now() < until, "a silent watch is never given up");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An answer that comes after our time-out belongs to the call that timed out, not to the next one.
+#[test]
+fn late_answers_of_the_counter_are_dropped_not_shifted() {
+    // The first call's answer comes with the second's. On a machine that stalls for so long that the
+    // connection is given up in between nothing is shown; then once more.
+    let shown = (0..3).any(|_| {
+        let worker = Worker::start(ok("served"));
+        // Customer 1 is far beyond its quota, all others are not.
+        let count = |name: &str| total(if name.starts_with("1.") { 1e6 } else { 1.0 });
+        let counter = Counter::start(move |name, number| match number {
+            0 => Some(String::new()),
+            1 => Some(total(1e6) + &count(name)),
+            _ => Some(count(name)),
+        });
+        let discovery = Discovery::start();
+        discovery.list(2, true, &[worker.listed("w0", "up")]);
+        let mut config = config(discovery.addr, &[]);
+        config["counter"] = counter.addr.to_string().into();
+        config["settings"]["familyInfo"]["mayCount"] = true.into();
+        config["settings"]["instances"] = 2.into();
+        let gateway = Gateway::ready(&config);
+        // More than the part of an unseen customer: the decision asks the counter.
+        let terms = || "units=15,spread=2,first=0".to_owned();
+        let ask = |n: u32| Ask { tier: "small", client: format!("{n:016x}"), terms: terms(), ..pull() };
+        let (first, second) = (gateway.ask(&ask(1).text()), gateway.ask(&ask(2).text()));
+        (first.status(), second.status()) == (429, 200)
+    });
+    assert!(shown, "a customer was judged by another one's total");
+}
+
+/// Turned away or hung up on, the counter is called again on a new connection, and requests go on.
+#[test]
+fn the_counter_may_hang_up_and_turn_away() {
+    let worker = Worker::start(ok("served"));
+    let counter = Counter::start(|_, number| match number % 3 {
+        0 => Some("-BUSY not yet\r\n".into()),
+        1 => Some(total(1.0)),
+        _ => None,
+    });
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let mut config = config(discovery.addr, &[]);
+    config["counter"] = counter.addr.to_string().into();
+    config["settings"]["familyInfo"]["mayCount"] = true.into();
+    let gateway = Gateway::ready(&config);
+    let until = Instant::now() + PATIENCE;
+    let mut last = 0;
+    while last < 2 {
+        assert_eq!(gateway.ask(&pull().text()).status(), 200);
+        assert!(Instant::now() < until, "no new connection to the counter");
+        last = counter.calls.try_iter().map(|(conn, _)| conn).max().unwrap_or(last).max(last);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_planned_stop_answers_all_that_was_taken_and_still_takes_some() {
+    let worker = Worker::start(Reply::Silence);
+    let (mut gateway, discovery) = stage(&[&worker]);
+    let (mut busy, mut idle) = (gateway.connect(), gateway.connect());
+    assert_eq!(idle.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    busy.send(&push().text());
+    assert!(matches!(worker.next(), Seen::Request { .. }));
+    let quick = Worker::start(ok("quick"));
+    discovery.list(3, true, &[quick.listed("w1", "up")]);
+    while gateway.ask(&pull().text()).body != "quick" {}
+    let mut fresh = gateway.connect();
+    gateway.terminate();
+    // The idle one is closed at once; one that was just opened is still served, and then closed.
+    assert!(idle.answer().is_none());
+    let answer = fresh.ask(&pull().text());
+    assert_eq!((answer.body.as_str(), answer.header("connection")), ("quick", Some("close")));
+    assert!(busy.answer().is_some_and(|answer| matches!(answer.status(), 502 | 504)));
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
+#[test]
+fn more_connections_than_descriptors_do_no_harm() {
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let mut config = config(discovery.addr, &[]);
+    config["limits"]["sockets"] = 70.into();
+    let gateway = Gateway::ready(&config);
+    let mut kept = Vec::new();
+    for _ in 0..100 {
+        let mut client = gateway.connect();
+        assert_eq!(client.ask(&pull().text()).body, "served");
+        kept.push(client);
+    }
+}
+
+#[test]
+fn bad_configuration_is_named_and_ends_the_program() {
+    let good = config("127.0.0.1:9".parse().unwrap(), &[]).to_string();
+    for (from, to, field) in [
+        ("\"sockets\":1024", "\"sockets\":3", "limits.sockets"),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen"),
+        ("\"discovery\":\"127.0.0.1:9\"", "\"discovery\":\"9\"", "discovery"),
+        ("\"seed\":\"8c", "\"seed\":\"zz", "seed"),
+        ("\"idempotent\"", "\"perhaps\"", "services.0.effect"),
+        ("\"maxAttempts\":6", "\"maxAttempts\":-6", "limits.maxAttempts"),
+        ("\"settings\"", "\"sittings\"", "settings"),
+        ("{", "", "configuration"),
+    ] {
+        let bad = good.replacen(from, to, 1);
+        assert_ne!(bad, good, "{from}");
+        let (code, log) = run_to_end(&bad);
+        assert!(code.is_some_and(|code| code != 0), "{field}: {code:?}");
+        assert!(log.contains(field) && log.trim().lines().count() == 1, "{field}: {log}");
+    }
+}
