Bound what clients can make the gateway keep; let an idle client make room; say when to come back

Seen on reading the code: (1) server.rs accept() waited for a departure when every place was busy, so that clients that fell idle later and stayed kept all others out; (2) a Request-Timeout of an hour kept records and timers for an hour; (3) a worker removed and listed again got a new id (discovery.rs); (4) a panic in the decisions would have left a port that accepts and never answers; (5) refusals carried no Retry-After where the settings say that clients are not known to listen. Tests for 1 and 5.

--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,12 @@
 const KNOWN_WILL_DO: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
+    // Requests would wait for ever behind a port that still accepts: better to end and be started again.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::exit(101);
+    }));
     let run = || -> Result<(), String> {
         let config = Config::load(|name| std::env::var(name).ok())?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -69,7 +75,6 @@
         () = server.accept(&listener) => {}
         _ = term.recv() => {}
     }
-    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    server.stop(listener, Duration::from_micros(longest) + STOP_SPARE).await;
+    server.stop(listener, config.longest_deadline() + STOP_SPARE).await;
     Ok(())
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -62,12 +62,21 @@
         Config::parse(&text, variable)
     }
 
+    /// The longest that a client of any class waits.
+    pub fn longest_deadline(&self) -> Duration {
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max();
+        Duration::from_micros(longest.unwrap_or(0))
+    }
+
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
         let mut pairs = Vec::new();
         flatten("", &file.settings, &mut pairs);
         let fields = Fields::from_pairs("settings", &pairs);
-        let (settings, names) = settings(&fields)?;
+        let (mut settings, names) = settings(&fields)?;
+        // Any client on a socket can be told when to come back, whether or not it is known to listen.
+        let advice = fields.span_or_zero("limits.maxRetryAfterUs")?;
+        settings.limits.max_retry_after = settings.limits.max_retry_after.max(advice);
         let span = |field: &str| -> Result<Duration, String> {
             Ok(Duration::from_micros(fields.optional::<Micros>(field)?.filter(|n| *n > 0).unwrap_or(250_000)))
         };
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,6 +24,9 @@
 /// The longest line; a list of thousands of workers is shorter.
 const LINE_MAX: usize = 4 << 20;
 
+/// Ids kept of workers that are no longer listed.
+const IDS_MAX: usize = 10_000;
+
 /// A list of workers, or what changed of it.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct HostList {
@@ -73,15 +76,13 @@
     /// Brings pools and decisions to a list. `scope` says what the list covers.
     pub fn apply(&self, driver: &Rc<Driver>, list: &HostList, scope: ListScope) {
         let workers: Vec<WorkerInfo> = list.targets.iter().map(|t| self.worker(driver, t)).collect();
+        let named: HashSet<WorkerId> = workers.iter().map(|w| w.id).collect();
         if scope != ListScope::Delta {
-            let named: HashSet<WorkerId> = workers.iter().map(|w| w.id).collect();
-            self.ids.borrow_mut().retain(|_, id| {
-                let keep = named.contains(id);
-                if !keep {
-                    driver.workers.unlist(*id);
-                }
-                keep
-            });
+            driver.workers.keep_only(&named);
+        }
+        // A worker that comes back keeps its id; only a fleet's many former lives are forgotten.
+        if self.ids.borrow().len() > IDS_MAX {
+            self.ids.borrow_mut().retain(|_, id| driver.workers.lists(*id));
         }
         driver.feed(Event::Workers(WorkerList { scope, workers }));
         driver.recall_unwritten();
@@ -105,7 +106,6 @@
                 }
                 availability = Availability::Gone;
                 driver.workers.unlist(id);
-                self.ids.borrow_mut().remove(&target.uid);
             }
         }
         WorkerInfo {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -172,11 +172,6 @@
         (Ticket { driver: self.clone(), id }, answer)
     }
 
-    /// Requests that have no answer yet.
-    pub fn unanswered(&self) -> usize {
-        self.open.borrow().values().filter(|open| open.reply.is_some()).count()
-    }
-
     fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros) {
         let mut all = self.open.borrow_mut();
         let Some(open) = all.get_mut(&id) else { return };
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -30,8 +30,9 @@
 const HEAD_MAX: usize = 16 * 1024;
 /// How long new connections are taken in after the call to stop.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
-/// What a client may ask us to wait at most.
-const PATIENCE_MAX: f64 = 3600.0;
+/// Multiple of the longest deadline past which a client's patience counts for nothing: the records of its
+/// requests would otherwise be kept for as long as it pleases.
+const PATIENCE_MAX: u32 = 4;
 /// Pause where the system has no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -50,6 +51,7 @@
     names: Names,
     effects: Vec<Effect>,
     instances: u32,
+    patience_max: Duration,
     clients_max: usize,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     left: Notify,
@@ -67,6 +69,7 @@
             names: config.names.clone(),
             effects: config.settings.classes.iter().map(|class| class.effect).collect(),
             instances: config.settings.instances.max(1),
+            patience_max: config.longest_deadline() * PATIENCE_MAX,
             clients_max: config.clients_max,
             clients: RefCell::default(),
             left: Notify::new(),
@@ -159,6 +162,8 @@
                 client.busy.set(false);
                 client.served.set(true);
                 client.idle_since.set(server.turn());
+                // At the limit `accept` may have found none that idles: now there is one.
+                server.left.notify_one();
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -216,8 +221,9 @@
         }
         let customer = customer(&head.headers)?;
         let (units, gateways) = terms(header(&head.headers, "x-call-terms")?, self.instances)?;
-        let patience =
-            decimal(header(&head.headers, "request-timeout")?).ok_or(bad("bad Request-Timeout"))?;
+        let patience = decimal(header(&head.headers, "request-timeout")?);
+        let patience = patience.and_then(|s| Duration::try_from_secs_f64(s).ok());
+        let patience = patience.ok_or(bad("bad Request-Timeout"))?;
         header(&head.headers, "request-id")?;
         let id = head.headers.get("request-id").cloned().ok_or(bad("no Request-Id"))?;
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
@@ -232,7 +238,7 @@
             units,
             gateways,
             // The request's last byte has just been read.
-            until: Instant::now() + Duration::from_secs_f64(patience.min(PATIENCE_MAX)),
+            until: Instant::now() + patience.min(self.patience_max),
             parts: Parts {
                 method: head.method,
                 uri: uri.ok_or(bad("bad path"))?,
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -147,6 +147,16 @@
         self.pools.borrow_mut().remove(&id);
     }
 
+    /// Forgets all workers but these.
+    pub fn keep_only(&self, named: &HashSet<WorkerId>) {
+        self.pools.borrow_mut().retain(|id, _| named.contains(id));
+    }
+
+    /// Whether the list names this worker.
+    pub fn lists(&self, id: WorkerId) -> bool {
+        self.pools.borrow().contains_key(&id)
+    }
+
     /// Whether the list, as told so far, lets anything new go to this worker.
     pub fn takes_work(&self, id: WorkerId) -> bool {
         self.pools.borrow().get(&id).is_some_and(|pool| pool.ready)
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -173,10 +173,13 @@
     let worker = Worker::start(Reply::Silence);
     let (gateway, _discovery) = stage(&[&worker]);
     let mut client = gateway.connect();
+    // Left alone it would be given up after four deadlines, 10 s.
     client.send(&push().text().replace("Request-Timeout: 2.5", "Request-Timeout: 60"));
     assert!(matches!(worker.next(), Seen::Request { .. }));
+    let left = Instant::now();
     drop(client);
     assert!(matches!(worker.next(), Seen::Closed { .. }));
+    assert!(left.elapsed() < Duration::from_secs(8));
 }
 
 /// Late work is failed, not lost: the answer is out while the client still waits.
@@ -337,3 +340,33 @@
         assert!(log.contains(field) && log.trim().lines().count() == 1, "{field}: {log}");
     }
 }
+
+/// All places taken and all of them busy: the next client is let in when one of those falls idle, though
+/// none of them leaves.
+#[test]
+fn at_the_limit_an_idle_client_makes_room_for_the_next() {
+    let worker = Worker::start(Reply::Silence);
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let mut config = config(discovery.addr, &[]);
+    config["limits"]["sockets"] = 70.into();
+    let gateway = Gateway::ready(&config);
+    let mut clients: Vec<Client> = (0..60).map(|_| gateway.connect()).collect();
+    clients.iter_mut().for_each(|client| client.send(&pull().text()));
+    for client in &mut clients {
+        assert!(client.answer().is_some());
+    }
+}
+
+/// A refusal says when to come back, and comes at once.
+#[test]
+fn a_customer_beyond_its_quota_is_told_when_to_come_back() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let mut client = gateway.connect();
+    let ask = || Ask { tier: "small", terms: "units=6,spread=1,first=0".into(), ..pull() };
+    let refused = (0..10).map(|_| client.ask(&ask().text())).find(|answer| answer.status() == 429);
+    let refused = refused.expect("ten requests of 6 units fit into 20");
+    let wait: f64 = refused.header("retry-after").expect("no advice").parse().unwrap();
+    assert!(wait > 0.0 && wait <= 0.5, "{wait}");
+}
