Spare the counter's vain reads; run the main future as a task

Mend: the split read half, whose poll_read knows a short read for the last; serve() in a task of its own.

--- a/src/main.rs
+++ b/src/main.rs
@@ -28,7 +28,9 @@
         let config = Config::load(|name| std::env::var(name).ok())?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, serve(config))
+        // As a task of its own: what `block_on` is given itself is polled at every turn of the loop.
+        let served = async { spawn_local(serve(config)).await };
+        LocalSet::new().block_on(&runtime, served).map_err(|e| e.to_string())?
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -10,6 +10,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Duration, Instant};
 
@@ -17,8 +19,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// An answer this late means that the connection leads nowhere.
 const SILENT: Duration = Duration::from_secs(1);
-/// A connection idle for so long is asked for a sign of life, well before the counter would close it.
-const PING_AFTER: Duration = Duration::from_secs(2);
+/// Pause after which an idle connection is asked for a sign of life, well before the counter would close it.
+const LISTEN: Duration = Duration::from_secs(1);
 /// The longest answer, bytes: a number or a line.
 const ANSWER_MAX: usize = 4096;
 /// Answers owed at most; past that the connection is given up.
@@ -36,7 +38,7 @@
 pub struct Counter {
     at: Option<SocketAddr>,
     wait: Duration,
-    conn: RefCell<Option<Rc<TcpStream>>>,
+    conn: RefCell<Option<OwnedWriteHalf>>,
     owed: RefCell<VecDeque<Owed>>,
     next: Cell<u64>,
     odd: Cell<u64>,
@@ -79,10 +81,11 @@
         for word in words {
             call.push_str(&format!("${}\r\n{word}\r\n", word.len()));
         }
-        let Some(conn) = self.conn.borrow().clone() else { return false };
+        let mut conn = self.conn.borrow_mut();
+        let Some(half) = conn.as_ref() else { return false };
         let room = self.owed.borrow().len() < OWED_MAX;
-        if !room || !matches!(conn.try_write(call.as_bytes()), Ok(n) if n == call.len()) {
-            *self.conn.borrow_mut() = None;
+        if !room || !matches!(half.try_write(call.as_bytes()), Ok(n) if n == call.len()) {
+            *conn = None;
             return false;
         }
         self.next.set(self.next.get() + 1);
@@ -98,9 +101,9 @@
         loop {
             if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(at)).await {
                 let _ = stream.set_nodelay(true);
-                let conn = Rc::new(stream);
-                *self.conn.borrow_mut() = Some(conn.clone());
-                match self.read(&driver, &conn).await {
+                let (reader, writer) = stream.into_split();
+                *self.conn.borrow_mut() = Some(writer);
+                match self.read(&driver, reader).await {
                     Ok(true) => backoff = Backoff::new(),
                     Ok(false) => {}
                     Err(what) => note(&self.odd, format_args!("counter: {what}")),
@@ -121,14 +124,14 @@
     }
 
     /// Reads answers until the connection ends; tells whether any came.
-    async fn read(&self, driver: &Rc<Driver>, conn: &Rc<TcpStream>) -> Result<bool, &'static str> {
+    async fn read(&self, driver: &Rc<Driver>, mut from: OwnedReadHalf) -> Result<bool, &'static str> {
         let (mut buffer, mut any) = (BytesMut::new(), false);
         loop {
-            let readable = timeout(PING_AFTER.min(SILENT), conn.readable()).await;
-            if !self.conn.borrow().as_ref().is_some_and(|c| Rc::ptr_eq(c, conn)) {
+            let read = timeout(LISTEN, from.read_buf(&mut buffer)).await;
+            if self.conn.borrow().is_none() {
                 return Err("could not be written to");
             }
-            if readable.is_err() {
+            let Ok(read) = read else {
                 let oldest = self.owed.borrow().front().map(|owed| owed.since);
                 match oldest {
                     Some(since) if since.elapsed() >= SILENT => return Err("fell silent"),
@@ -136,12 +139,11 @@
                     Some(_) => {}
                 }
                 continue;
-            }
-            match conn.try_read_buf(&mut buffer) {
-                Ok(0) => return Ok(any),
+            };
+            // A connection that idles is closed by the counter; that and a reset end it alike.
+            match read {
+                Ok(0) | Err(_) => return Ok(any),
                 Ok(_) => any = true,
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
-                Err(_) => return Ok(any),
             }
             while let Some((frame, ..)) = decode_bytes_mut(&mut buffer).map_err(|_| "no proper answer")? {
                 let owed = self.owed.borrow_mut().pop_front().ok_or("an answer to no call")?;
