--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -77,6 +77,11 @@
         // Any client on a socket can be told when to come back, whether or not it is known to listen.
         let advice = fields.span_or_zero("limits.maxRetryAfterUs")?;
         settings.limits.max_retry_after = settings.limits.max_retry_after.max(advice);
+        for (field, names) in [("services", &names.classes), ("tiersOfService", &names.plans)] {
+            if names.is_empty() {
+                return Err(fields.error(field, "names none"));
+            }
+        }
         let span = |field: &str| -> Result<Duration, String> {
             Ok(Duration::from_micros(fields.optional::<Micros>(field)?.filter(|n| *n > 0).unwrap_or(250_000)))
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,12 @@
     }
 }
 
+/// A plain decimal number above 0, and nothing else: a sign, an exponent or a word is no amount of anything.
+pub fn decimal(text: &str) -> Option<f64> {
+    let plain = text.len() <= 32 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|n: &f64| plain && *n > 0.0)
+}
+
 /// Waits between tries at a peer that may be down: doubling, so that it is neither flooded nor missed.
 pub struct Backoff(Duration);
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,7 +3,7 @@
 use crate::net::config::Config;
 use crate::net::driver::{Answer, Driver, Taken};
 use crate::net::workers::Parts;
-use crate::net::{note, BODY_MAX};
+use crate::net::{decimal, note, BODY_MAX};
 use crate::settings::Names;
 use crate::{ClassId, CustomerId, Effect, PlanId};
 use bytes::Bytes;
@@ -278,12 +278,6 @@
     names.iter().position(|known| known == name)
 }
 
-/// A plain decimal number above 0.
-fn decimal(text: &str) -> Option<f64> {
-    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    text.parse().ok().filter(|n: &f64| plain && n.is_finite() && *n > 0.0)
-}
-
 /// The customer: the cookie `client`, 16 hexadecimal digits below 2^33.
 fn customer(headers: &HeaderMap) -> Result<CustomerId, Bad> {
     let cookies = headers.get_all(COOKIE).iter().filter_map(|value| value.to_str().ok());
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -1,7 +1,7 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
 use crate::net::wire::{Place, Wire, WireIo};
-use crate::net::{note, BODY_MAX};
+use crate::net::{decimal, note, BODY_MAX};
 use crate::{Outcome, WorkerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -275,7 +275,7 @@
         };
         let good = outcome == Outcome::Ok;
         let served = good.then(|| Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
-        let true_units = headers.get("x-cost-units").filter(|_| good).and_then(cost_units);
+        let true_units = headers.get("x-cost-units").filter(|_| good).and_then(|v| decimal(v.to_str().ok()?));
         Attempted { outcome, true_units, served, conn: Some(conn) }
     }
 }
@@ -313,10 +313,3 @@
         Err(_) => Err(Broken::Connection),
     }
 }
-
-/// A plain decimal number above 0, and nothing else: a sign, an exponent or a word is no count of units.
-fn cost_units(value: &HeaderValue) -> Option<f64> {
-    let text = value.to_str().ok()?;
-    let plain = text.len() <= 16 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    text.parse().ok().filter(|units: &f64| plain && *units > 0.0)
-}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -350,6 +350,7 @@
         ("\"idempotent\"", "\"perhaps\"", "services.0.effect"),
         ("\"maxAttempts\":6", "\"maxAttempts\":-6", "limits.maxAttempts"),
         ("\"settings\"", "\"sittings\"", "settings"),
+        ("\"services\"", "\"service\"", "services"),
         ("{", "", "configuration"),
     ] {
         let bad = good.replacen(from, to, 1);
@@ -418,3 +419,19 @@
     discovery.list(3, false, &[hung, other.listed("w1", "up")]);
     assert_eq!(client.answer().map(|answer| answer.body).as_deref(), Some("other"));
 }
+
+/// The true units of an answer replace the guess; what is no plain number of units changes nothing.
+#[test]
+fn the_answers_true_units_count_and_malformed_ones_do_not() {
+    let costs =
+        [("15", true), ("+15", false), ("15e0", false), ("-15", false), ("NaN", false), ("1 5", false)];
+    for (cost, counts) in costs {
+        let worker = Worker::start(Reply::Answer(format!("200 OK\r\nX-Cost-Units: {cost}"), "served".into()));
+        let (gateway, _discovery) = stage(&[&worker]);
+        let mut client = gateway.connect();
+        let ask = || Ask { tier: "small", ..pull() };
+        // A store of 20 that fills by one a second, at a guess of one each.
+        let served = (0..15).filter(|_| client.ask(&ask().text()).status() == 200).count();
+        assert_eq!(served < 15, counts, "{cost}: {served} served");
+    }
+}
