Drop idle connections to a worker's former life

Seen on reading workers.rs list(): only a new address emptied the pool, so that after a restart at the same address the next request could be written to a connection whose process is dead: a reset, and a push failed for nothing. The start time is compared now too; the id stays, a new start is no new worker. The test fails without it.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -98,7 +98,7 @@
         };
         match target.endpoint.parse::<SocketAddr>() {
             Ok(addr) if availability != Availability::Gone => {
-                driver.workers.list(id, addr, availability == Availability::Ready)
+                driver.workers.list(id, addr, target.boot_ms, availability == Availability::Ready)
             }
             parsed => {
                 if parsed.is_err() && availability != Availability::Gone {
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -110,6 +110,7 @@
 
 struct Pool {
     addr: SocketAddr,
+    boot_ms: u64,
     ready: bool,
     idle: Vec<Conn>,
 }
@@ -132,14 +133,16 @@
         Workers { pools, open, most, connect_timeout, keep_idle: worker_idle / 2, odd: Cell::new(0) }
     }
 
-    /// Notes where a worker is and whether it takes work. One that does not loses its idle connections.
-    pub fn list(&self, id: WorkerId, addr: SocketAddr, ready: bool) {
+    /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
+    /// not, or to a former life of it, are closed: a request written to a dead process is a reset, and an
+    /// unsafe one would then be failed for nothing.
+    pub fn list(&self, id: WorkerId, addr: SocketAddr, boot_ms: u64, ready: bool) {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(id).or_insert_with(|| Pool { addr, ready, idle: Vec::new() });
-        if pool.addr != addr || !ready {
+        let pool = pools.entry(id).or_insert_with(|| Pool { addr, boot_ms, ready, idle: Vec::new() });
+        if (pool.addr, pool.boot_ms) != (addr, boot_ms) || !ready {
             pool.idle.clear();
         }
-        (pool.addr, pool.ready) = (addr, ready);
+        (pool.addr, pool.boot_ms, pool.ready) = (addr, boot_ms, ready);
     }
 
     /// Forgets a worker.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -435,3 +435,29 @@
         assert_eq!(served < 15, counts, "{cost}: {served} served");
     }
 }
+
+/// A worker that has started anew is the same worker, but nothing goes to it on a former life's connection.
+#[test]
+fn a_worker_started_anew_gets_new_connections() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, discovery) = stage(&[&worker]);
+    let conn = || {
+        assert_eq!(gateway.ask(&pull().text()).body, "served");
+        loop {
+            if let Seen::Request { conn, .. } = worker.next() {
+                return conn;
+            }
+        }
+    };
+    let first = conn();
+    assert_eq!(conn(), first);
+    let mut listed = worker.listed("w0", "up");
+    // Long enough ago to be warm.
+    listed["boot_ms"] = 1_000.into();
+    discovery.list(3, false, &[listed]);
+    let until = Instant::now() + PATIENCE;
+    while conn() == first {
+        assert!(Instant::now() < until, "the old connection is still in use");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
