--- a/src/main.rs
+++ b/src/main.rs
@@ -2,11 +2,12 @@
 #![forbid(unsafe_code)]
 
 use hingestage::net::config::Config;
-use hingestage::net::discovery::{follow, Book};
+use hingestage::net::discovery::{Book, Watcher};
 use hingestage::net::driver::Driver;
 use hingestage::net::server::Server;
 use hingestage::ListScope;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -43,6 +44,7 @@
 
 async fn serve(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
@@ -51,9 +53,18 @@
     let server = Server::new(driver.clone(), &config);
     let book = Book::default();
     book.apply(&driver, &config.known, ListScope::Cached);
+    let watcher = Watcher::start(driver.clone(), book, config.discovery, config.known.rev, {
+        let server = server.clone();
+        move || server.set_ready()
+    });
+    // Without a handler the signal would end the program. It goes on while stopping as well.
     spawn_local({
-        let (driver, server) = (driver.clone(), server.clone());
-        follow(driver, book, config.discovery, config.known.rev, move || server.set_ready())
+        let driver = driver.clone();
+        async move {
+            while hang_up.recv().await.is_some() {
+                reconfigure(&driver, &watcher);
+            }
+        }
     });
     if !config.known.targets.is_empty() {
         // While discovery is down the list of before is all there is, and serves well enough.
@@ -67,10 +78,14 @@
         let driver = driver.clone();
         async move { driver.counter.run(driver.clone()).await }
     });
-    spawn_local(async move {
-        loop {
-            tokio::time::sleep(Duration::from_secs(1)).await;
-            driver.workers.retire_idle();
+    spawn_local({
+        let server = server.clone();
+        async move {
+            loop {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                driver.workers.retire_idle();
+                server.close_stuck();
+            }
         }
     });
     tokio::select! {
@@ -80,3 +95,17 @@
     server.stop(listener, config.longest_deadline() + STOP_SPARE).await;
     Ok(())
 }
+
+/// Goes where the file sends it now. What can't be read changes nothing.
+fn reconfigure(driver: &Driver, watcher: &Rc<Watcher>) {
+    match Config::reload(|name| std::env::var(name).ok()) {
+        Ok(config) => {
+            eprintln!("hingestage: configuration read again");
+            watcher.go_to(config.discovery);
+            if let Some(at) = config.counter {
+                driver.counter.go_to(at);
+            }
+        }
+        Err(message) => eprintln!("hingestage: the old configuration stays: {message}"),
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -20,6 +20,12 @@
     settings: serde_json::Value,
 }
 
+/// Of the file, whether it names a discovery of its own.
+#[derive(Deserialize)]
+struct Named {
+    discovery: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct FileLimits {
     sockets: usize,
@@ -57,11 +63,23 @@
 impl Config {
     /// Reads the file that `RELAY_CONFIG` names. The message of an error names the field.
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+        let text = Config::read(&variable)?;
         Config::parse(&text, variable)
     }
 
+    /// Reads the file again while running. What it names beats `RELAY_DISCOVERY`, which is as old as this
+    /// process: a gateway that went by the variable could never be sent elsewhere.
+    pub fn reload(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let text = Config::read(&variable)?;
+        let named = serde_json::from_str::<Named>(&text).is_ok_and(|file| file.discovery.is_some());
+        Config::parse(&text, |name| variable(name).filter(|_| !(named && name == "RELAY_DISCOVERY")))
+    }
+
+    fn read(variable: &impl Fn(&str) -> Option<String>) -> Result<String, String> {
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))
+    }
+
     /// The longest that a client of any class waits.
     pub fn longest_deadline(&self) -> Duration {
         let longest = self.settings.classes.iter().map(|class| class.deadline).max();
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{timeout, Duration, Instant};
 
 /// Time to connect; a machine that is cut off never answers.
@@ -21,6 +22,8 @@
 const SILENT: Duration = Duration::from_secs(1);
 /// Pause after which an idle connection is asked for a sign of life, well before the counter would close it.
 const LISTEN: Duration = Duration::from_secs(1);
+/// Time for the rest of an answer that has begun; all others wait behind it.
+const REST: Duration = Duration::from_millis(100);
 /// The longest answer, bytes: a number or a line.
 const ANSWER_MAX: usize = 4096;
 /// Answers owed at most; past that the connection is given up.
@@ -29,17 +32,60 @@
 /// An answer that the counter owes.
 struct Owed {
     seq: u64,
-    /// Whose it is; none for a ping, or once our own time-out has ended the call.
-    name: Option<CounterName>,
+    question: Question,
     since: Instant,
 }
 
-/// The counter, as one connection to it.
+/// What was asked.
+enum Question {
+    Ping,
+    /// A call, until our own time-out has ended it.
+    Call(Option<CounterName>),
+}
+
+/// One connection to the counter, with the answers owed on it.
+struct Line {
+    half: RefCell<Option<OwnedWriteHalf>>,
+    owed: RefCell<VecDeque<Owed>>,
+    /// Takes no more calls; over once it owes nothing.
+    retired: Cell<bool>,
+}
+
+impl Line {
+    /// Writes a call whole, or not at all as far as the counter can tell. A full or broken connection is
+    /// given up: its last call has not come whole, so that nothing was added by it.
+    fn write(&self, seq: u64, words: &[&str], question: Question) -> bool {
+        let mut call = format!("*{}\r\n", words.len());
+        for word in words {
+            call.push_str(&format!("${}\r\n{word}\r\n", word.len()));
+        }
+        let mut half = self.half.borrow_mut();
+        let Some(open) = half.as_ref() else { return false };
+        let room = self.owed.borrow().len() < OWED_MAX;
+        if !room || !matches!(open.try_write(call.as_bytes()), Ok(n) if n == call.len()) {
+            *half = None;
+            return false;
+        }
+        self.owed.borrow_mut().push_back(Owed { seq, question, since: Instant::now() });
+        true
+    }
+
+    /// Ends a call whose answer has not come; gives its name. The answer is still owed and will be dropped:
+    /// taking it for the next call's would shift every total to a wrong name.
+    fn expire(&self, seq: u64) -> Option<CounterName> {
+        match self.owed.borrow_mut().iter_mut().find(|owed| owed.seq == seq)?.question {
+            Question::Call(ref mut name) => name.take(),
+            Question::Ping => None,
+        }
+    }
+}
+
+/// The counter, wherever it is.
 pub struct Counter {
-    at: Option<SocketAddr>,
+    at: Cell<Option<SocketAddr>>,
+    moved: Notify,
     wait: Duration,
-    conn: RefCell<Option<OwnedWriteHalf>>,
-    owed: RefCell<VecDeque<Owed>>,
+    line: RefCell<Option<Rc<Line>>>,
     next: Cell<u64>,
     odd: Cell<u64>,
 }
@@ -47,129 +93,173 @@
 impl Counter {
     /// Not connected yet; `wait` is how long a call may take.
     pub fn new(at: Option<SocketAddr>, wait: Micros) -> Self {
-        let (conn, owed) = (RefCell::default(), RefCell::default());
+        let (at, moved, line) = (Cell::new(at), Notify::new(), RefCell::default());
         let wait = Duration::from_micros(wait);
-        Counter { at, wait, conn, owed, next: Cell::new(0), odd: Cell::new(0) }
+        Counter { at, moved, wait, line, next: Cell::new(0), odd: Cell::new(0) }
+    }
+
+    /// Goes over to another address. The old connection is used until there is a new one, and then still
+    /// gives the answers that it owes.
+    pub fn go_to(&self, at: SocketAddr) {
+        if self.at.replace(Some(at)) != Some(at) {
+            self.moved.notify_one();
+        }
     }
 
     /// Adds to a number. The answer, exactly one, comes as an event.
     pub fn call(&self, driver: &Rc<Driver>, name: CounterName, amount: f64, keep: Micros) {
         let keep = keep.div_ceil(1_000).max(1).to_string();
-        if !self.write(&["CNT.ADD", &name.0, &amount.to_string(), &keep], Some(name.clone())) {
+        let words = ["CNT.ADD", &name.0, &amount.to_string(), &keep];
+        let line = self.line.borrow().clone();
+        let (seq, question) = (self.seq(), Question::Call(Some(name.clone())));
+        let Some(line) = line.filter(|line| line.write(seq, &words, question)) else {
             return driver.feed(Event::Counter { name, outcome: CounterOutcome::Refused });
-        }
-        let (driver, seq, wait) = (driver.clone(), self.next.get(), self.wait);
+        };
+        let (driver, wait) = (driver.clone(), self.wait);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(wait).await;
-            driver.counter.expire(&driver, seq);
+            if let Some(name) = line.expire(seq) {
+                driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+            }
         });
     }
 
-    /// Ends a call whose answer has not come. The answer is still owed and will be dropped: taking it for the
-    /// next call's would shift every total to a wrong name.
-    fn expire(&self, driver: &Rc<Driver>, seq: u64) {
-        let name = self.owed.borrow_mut().iter_mut().find(|owed| owed.seq == seq).and_then(|o| o.name.take());
-        if let Some(name) = name {
-            driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
-        }
-    }
-
-    /// Writes a call whole, or not at all as far as the counter can tell. A full or broken connection is
-    /// given up: its last call has not come whole, so that nothing was added by it.
-    fn write(&self, words: &[&str], name: Option<CounterName>) -> bool {
-        let mut call = format!("*{}\r\n", words.len());
-        for word in words {
-            call.push_str(&format!("${}\r\n{word}\r\n", word.len()));
-        }
-        let mut conn = self.conn.borrow_mut();
-        let Some(half) = conn.as_ref() else { return false };
-        let room = self.owed.borrow().len() < OWED_MAX;
-        if !room || !matches!(half.try_write(call.as_bytes()), Ok(n) if n == call.len()) {
-            *conn = None;
-            return false;
-        }
+    fn seq(&self) -> u64 {
         self.next.set(self.next.get() + 1);
-        let owed = Owed { seq: self.next.get(), name, since: Instant::now() };
-        self.owed.borrow_mut().push_back(owed);
-        true
+        self.next.get()
     }
 
     /// Keeps a connection for ever. The counter closes one that is idle; that is no failure.
     pub async fn run(&self, driver: Rc<Driver>) {
-        let Some(at) = self.at else { return };
         let mut backoff = Backoff::new();
         loop {
+            let Some(at) = self.at.get() else { return };
             if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(at)).await {
                 let _ = stream.set_nodelay(true);
                 let (reader, writer) = stream.into_split();
-                *self.conn.borrow_mut() = Some(writer);
-                match self.read(&driver, reader).await {
-                    Ok(true) => backoff = Backoff::new(),
-                    Ok(false) => {}
-                    Err(what) => note(&self.odd, format_args!("counter: {what}")),
+                let half = RefCell::new(Some(writer));
+                let line = Rc::new(Line { half, owed: RefCell::default(), retired: Cell::new(false) });
+                if let Some(old) = self.line.replace(Some(line.clone())) {
+                    old.retired.set(true);
+                }
+                let listening = listen(driver.clone(), line, reader);
+                tokio::select! {
+                    () = self.moved.notified() => backoff = Backoff::new(),
+                    any = tokio::task::spawn_local(listening) => {
+                        // One that has served is replaced at once: until then no call can be made.
+                        if any.unwrap_or(false) {
+                            backoff = Backoff::new();
+                            continue;
+                        }
+                    }
                 }
-                self.hang_up(&driver);
+                if self.at.get() != Some(at) {
+                    continue;
+                }
+            }
+            tokio::select! {
+                () = self.moved.notified() => backoff = Backoff::new(),
+                () = backoff.wait() => {}
             }
-            backoff.wait().await;
         }
     }
 
-    /// What was written and not answered may have been added.
-    fn hang_up(&self, driver: &Rc<Driver>) {
-        *self.conn.borrow_mut() = None;
-        let owed = std::mem::take(&mut *self.owed.borrow_mut());
-        for name in owed.into_iter().filter_map(|owed| owed.name) {
-            driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+    /// What was written and not answered may have been added: it counts as added and is never added again.
+    fn hang_up(&self, driver: &Rc<Driver>, line: &Rc<Line>) {
+        *line.half.borrow_mut() = None;
+        let current = self.line.borrow().as_ref().is_some_and(|now| Rc::ptr_eq(now, line));
+        if current {
+            *self.line.borrow_mut() = None;
+        }
+        let owed = std::mem::take(&mut *line.owed.borrow_mut());
+        for owed in owed {
+            if let Question::Call(Some(name)) = owed.question {
+                driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+            }
         }
     }
 
-    /// Reads answers until the connection ends; tells whether any came.
-    async fn read(&self, driver: &Rc<Driver>, mut from: OwnedReadHalf) -> Result<bool, &'static str> {
-        let (mut buffer, mut any) = (BytesMut::new(), false);
+    /// Reads answers until the connection ends; notes in `any` whether any came.
+    async fn read(
+        &self,
+        driver: &Rc<Driver>,
+        line: &Line,
+        mut from: OwnedReadHalf,
+        any: &mut bool,
+    ) -> Result<(), &'static str> {
+        let mut buffer = BytesMut::new();
         loop {
-            let read = timeout(LISTEN, from.read_buf(&mut buffer)).await;
-            if self.conn.borrow().is_none() {
+            if line.retired.get() && line.owed.borrow().is_empty() {
+                return Ok(());
+            }
+            let half = !buffer.is_empty();
+            let read = timeout(if half { REST } else { LISTEN }, from.read_buf(&mut buffer)).await;
+            if line.half.borrow().is_none() {
                 return Err("could not be written to");
             }
             let Ok(read) = read else {
-                let oldest = self.owed.borrow().front().map(|owed| owed.since);
+                if half {
+                    return Err("half an answer");
+                }
+                let oldest = line.owed.borrow().front().map(|owed| owed.since);
                 match oldest {
                     Some(since) if since.elapsed() >= SILENT => return Err("fell silent"),
-                    None => drop(self.write(&["PING"], None)),
+                    None => drop(line.write(self.seq(), &["PING"], Question::Ping)),
                     Some(_) => {}
                 }
                 continue;
             };
             // A connection that idles is closed by the counter; that and a reset end it alike.
-            match read {
-                Ok(0) | Err(_) => return Ok(any),
-                Ok(_) => any = true,
+            if !matches!(read, Ok(n) if n > 0) {
+                return Ok(());
             }
+            *any = true;
             while let Some((frame, ..)) = decode_bytes_mut(&mut buffer).map_err(|_| "no proper answer")? {
-                let owed = self.owed.borrow_mut().pop_front().ok_or("an answer to no call")?;
-                if let Some(name) = owed.name {
-                    let outcome = self.outcome(&frame);
-                    driver.feed(Event::Counter { name, outcome });
-                }
+                let owed = line.owed.borrow_mut().pop_front().ok_or("an answer to no call")?;
+                take_in(driver, owed.question, &frame)?;
             }
             if buffer.len() > ANSWER_MAX {
                 return Err("an answer too long");
             }
         }
     }
+}
 
-    fn outcome(&self, frame: &BytesFrame) -> CounterOutcome {
-        let total = match frame {
-            BytesFrame::Error(_) => return CounterOutcome::Refused,
-            BytesFrame::BulkString(text) => std::str::from_utf8(text).ok().and_then(|t| t.parse().ok()),
-            _ => None,
-        };
-        match total.filter(|n: &f64| n.is_finite()) {
-            Some(total) => CounterOutcome::Total(total),
-            None => {
-                note(&self.odd, "counter: an answer that is no total");
-                CounterOutcome::Timeout
-            }
-        }
+/// Reads a connection to its end, and settles what it still owes. Tells whether it has served.
+async fn listen(driver: Rc<Driver>, line: Rc<Line>, reader: OwnedReadHalf) -> bool {
+    let mut any = false;
+    if let Err(what) = driver.counter.read(&driver, &line, reader, &mut any).await {
+        note(&driver.counter.odd, format_args!("counter: {what}"));
+    }
+    driver.counter.hang_up(&driver, &line);
+    any
+}
+
+/// Takes in one answer. One that fits no question ends the connection: whatever comes after it may belong
+/// to another call, and a total told of the wrong customer boxes it.
+fn take_in(driver: &Rc<Driver>, question: Question, frame: &BytesFrame) -> Result<(), &'static str> {
+    let (name, outcome) = match (question, frame) {
+        (Question::Ping, BytesFrame::SimpleString(_) | BytesFrame::Error(_)) => return Ok(()),
+        (Question::Ping, _) => return Err("no answer to a ping"),
+        (Question::Call(name), frame) => (name, outcome(frame)),
+    };
+    if let Some(name) = name {
+        let outcome = outcome.unwrap_or(CounterOutcome::Timeout);
+        driver.feed(Event::Counter { name, outcome });
     }
+    outcome.map(drop).ok_or("an answer that is no total")
+}
+
+/// What an answer to a call says; none where it says nothing that can be read.
+fn outcome(frame: &BytesFrame) -> Option<CounterOutcome> {
+    let text = match frame {
+        BytesFrame::Error(text) if text.starts_with("BUSY") || text.starts_with("ERR") => {
+            return Some(CounterOutcome::Refused)
+        }
+        BytesFrame::Integer(total) => return Some(CounterOutcome::Total(*total as f64)),
+        BytesFrame::BulkString(text) | BytesFrame::SimpleString(text) => text,
+        _ => return None,
+    };
+    let total = std::str::from_utf8(text).ok()?.parse().ok().filter(|n: &f64| n.is_finite());
+    total.map(CounterOutcome::Total)
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,9 +5,10 @@
 use crate::net::{note, Backoff};
 use crate::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -15,6 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::{timeout, Duration};
 
 /// Silence after which a watch is dead: an empty line is due every 2 s.
@@ -24,8 +26,8 @@
 /// The longest line; a list of thousands of workers is shorter.
 const LINE_MAX: usize = 4 << 20;
 
-/// Ids kept of workers that are no longer listed.
-const IDS_MAX: usize = 10_000;
+/// Ids kept, of workers listed and gone; past that those gone are forgotten.
+const IDS_MAX: usize = 1_000;
 
 /// A list of workers, or what changed of it.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -120,14 +122,78 @@
     }
 }
 
-/// Follows the list for ever; calls `told` after each list or change.
-pub async fn follow(driver: Rc<Driver>, book: Book, at: SocketAddr, rev: u64, told: impl Fn()) {
-    let (mut rev, mut backoff) = (rev, Backoff::new());
+/// The discovery in use, and its successor until that has told its list.
+pub struct Watcher {
+    driver: Rc<Driver>,
+    book: Rc<Book>,
+    told: Box<dyn Fn()>,
+    now: RefCell<Option<Followed>>,
+    coming: RefCell<Option<Followed>>,
+}
+
+/// A discovery that is being followed; no longer once this is dropped.
+struct Followed {
+    at: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Drop for Followed {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Watcher {
+    /// Follows the list at `at` from version `rev` on; calls `told` after each list or change.
+    pub fn start(
+        driver: Rc<Driver>,
+        book: Book,
+        at: SocketAddr,
+        rev: u64,
+        told: impl Fn() + 'static,
+    ) -> Rc<Watcher> {
+        let (now, coming) = (RefCell::default(), RefCell::default());
+        let watcher = Rc::new(Watcher { driver, book: Rc::new(book), told: Box::new(told), now, coming });
+        *watcher.now.borrow_mut() = Some(watcher.follow(at, Some(rev)));
+        watcher
+    }
+
+    /// Goes over to another discovery. The old one is followed until the new has told its list: with
+    /// neither there would be no word of drains in between.
+    pub fn go_to(self: &Rc<Self>, at: SocketAddr) {
+        drop(self.coming.take());
+        if self.now.borrow().as_ref().is_none_or(|now| now.at != at) {
+            // Versions are each discovery's own: the new one is asked for all it has.
+            *self.coming.borrow_mut() = Some(self.follow(at, None));
+        }
+    }
+
+    fn follow(self: &Rc<Self>, at: SocketAddr, rev: Option<u64>) -> Followed {
+        let task = tokio::task::spawn_local(follow(self.clone(), at, rev));
+        Followed { at, task: task.abort_handle() }
+    }
+
+    fn told(&self, at: SocketAddr) {
+        let arrived = self.coming.borrow().as_ref().is_some_and(|coming| coming.at == at);
+        if arrived {
+            drop(self.now.replace(self.coming.take()));
+        }
+        (self.told)();
+    }
+
+    fn apply(&self, list: &HostList, scope: ListScope) {
+        self.book.apply(&self.driver, list, scope);
+    }
+}
+
+/// Follows one discovery for ever.
+async fn follow(watcher: Rc<Watcher>, at: SocketAddr, mut rev: Option<u64>) {
+    let mut backoff = Backoff::new();
     loop {
         let before = rev;
-        match watch(&driver, &book, at, &mut rev, &told).await {
+        match watch(&watcher, at, &mut rev).await {
             Ok(()) => {}
-            Err(what) => note(&book.odd, format_args!("discovery: {what}")),
+            Err(what) => note(&watcher.book.odd, format_args!("discovery: {what}")),
         }
         if rev != before {
             backoff = Backoff::new();
@@ -136,45 +202,71 @@
     }
 }
 
+/// Closes the connection with the watch on it, however that ends.
+struct Closing(Rc<Wire>);
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
+type Sender = hyper::client::conn::http1::SendRequest<Empty<Bytes>>;
+
 /// One watch, until it ends, falls silent or talks nonsense. A change that could not be read is asked for
 /// again: the next watch starts after the last version that was taken in.
-async fn watch(
-    driver: &Rc<Driver>,
-    book: &Book,
-    at: SocketAddr,
-    rev: &mut u64,
-    told: &impl Fn(),
-) -> Result<(), String> {
+async fn watch(watcher: &Watcher, at: SocketAddr, rev: &mut Option<u64>) -> Result<(), String> {
     let stream = timeout(CONNECT, TcpStream::connect(at)).await;
     let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
     let place = Place::take(&Rc::default(), 1).ok_or("no place")?;
-    let wire = Wire::new(stream, place);
-    let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(WireIo(wire.clone())))
+    let closing = Closing(Wire::new(stream, place));
+    let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(WireIo(closing.0.clone())))
         .await
         .map_err(|e| e.to_string())?;
     let task = tokio::task::spawn_local(async move { drop(conn.await) });
-    wire.driven_by(task.abort_handle());
-    let read = read_watch(driver, book, &mut sender, rev, told).await;
-    wire.close();
-    read
+    closing.0.driven_by(task.abort_handle());
+    let from = match *rev {
+        Some(from) => from,
+        None => {
+            let from = read_whole(watcher, &mut sender).await?;
+            *rev = Some(from);
+            watcher.told(at);
+            sender.ready().await.map_err(|e| e.to_string())?;
+            from
+        }
+    };
+    read_watch(watcher, at, &mut sender, from, rev).await
 }
 
-async fn read_watch(
-    driver: &Rc<Driver>,
-    book: &Book,
-    sender: &mut hyper::client::conn::http1::SendRequest<Empty<Bytes>>,
-    rev: &mut u64,
-    told: &impl Fn(),
-) -> Result<(), String> {
-    let request = Request::get(format!("/discovery/hosts?stream=1&index={rev}"))
-        .header(HOST, "discovery")
-        .body(Empty::new())
-        .map_err(|e| e.to_string())?;
+async fn ask(sender: &mut Sender, path: &str) -> Result<Response<Incoming>, String> {
+    let request =
+        Request::get(path).header(HOST, "discovery").body(Empty::new()).map_err(|e| e.to_string())?;
     let answer = timeout(SILENT, sender.send_request(request)).await;
-    let mut answer = answer.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
-    if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
+    let answer = answer.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
+    match answer.status() {
+        StatusCode::OK => Ok(answer),
+        other => Err(format!("answered {other}")),
     }
+}
+
+/// Takes in the whole list; gives its version.
+async fn read_whole(watcher: &Watcher, sender: &mut Sender) -> Result<u64, String> {
+    let answer = ask(sender, "/discovery/hosts").await?;
+    let body = timeout(SILENT, Limited::new(answer.into_body(), LINE_MAX).collect()).await;
+    let body = body.map_err(|_| "half a list")?.map_err(|e| e.to_string())?.to_bytes();
+    let list: HostList = serde_json::from_slice(&body).map_err(|e| format!("the list: {e}"))?;
+    watcher.apply(&list, ListScope::Full);
+    Ok(list.rev)
+}
+
+async fn read_watch(
+    watcher: &Watcher,
+    at: SocketAddr,
+    sender: &mut Sender,
+    from: u64,
+    rev: &mut Option<u64>,
+) -> Result<(), String> {
+    let mut answer = ask(sender, &format!("/discovery/hosts?stream=1&index={from}")).await?;
     let mut buffer = BytesMut::new();
     loop {
         let frame = timeout(SILENT, answer.frame()).await.map_err(|_| "the watch fell silent")?;
@@ -187,10 +279,9 @@
                 continue;
             }
             let list: HostList = serde_json::from_slice(&line).map_err(|e| format!("a line: {e}"))?;
-            let scope = if list.all { ListScope::Full } else { ListScope::Delta };
-            book.apply(driver, &list, scope);
-            *rev = list.rev;
-            told();
+            watcher.apply(&list, if list.all { ListScope::Full } else { ListScope::Delta });
+            *rev = Some(list.rev);
+            watcher.told(at);
         }
         if buffer.len() > LINE_MAX {
             return Err("a line has no end".into());
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,8 +5,9 @@
 use crate::net::workers::{Attempted, Parts, Progress, Served, Workers};
 use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId};
 use crate::{Request, RequestId, WorkerId};
+use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -90,6 +91,8 @@
     gatekeeper: RefCell<Gatekeeper>,
     clock: Clock,
     open: RefCell<HashMap<RequestId, Open>>,
+    /// The clients' own ids of all that is open.
+    ids: RefCell<HashSet<HeaderValue>>,
     next: Cell<u64>,
     events: RefCell<VecDeque<Event>>,
     feeding: Cell<bool>,
@@ -106,6 +109,7 @@
             gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
             clock,
             open: RefCell::default(),
+            ids: RefCell::default(),
             next: Cell::new(0),
             events: RefCell::default(),
             feeding: Cell::new(false),
@@ -152,7 +156,11 @@
     }
 
     /// Takes a request in. Its answer comes on the channel; dropping the ticket says that the client left.
-    pub fn take(self: &Rc<Self>, taken: Taken) -> (Ticket, oneshot::Receiver<Answer>) {
+    /// One whose own id is open already is not taken: at a worker it would be a second copy of the first.
+    pub fn take(self: &Rc<Self>, taken: Taken) -> Option<(Ticket, oneshot::Receiver<Answer>)> {
+        if !self.ids.borrow_mut().insert(taken.parts.id.clone()) {
+            return None;
+        }
         self.next.set(self.next.get() + 1);
         let id = RequestId(self.next.get().to_string());
         let (reply, answer) = oneshot::channel();
@@ -169,7 +177,7 @@
             gateways: taken.gateways,
             time_left: left.as_micros() as Micros,
         }));
-        (Ticket { driver: self.clone(), id }, answer)
+        Some((Ticket { driver: self.clone(), id }, answer))
     }
 
     fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros) {
@@ -262,7 +270,9 @@
     fn forget_if_over(&self, id: &RequestId) {
         let mut all = self.open.borrow_mut();
         if all.get(id).is_some_and(|o| o.reply.is_none() && o.attempts.iter().all(Option::is_none)) {
-            all.remove(id);
+            if let Some(over) = all.remove(id) {
+                self.ids.borrow_mut().remove(&over.parts.id);
+            }
         }
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, RETRY_AFTER};
+use hyper::header::{
+    HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -22,10 +24,19 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// How long a client may take over a request's head, or be silent between two requests.
-const HEAD_TIME: Duration = Duration::from_secs(60);
+/// How long a client may take over a request's head, or be silent between two requests. Less than the 3 s in
+/// which one that never asks properly is owed an end.
+const HEAD_TIME: Duration = Duration::from_millis(2_500);
 /// How long a client may take over a body.
-const BODY_TIME: Duration = Duration::from_secs(5);
+const BODY_TIME: Duration = Duration::from_millis(2_500);
+/// How long a client may leave its answer unread: longer than `HEAD_TIME`, which ends those that merely idle.
+const UNREAD_TIME: Duration = Duration::from_secs(4);
+/// Age at which a connection that has asked nothing makes room for others first.
+const SAY_SOMETHING: Duration = Duration::from_millis(250);
+/// How long a connection may take to end by itself once it has been told to.
+const LINGER: Duration = Duration::from_millis(100);
+/// How long all places may be taken by requests before the next client is closed on rather than left waiting.
+const FULL_TIME: Duration = Duration::from_secs(2);
 /// The largest head of a request, bytes.
 const HEAD_MAX: usize = 16 * 1024;
 /// How long new connections are taken in after the call to stop.
@@ -37,20 +48,36 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// One client's connection, as far as closing it between requests goes.
-#[derive(Default)]
 struct Client {
+    /// Whether a request of it has been read whole and not been answered.
     busy: Cell<bool>,
     served: Cell<bool>,
-    idle_since: Cell<u64>,
+    /// When it connected or was last answered.
+    since: Cell<Instant>,
+    /// Whether it is to end at once, not by itself.
+    drop: Cell<bool>,
     close: Notify,
 }
 
+impl Client {
+    fn new() -> Rc<Client> {
+        let (busy, served, drop) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        Rc::new(Client { busy, served, since: Cell::new(Instant::now()), drop, close: Notify::new() })
+    }
+
+    fn end(&self, at_once: bool) {
+        self.drop.set(at_once);
+        self.close.notify_one();
+    }
+}
+
 /// The clients' side.
 pub struct Server {
     driver: Rc<Driver>,
     names: Names,
     effects: Vec<Effect>,
     instances: u32,
+    most_units: f64,
     patience_max: Duration,
     clients_max: usize,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -69,6 +96,7 @@
             names: config.names.clone(),
             effects: config.settings.classes.iter().map(|class| class.effect).collect(),
             instances: config.settings.instances.max(1),
+            most_units: config.settings.most_units,
             patience_max: config.longest_deadline() * PATIENCE_MAX,
             clients_max: config.clients_max,
             clients: RefCell::default(),
@@ -85,15 +113,21 @@
         self.ready.set(true);
     }
 
-    /// Takes connections in for ever. At the limit one that idles makes room, or the next waits in line.
+    /// Takes connections in for ever. At the limit one that idles makes room, or the next waits in line, but
+    /// not for long: it may be one that is owed an end soon.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
-            while self.clients.borrow().len() >= self.clients_max {
+            let until = Instant::now() + FULL_TIME;
+            while self.clients.borrow().len() >= self.clients_max && Instant::now() < until {
                 let left = self.left.notified();
                 self.close_an_idle_one();
-                left.await;
+                // Looked at anew before long: one that says nothing may have become old enough to go.
+                let _ = tokio::time::timeout(LINGER, left).await;
             }
             match listener.accept().await {
+                Ok(_) if self.clients.borrow().len() >= self.clients_max => {
+                    note(&self.odd, "all places taken by requests: a connection closed")
+                }
                 Ok((stream, _)) => self.admit(stream),
                 // Out of descriptors, or the client has gone already: neither may end the gateway.
                 Err(e) => {
@@ -105,6 +139,13 @@
         }
     }
 
+    /// Ends connections whose clients do not read what they asked for.
+    pub fn close_stuck(&self) {
+        let clients = self.clients.borrow();
+        let stuck = clients.values().filter(|c| !c.busy.get() && c.since.get().elapsed() > UNREAD_TIME);
+        stuck.for_each(|client| client.end(true));
+    }
+
     /// Stops as the deployment expects it: connections still come for a while and are taken in; all that was
     /// taken is answered; those between requests are closed at once, while there is still someone to take in
     /// a request that crosses the closing.
@@ -123,14 +164,18 @@
 
     fn close_idle(&self, which: impl Fn(&Client) -> bool) {
         let clients = self.clients.borrow();
-        clients.values().filter(|c| !c.busy.get() && which(c)).for_each(|c| c.close.notify_one());
+        clients.values().filter(|c| !c.busy.get() && which(c)).for_each(|c| c.end(false));
     }
 
+    /// Closes the connection that is least worth keeping. Those come first that have asked nothing in a while:
+    /// hundreds of silent ones must not push out clients that come back. One that has just connected stays:
+    /// its request may be on the way.
     fn close_an_idle_one(&self) {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter(|c| !c.busy.get() && c.served.get());
-        if let Some(client) = idle.min_by_key(|c| c.idle_since.get()) {
-            client.close.notify_one();
+        let silent = |c: &Client| !c.served.get() && c.since.get().elapsed() > SAY_SOMETHING;
+        let idle = clients.values().filter(|c| !c.busy.get() && (c.served.get() || silent(c)));
+        if let Some(least) = idle.min_by_key(|c| (c.served.get(), c.since.get())) {
+            least.end(true);
         }
     }
 
@@ -141,7 +186,7 @@
 
     fn admit(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (server, number, client) = (self.clone(), self.turn(), Rc::new(Client::default()));
+        let (server, number, client) = (self.clone(), self.turn(), Client::new());
         self.clients.borrow_mut().insert(number, client.clone());
         tokio::task::spawn_local(async move {
             server.serve(stream, &client).await;
@@ -153,15 +198,14 @@
     async fn serve(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
         let service = service_fn(|request| {
             let (server, client) = (self.clone(), client.clone());
-            client.busy.set(true);
             async move {
-                let mut answer = server.answer(request).await;
+                let mut answer = server.answer(request, &client).await;
                 if server.stopping.get() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 client.busy.set(false);
                 client.served.set(true);
-                client.idle_since.set(server.turn());
+                client.since.set(Instant::now());
                 // At the limit `accept` may have found none that idles: now there is one.
                 server.left.notify_one();
                 Ok::<_, Infallible>(answer)
@@ -178,25 +222,29 @@
             ended = conn.as_mut() => return drop(ended),
             () = client.close.notified() => conn.as_mut().graceful_shutdown(),
         }
-        let _ = conn.await;
+        // Half a head, or an answer that nobody reads, would hold its place for as long as it pleases.
+        let linger = if client.drop.get() { Duration::ZERO } else { LINGER };
+        if tokio::time::timeout(linger, conn.as_mut()).await.is_err() && client.busy.get() {
+            let _ = conn.await;
+        }
     }
 
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(self: &Rc<Self>, request: Request<Incoming>, client: &Client) -> Response<Full<Bytes>> {
         if request.uri().path() == "/up" && request.method() == Method::GET {
             let up = self.ready.get() && !self.stopping.get();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let taken = match self.read(request).await {
+        // The first request is owed its end by the time of the connection, not of its own head.
+        let begun = if client.served.get() { Instant::now() } else { client.since.get() };
+        let taken = match self.read(request, begun + BODY_TIME).await {
             Ok(taken) => taken,
-            Err((status, what)) => {
-                let mut answer = plain(status, what);
-                // What is left of it on the connection can't be told from a next request.
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                return answer;
-            }
+            Err(bad) => return refuse(bad),
         };
+        client.busy.set(true);
         // The ticket ends with this call: dropped early it says that the client has left.
-        let (_ticket, answer) = self.driver.take(taken);
+        let Some((_ticket, answer)) = self.driver.take(taken) else {
+            return refuse((StatusCode::CONFLICT, "a request with this Request-Id is open"));
+        };
         match answer.await {
             Ok(answer) => respond(answer),
             Err(_) => plain(StatusCode::BAD_GATEWAY, "no answer"),
@@ -204,8 +252,13 @@
     }
 
     /// Reads a request whole. Nothing that is malformed goes any further.
-    async fn read(&self, request: Request<Incoming>) -> Result<Taken, Bad> {
+    async fn read(&self, request: Request<Incoming>, until: Instant) -> Result<Taken, Bad> {
         let (head, body) = request.into_parts();
+        // The library hides a `Content-Length` beside it, so that the two can't be told to agree: a second
+        // request may be hidden in the body. Bodies are short, and clients know their length.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err((StatusCode::LENGTH_REQUIRED, "a body needs a Content-Length and nothing else"));
+        }
         if body.size_hint().lower() > BODY_MAX as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
         }
@@ -221,13 +274,17 @@
         }
         let customer = customer(&head.headers)?;
         let (units, gateways) = terms(header(&head.headers, "x-call-terms")?, self.instances)?;
+        // One huge figure in a usual customer's name would box it for a window.
+        if self.most_units > 0.0 && units > self.most_units {
+            return Err(bad("more units than any request has"));
+        }
         let patience = decimal(header(&head.headers, "request-timeout")?);
         let patience = patience.and_then(|s| Duration::try_from_secs_f64(s).ok());
         let patience = patience.ok_or(bad("bad Request-Timeout"))?;
         header(&head.headers, "request-id")?;
         let id = head.headers.get("request-id").cloned().ok_or(bad("no Request-Id"))?;
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
-        let body = if body.is_end_stream() { Bytes::new() } else { read_body(body).await? };
+        let body = if body.is_end_stream() { Bytes::new() } else { read_body(body, until).await? };
         if safe && !body.is_empty() {
             return Err(bad("a body where none belongs"));
         }
@@ -256,8 +313,8 @@
     (StatusCode::BAD_REQUEST, what)
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Bad> {
-    let read = tokio::time::timeout(BODY_TIME, Limited::new(body, BODY_MAX).collect()).await;
+async fn read_body(body: Incoming, until: Instant) -> Result<Bytes, Bad> {
+    let read = tokio::time::timeout_at(until, Limited::new(body, BODY_MAX).collect()).await;
     match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body takes too long"))? {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
@@ -291,19 +348,36 @@
     }
 }
 
-/// Units and number of gateways, from `units=2,spread=3,first=1`.
+/// Units and number of gateways, from `units=2,spread=3,first=1`. A term named twice is no term.
 fn terms(text: &str, instances: u32) -> Result<(f64, u32), Bad> {
-    let (mut units, mut spread) = (None, None);
+    let (mut units, mut spread, mut first) = (None, None, None);
     for term in text.split(',') {
-        match term.trim().split_once('=') {
-            Some(("units", value)) => units = decimal(value),
-            Some(("spread", value)) => spread = value.parse().ok().filter(|n| (1..=instances).contains(n)),
-            Some(("first", value)) if value.parse::<u32>().is_ok_and(|n| n < instances) => {}
-            Some((name, _)) if name != "first" => {}
-            _ => return Err(bad("bad X-Call-Terms")),
+        let fresh = match term.trim().split_once('=') {
+            Some(("units", value)) => units.replace(decimal(value)).is_none(),
+            Some(("spread", value)) => spread.replace(whole(value, 1..=instances)).is_none(),
+            Some(("first", value)) => first.replace(whole(value, 0..=instances - 1)).is_none(),
+            other => other.is_some(),
+        };
+        if !fresh {
+            return Err(bad("bad X-Call-Terms"));
         }
     }
-    units.zip(spread).ok_or(bad("bad X-Call-Terms"))
+    match (units.flatten(), spread.flatten(), first.is_none_or(|first| first.is_some())) {
+        (Some(units), Some(spread), true) => Ok((units, spread)),
+        _ => Err(bad("bad X-Call-Terms")),
+    }
+}
+
+fn whole(text: &str, within: std::ops::RangeInclusive<u32>) -> Option<u32> {
+    let digits = text.bytes().all(|b| b.is_ascii_digit());
+    text.parse().ok().filter(|n| digits && within.contains(n))
+}
+
+fn refuse((status, what): Bad) -> Response<Full<Bytes>> {
+    let mut answer = plain(status, what);
+    // What is left of it on the connection can't be told from a next request.
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
 }
 
 fn plain(status: StatusCode, what: &'static str) -> Response<Full<Bytes>> {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -181,8 +181,14 @@
 
     fn serve(stream: TcpStream, lines: &Mutex<Vec<String>>, watches: &AtomicUsize, speaks: &AtomicUsize) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        if Message::read(&mut reader).is_none() {
-            return;
+        loop {
+            let Some(asked) = Message::read(&mut reader) else { return };
+            if asked.first_line.contains("stream=1") {
+                break;
+            }
+            let list = lines.lock().unwrap().last().cloned().unwrap_or_default();
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+            let _ = (&stream).write_all(text.as_bytes());
         }
         // A watch that begins later gets the last list whole, as after a long gap.
         let mut told = lines.lock().unwrap().len().saturating_sub(1);
@@ -292,7 +298,7 @@
 pub struct Gateway {
     child: Child,
     pub addr: SocketAddr,
-    _folder: Folder,
+    folder: Folder,
 }
 
 struct Folder(std::path::PathBuf);
@@ -303,7 +309,7 @@
     }
 }
 
-fn spawn(config: &str) -> (Child, Folder) {
+fn spawn(config: &str, variables: &[(&str, String)]) -> (Child, Folder) {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
     let folder = Folder(std::env::temp_dir().join(format!("hingestage-{}-{number}", std::process::id())));
@@ -314,20 +320,23 @@
     for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"] {
         command.env_remove(variable);
     }
+    command.envs(variables.iter().map(|(name, value)| (name, value)));
     let child = command.env("RELAY_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
     (child, folder)
 }
 
 /// Runs the program on a configuration that it can't take; gives exit code and standard error.
 pub fn run_to_end(config: &str) -> (Option<i32>, String) {
-    let (child, _folder) = spawn(config);
+    let (child, _folder) = spawn(config, &[]);
     let out = child.wait_with_output().unwrap();
     (out.status.code(), String::from_utf8(out.stderr).unwrap())
 }
 
 impl Gateway {
     pub fn start(config: &Value) -> Gateway {
-        let (mut child, folder) = spawn(&config.to_string());
+        // The variable stands beside the file, as the deployment has it.
+        let discovery = config["discovery"].as_str().unwrap_or_default().to_owned();
+        let (mut child, folder) = spawn(&config.to_string(), &[("RELAY_DISCOVERY", discovery)]);
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
@@ -340,7 +349,7 @@
             .expect("the first log line ends with the address");
         // What follows is drained, so that the program never waits for its log.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Gateway { child, addr, _folder: folder }
+        Gateway { child, addr, folder }
     }
 
     /// Starts and waits until requests can be served.
@@ -370,8 +379,20 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn reconfigure(&self, config: &str) {
+        let fresh = self.folder.0.join("fresh.json");
+        std::fs::write(&fresh, config).unwrap();
+        std::fs::rename(&fresh, self.folder.0.join("config.json")).unwrap();
+        self.signal("-HUP");
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -85,6 +85,10 @@
         (400, Ask { terms: "units=NaN,spread=1,first=0".into(), ..pull() }.text()),
         (400, Ask { terms: "units=1,spread=0,first=0".into(), ..pull() }.text()),
         (400, Ask { terms: "units=1,spread=1,first=9".into(), ..pull() }.text()),
+        (400, Ask { terms: "units=1,spread=1,first=+0".into(), ..pull() }.text()),
+        (400, Ask { terms: "units=1,units=2,spread=1,first=0".into(), ..pull() }.text()),
+        (400, Ask { terms: "units=6.5,spread=1,first=0".into(), ..pull() }.text()),
+        (400, Ask { terms: "units=99999999,spread=1,first=0".into(), ..pull() }.text()),
         (400, Ask { body: Some("a body".into()), ..pull() }.text()),
         (413, Ask { body: Some("x".repeat(64 * 1024 + 1)), ..push() }.text()),
         (413, push().text().replace("Content-Length: 5", "Content-Length: 99999999999")),
@@ -248,6 +252,7 @@
         config["counter"] = counter.addr.to_string().into();
         config["settings"]["familyInfo"]["mayCount"] = true.into();
         config["settings"]["instances"] = 2.into();
+        config["settings"]["familyInfo"]["mostUnits"] = 20.into();
         let gateway = Gateway::ready(&config);
         // More than the part of an unseen customer: the decision asks the counter.
         let terms = || "units=15,spread=2,first=0".to_owned();
@@ -461,3 +466,199 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// A huge figure in a usual customer's name is turned away before anything is counted.
+#[test]
+fn malformed_requests_in_a_customers_name_do_not_box_it() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let ask = |units: &str| Ask { tier: "small", terms: format!("units={units},spread=1,first=0"), ..pull() };
+    for _ in 0..20 {
+        assert_eq!(gateway.ask(&ask("1e3").text()).status(), 400);
+        assert_eq!(gateway.ask(&ask("1000").text()).status(), 400);
+    }
+    assert_eq!(gateway.ask(&ask("6").text()).body, "served");
+}
+
+/// A body framed in two ways may hide a second request: nothing of it goes on, nothing behind it is read.
+#[test]
+fn a_request_with_two_framings_is_refused_and_nothing_behind_it_is_read() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let hidden = pull().text();
+    let chunked = "Transfer-Encoding: chunked";
+    let length = format!("Content-Length: {}", hidden.len() + 5);
+    for framing in [format!("{chunked}\r\n{length}"), format!("{length}\r\n{chunked}")] {
+        let head = Ask { body: None, ..push() }.text();
+        let head = head.trim_end();
+        let mut client = gateway.connect();
+        client.send(&format!("{head}\r\n{framing}\r\n\r\n0\r\n\r\n{hidden}"));
+        let answer = client.answer().expect("no answer");
+        assert!((400..500).contains(&answer.status()) && answer.status() != 429, "{}", answer.first_line);
+        assert!(client.answer().is_none());
+    }
+    assert_eq!(worker.requests(), 0);
+}
+
+/// The id of an open request, from anyone: at a worker it would be a second copy of the first.
+#[test]
+fn an_id_that_is_open_is_refused_and_the_first_goes_on() {
+    let worker = Worker::start(Reply::Silence);
+    let (gateway, _discovery) = stage(&[&worker]);
+    let (mut first, text) = (gateway.connect(), push().text());
+    first.send(&text);
+    assert!(matches!(worker.next(), Seen::Request { .. }));
+    let second = gateway.ask(&text);
+    assert!((400..500).contains(&second.status()) && second.status() != 429, "{}", second.first_line);
+    assert!(first.answer().is_some_and(|answer| matches!(answer.status(), 502 | 504)));
+    assert_eq!(worker.requests(), 0);
+    // Once it is over the id is free again.
+    worker.set(ok("served"));
+    assert_eq!(gateway.ask(&text).body, "served");
+}
+
+/// Clients that say nothing, stop half way or never read get an end, and soon.
+#[test]
+fn slow_and_silent_clients_are_ended() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let body = push().text();
+    for said in ["", "GET /pull/x HTT", "GET /pull/x HTTP/1.1\r\nHost: x\r\n", &body[..body.len() - 2]] {
+        let begun = Instant::now();
+        let mut client = gateway.connect();
+        client.send(said);
+        let answer = client.answer();
+        assert!(answer.is_none_or(|answer| answer.status() == 408), "{said}");
+        assert!(begun.elapsed() < Duration::from_secs(10), "{said}: {:?}", begun.elapsed());
+    }
+    assert_eq!(worker.requests(), 0);
+}
+
+/// Far more silent connections than places: those who ask are let in all the same, and at once.
+#[test]
+fn silent_connections_do_not_keep_others_out() {
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let mut config = config(discovery.addr, &[]);
+    config["limits"]["sockets"] = 70.into();
+    let gateway = Gateway::ready(&config);
+    // Repeated, so that one stall of the machine shows nothing.
+    let quick = (0..5).any(|_| {
+        let _silent: Vec<Client> = (0..200).map(|_| gateway.connect()).collect();
+        let begun = Instant::now();
+        assert_eq!(gateway.ask(&pull().text()).body, "served");
+        begun.elapsed() < Duration::from_secs(2)
+    });
+    assert!(quick, "a client waits behind silent connections");
+}
+
+/// A configuration read again sends the gateway elsewhere, though the environment still names the old place;
+/// a bad one changes nothing; it works more than once, and while stopping.
+#[test]
+fn sighup_moves_discovery_and_counter() {
+    let (first, second) = (Worker::start(ok("first")), Worker::start(ok("second")));
+    let (here, there) = (Discovery::start(), Discovery::start());
+    here.list(7, true, &[first.listed("w0", "up")]);
+    // A service of its own counts its versions anew.
+    there.list(2, true, &[second.listed("w1", "up")]);
+    let counters = [Counter::start(|_, _| Some(total(1.0))), Counter::start(|_, _| Some(total(1.0)))];
+    let config = |discovery: &Discovery, counter: &Counter| {
+        let mut config = config(discovery.addr, &[]);
+        config["counter"] = counter.addr.to_string().into();
+        config["settings"]["familyInfo"]["mayCount"] = true.into();
+        config.to_string()
+    };
+    let mut gateway = Gateway::ready(&serde_json::from_str(&config(&here, &counters[0])).unwrap());
+    let until = Instant::now() + PATIENCE;
+    let served_by = |gateway: &Gateway, body: &str, counter: &Counter| loop {
+        assert!(Instant::now() < until, "never served by {body}");
+        let counted = counter.calls.try_iter().count() > 0;
+        if gateway.ask(&pull().text()).body == body && counted {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    served_by(&gateway, "first", &counters[0]);
+    for _ in 0..2 {
+        gateway.reconfigure(&config(&there, &counters[1]));
+        served_by(&gateway, "second", &counters[1]);
+        gateway.reconfigure("{\"discovery\": nonsense");
+        served_by(&gateway, "second", &counters[1]);
+        gateway.reconfigure(&config(&here, &counters[0]));
+        served_by(&gateway, "first", &counters[0]);
+    }
+    first.set(Reply::Silence);
+    let mut client = gateway.connect();
+    client.send(&push().text());
+    while !matches!(first.next(), Seen::Request { message, .. } if message.first_line.contains("push")) {}
+    gateway.terminate();
+    gateway.signal("-HUP");
+    assert!(client.answer().is_some());
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
+/// The counter left behind still gives the answers that it owes.
+#[test]
+fn sighup_keeps_the_answers_that_the_old_counter_owes() {
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let (release, released) = std::sync::mpsc::channel::<()>();
+    let released = std::sync::Mutex::new(released);
+    let old = Counter::start(move |_, _| {
+        let _ = released.lock().unwrap().recv_timeout(PATIENCE);
+        Some(total(1e6))
+    });
+    let new = Counter::start(|_, _| Some(total(1.0)));
+    let mut config = config(discovery.addr, &[]);
+    config["counter"] = old.addr.to_string().into();
+    config["settings"]["instances"] = 2.into();
+    config["settings"]["familyInfo"] =
+        serde_json::json!({"mayCount": true, "countWaitUs": 1_400_000, "mostUnits": 20, "costAfter": true});
+    let gateway = Gateway::ready(&config);
+    let ask = |n: u32| {
+        let terms = "units=15,spread=2,first=0".into();
+        Ask { tier: "small", client: format!("{n:016x}"), terms, ..pull() }.text()
+    };
+    let mut client = gateway.connect();
+    client.send(&ask(1));
+    old.calls.recv_timeout(PATIENCE).expect("no call");
+    config["counter"] = new.addr.to_string().into();
+    gateway.reconfigure(&config.to_string());
+    for n in 2.. {
+        gateway.ask(&ask(n));
+        if new.calls.try_iter().count() > 0 {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    release.send(()).unwrap();
+    // By the old counter's total it is far beyond its quota.
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(429));
+}
+
+/// An answer without a number, or half of one, ends the connection: what comes after it could be taken for
+/// another customer's total.
+#[test]
+fn a_spoilt_answer_of_the_counter_ends_its_connection() {
+    for spoilt in ["$3\r\nabc\r\n", "+OK\r\n", "$-1\r\n", "$900\r\n12", "\u{1}\u{2}noise\r\n", "-WHAT\r\n"] {
+        let worker = Worker::start(ok("served"));
+        let counter = Counter::start(move |_, number| match number {
+            0 => Some(spoilt.into()),
+            _ => Some(total(1.0)),
+        });
+        let discovery = Discovery::start();
+        discovery.list(2, true, &[worker.listed("w0", "up")]);
+        let mut config = config(discovery.addr, &[]);
+        config["counter"] = counter.addr.to_string().into();
+        config["settings"]["familyInfo"]["mayCount"] = true.into();
+        let gateway = Gateway::ready(&config);
+        let until = Instant::now() + PATIENCE;
+        while counter.calls.try_iter().all(|(conn, _)| conn == 0) {
+            assert_eq!(gateway.ask(&pull().text()).status(), 200);
+            assert!(Instant::now() < until, "{spoilt:?}: the connection lives on");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
