Spoilt answers of workers: found out within 150 ms, no strike against the worker; nothing written where something unasked came in

From the reading (workers.rs exchange, judge, give_back; wire.rs): an answer without a length was believed, half an answer hung until the attempt's time was up, a head could grow to 400 KB, and every spoilt answer left its worker out for a second or more, though any worker spoils some.

--- a/src/api.rs
+++ b/src/api.rs
@@ -243,6 +243,8 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// Answered with what can't be used, as any worker's answers may be now and then; it may have run.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// Not transmitted; it never ran.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -94,6 +94,7 @@
     /// The clients' own ids of all that is open.
     ids: RefCell<HashSet<HeaderValue>>,
     next: Cell<u64>,
+    most_units: f64,
     events: RefCell<VecDeque<Event>>,
     feeding: Cell<bool>,
 }
@@ -111,6 +112,7 @@
             open: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
+            most_units: config.settings.most_units,
             events: RefCell::default(),
             feeding: Cell::new(false),
         })
@@ -205,7 +207,9 @@
         if let Some(served) = attempted.served.take() {
             self.answer(id, |_| Answer::Served(served));
         }
-        self.tell_end(id, n, attempted.outcome, running.sent, attempted.true_units);
+        // More units than any request has are no figure to charge a customer with.
+        let true_units = attempted.true_units.filter(|n| self.most_units <= 0.0 || *n <= self.most_units);
+        self.tell_end(id, n, attempted.outcome, running.sent, true_units);
     }
 
     /// Calls an attempt off: its connection ends before the decisions hear of it, so that no further attempt
--- a/src/net/wire.rs
+++ b/src/net/wire.rs
@@ -1,12 +1,16 @@
-//! A TCP connection that counts what it has written and can be closed at once from outside.
+//! A TCP connection that counts what passes, can be closed at once from outside, and writes nothing new
+//! where something unasked has come in.
 
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 /// One of a bounded number of places; free again when dropped.
@@ -32,6 +36,11 @@
 pub struct Wire {
     stream: RefCell<Option<(TcpStream, Place)>>,
     written: Cell<u64>,
+    read: Cell<u64>,
+    /// Told of whatever has been read.
+    heard: Notify,
+    /// Whether nothing may have come in by the time of the next write.
+    silent: Cell<bool>,
     driver: RefCell<Option<AbortHandle>>,
 }
 
@@ -39,7 +48,14 @@
     /// Takes a connection in.
     pub fn new(stream: TcpStream, place: Place) -> Rc<Wire> {
         let stream = RefCell::new(Some((stream, place)));
-        Rc::new(Wire { stream, written: Cell::new(0), driver: RefCell::new(None) })
+        Rc::new(Wire {
+            stream,
+            written: Cell::new(0),
+            read: Cell::new(0),
+            heard: Notify::new(),
+            silent: Cell::new(false),
+            driver: RefCell::new(None),
+        })
     }
 
     /// Names the task that drives it, which ends with it.
@@ -52,6 +68,34 @@
         self.written.get()
     }
 
+    /// Waits until more than `mark` bytes have been read.
+    pub async fn read_past(&self, mark: u64) {
+        while self.read.get() <= mark {
+            self.heard.notified().await;
+        }
+    }
+
+    /// Bytes read so far.
+    pub fn read(&self) -> u64 {
+        self.read.get()
+    }
+
+    /// Lets the next write fail, with nothing written, if anything can be read by then. What has come in
+    /// unasked would be taken for the answer to what is written next. The system itself is asked: the
+    /// runtime knows only what it was told when it last waited.
+    pub fn expect_silence(&self) {
+        self.silent.set(true);
+    }
+
+    fn check_silence(&self) -> io::Result<()> {
+        let stream = self.stream.borrow();
+        let (true, Some((stream, _))) = (self.silent.replace(false), stream.as_ref()) else { return Ok(()) };
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            _ => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+
     /// Closes the connection before this returns. Merely ending the tasks round it would leave it open until
     /// they are next run, and a further attempt could meet this one still out.
     pub fn close(&self) {
@@ -68,7 +112,12 @@
         }
     }
 
-    fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn write(
+        &self,
+        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.check_silence()?;
+        let polled = self.poll(poll);
         if let Poll::Ready(Ok(n)) = polled {
             self.written.set(self.written.get() + n as u64);
         }
@@ -88,13 +137,20 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        self.0.poll(|stream| stream.poll_read(cx, buf))
+        let before = buf.filled().len();
+        let polled = self.0.poll(|stream| stream.poll_read(cx, buf));
+        let read = (buf.filled().len() - before) as u64;
+        if read > 0 {
+            self.0.read.set(self.0.read.get() + read);
+            self.0.heard.notify_one();
+        }
+        polled
     }
 }
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.count(self.0.poll(|stream| stream.poll_write(cx, buf)))
+        self.0.write(|stream| stream.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
@@ -102,7 +158,7 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        self.0.count(self.0.poll(|stream| stream.poll_write_vectored(cx, bufs)))
+        self.0.write(|stream| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -117,3 +173,35 @@
         self.0.poll(|stream| stream.poll_shutdown(cx))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::poll_fn;
+    use tokio::io::AsyncWrite;
+
+    /// What has come in and the runtime has not noticed yet must stop a write all the same.
+    #[tokio::test]
+    async fn nothing_is_written_where_something_unasked_has_come_in() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (mut peer, _) = listener.accept().unwrap();
+        let wire = Wire::new(stream, Place::take(&Rc::default(), 1).unwrap());
+        let mut io = WireIo(wire.clone());
+        let mut buffer = [0; 8];
+        // The runtime learns that there is nothing to read.
+        let nothing = poll_fn(|cx| {
+            let mut buffer = ReadBuf::new(&mut buffer);
+            Poll::Ready(Pin::new(&mut io).poll_read(cx, &mut buffer).is_pending())
+        });
+        assert!(nothing.await);
+        wire.expect_silence();
+        assert_eq!(poll_fn(|cx| Pin::new(&mut io).poll_write(cx, b"one")).await.unwrap(), 3);
+        std::io::Write::write_all(&mut peer, b"noise").unwrap();
+        // Over loopback it has arrived; no turn of the runtime's loop lies in between.
+        wire.expect_silence();
+        let written = poll_fn(|cx| Poll::Ready(Pin::new(&mut io).poll_write(cx, b"two"))).await;
+        assert!(matches!(written, Poll::Ready(Err(_))));
+        assert_eq!(wire.written(), 3);
+    }
+}
--- a/src/net/workers.rs
+++ b/src/net/workers.rs
@@ -4,16 +4,20 @@
 use crate::net::{decimal, note, BODY_MAX};
 use crate::{Outcome, WorkerId};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Duration, Instant};
 
@@ -21,6 +25,10 @@
 const SERVICE: &str = "backend.local";
 /// Idle connections kept to one worker.
 const IDLE_MAX: usize = 32;
+/// The largest head of an answer, bytes.
+const HEAD_MAX: usize = 16 * 1024;
+/// Time for the rest of an answer that has begun: the machines share a room, and an answer is short.
+const REST: Duration = Duration::from_millis(150);
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE: Duration = Duration::from_millis(250);
 
@@ -88,8 +96,11 @@
     }
 
     /// From here on the request may be written. Below `least` bytes written it can't be whole.
-    fn begin(&self, wire: &Rc<Wire>, parts: &Parts) {
+    fn begin(&self, wire: &Rc<Wire>, used: bool, parts: &Parts) {
         let least = wire.written() + 1 + parts.body.len() as u64;
+        if used {
+            wire.expect_silence();
+        }
         *self.wire.borrow_mut() = Some((wire.clone(), least));
     }
 }
@@ -98,10 +109,15 @@
 struct Conn {
     sender: SendRequest<Full<Bytes>>,
     wire: Rc<Wire>,
+    /// Where it leads, and to which life of the worker.
+    life: Life,
     idle_since: Instant,
     used: bool,
 }
 
+/// Address and start of a worker.
+type Life = (SocketAddr, u64);
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.wire.close();
@@ -109,8 +125,7 @@
 }
 
 struct Pool {
-    addr: SocketAddr,
-    boot_ms: u64,
+    life: Life,
     ready: bool,
     idle: Vec<Conn>,
 }
@@ -137,12 +152,16 @@
     /// not, or to a former life of it, are closed: a request written to a dead process is a reset, and an
     /// unsafe one would then be failed for nothing.
     pub fn list(&self, id: WorkerId, addr: SocketAddr, boot_ms: u64, ready: bool) {
-        let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(id).or_insert_with(|| Pool { addr, boot_ms, ready, idle: Vec::new() });
-        if (pool.addr, pool.boot_ms) != (addr, boot_ms) || !ready {
+        let (life, mut pools) = ((addr, boot_ms), self.pools.borrow_mut());
+        // Where a new worker has taken an address over, connections of the old one lead nowhere.
+        for (_, former) in pools.iter_mut().filter(|(other, pool)| **other != id && pool.life.0 == addr) {
+            former.idle.clear();
+        }
+        let pool = pools.entry(id).or_insert_with(|| Pool { life, ready, idle: Vec::new() });
+        if pool.life != life || !ready {
             pool.idle.clear();
         }
-        (pool.addr, pool.boot_ms, pool.ready) = (addr, boot_ms, ready);
+        (pool.life, pool.ready) = (life, ready);
     }
 
     /// Forgets a worker.
@@ -189,11 +208,10 @@
             if !self.takes_work(worker) {
                 return Outcome::NotSent.into();
             }
-            progress.begin(&conn.wire, parts);
-            let exchange = exchange(&mut conn.sender, parts, deadline);
-            let ended = timeout_at(deadline, exchange).await;
+            progress.begin(&conn.wire, conn.used, parts);
+            let ended = timeout_at(deadline, exchange(&mut conn, parts, deadline)).await;
             if let Ok(Ok(answer)) = ended {
-                return self.judge(answer, conn);
+                return judge(answer, conn);
             }
             let (used, whole) = (conn.used, progress.give_up());
             drop(conn);
@@ -201,9 +219,9 @@
                 // A kept connection turned out to be closed before anything was written: that was no attempt.
                 Ok(Err(_)) if used && !whole => continue,
                 _ if !whole => return Outcome::ConnectFailed.into(),
-                Ok(Err(Broken::TooLarge)) => {
-                    note(&self.odd, format_args!("worker {}: answer too large", worker.0));
-                    return Outcome::Error.into();
+                Ok(Err(Broken::Spoilt(what))) => {
+                    note(&self.odd, format_args!("worker {}: {what}", worker.0));
+                    return Outcome::Spoilt.into();
                 }
                 Ok(_) => return Outcome::Reset.into(),
                 Err(_) => return Outcome::Timeout.into(),
@@ -219,7 +237,8 @@
         }
         (conn.idle_since, conn.used) = (Instant::now(), true);
         if let Some(pool) = self.pools.borrow_mut().get_mut(&worker) {
-            if pool.ready && pool.idle.len() < IDLE_MAX {
+            // Not to the pool of another life: there it would be taken for a connection to that.
+            if pool.ready && pool.life == conn.life && pool.idle.len() < IDLE_MAX {
                 pool.idle.push(conn);
             }
         }
@@ -227,7 +246,7 @@
 
     /// A kept connection, the last used first, or a new one.
     async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn, Outcome> {
-        let addr = {
+        let life = {
             let mut pools = self.pools.borrow_mut();
             let pool = pools.get_mut(&worker).filter(|pool| pool.ready).ok_or(Outcome::NotSent)?;
             while let Some(conn) = pool.idle.pop() {
@@ -235,7 +254,7 @@
                     return Ok(conn);
                 }
             }
-            pool.addr
+            pool.life
         };
         let place = Place::take(&self.open, self.most).or_else(|| {
             self.close_an_idle_one();
@@ -244,18 +263,22 @@
         let place = place.ok_or(Outcome::NotSent)?;
         // A machine that is cut off says nothing: the time-out is ours.
         let until = deadline.min(Instant::now() + self.connect_timeout);
-        let connected = timeout_at(until, TcpStream::connect(addr)).await;
+        let connected = timeout_at(until, TcpStream::connect(life.0)).await;
         let Ok(Ok(stream)) = connected else { return Err(Outcome::ConnectFailed) };
         let _ = stream.set_nodelay(true);
         let wire = Wire::new(stream, place);
         let io = TokioIo::new(WireIo(wire.clone()));
-        let (sender, driver) = http1::handshake(io).await.map_err(|_| Outcome::ConnectFailed)?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(HEAD_MAX)
+            .handshake(io)
+            .await
+            .map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // How it ends is told to the attempt that it carries.
             let _ = driver.await;
         });
         wire.driven_by(task.abort_handle());
-        Ok(Conn { sender, wire, idle_since: Instant::now(), used: false })
+        Ok(Conn { sender, wire, life, idle_since: Instant::now(), used: false })
     }
 
     fn close_an_idle_one(&self) {
@@ -266,35 +289,48 @@
             pool.idle.remove(0);
         }
     }
+}
 
-    /// What a whole answer says.
-    fn judge(&self, (status, headers, body): Answer, conn: Conn) -> Attempted {
-        let not_started = headers.get("not-started").is_some_and(|value| value == "1");
-        let outcome = match status {
-            StatusCode::OK => Outcome::Ok,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => Outcome::Full,
-            // Without the word that it never began, it may have run.
-            _ => Outcome::Error,
-        };
-        let good = outcome == Outcome::Ok;
-        let served = good.then(|| Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
-        let true_units = headers.get("x-cost-units").filter(|_| good).and_then(|v| decimal(v.to_str().ok()?));
-        Attempted { outcome, true_units, served, conn: Some(conn) }
-    }
+/// What an answer says. One without an end of its own is read no further, and its connection not kept.
+fn judge((status, headers, body): Answer, conn: Conn) -> Attempted {
+    let not_started = headers.get("not-started").is_some_and(|value| value == "1");
+    let outcome = match status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => Outcome::Full,
+        // Without the word that it never began, it may have run.
+        _ => Outcome::Error,
+    };
+    let good = outcome == Outcome::Ok;
+    let conn = body.is_some().then_some(conn);
+    let body = body.filter(|_| good);
+    let served = body.map(|body| Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
+    let true_units = headers.get("x-cost-units").filter(|_| good).and_then(|v| decimal(v.to_str().ok()?));
+    Attempted { outcome, true_units, served, conn }
 }
 
-type Answer = (StatusCode, HeaderMap, Bytes);
+type Answer = (StatusCode, HeaderMap, Option<Bytes>);
 
 enum Broken {
     Connection,
-    TooLarge,
+    /// An answer came that is of no use, and why.
+    Spoilt(&'static str),
 }
 
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    parts: &Parts,
-    deadline: Instant,
-) -> Result<Answer, Broken> {
+/// Writes a request and reads its answer. An answer that begins and does not go on has been spoilt: the rest
+/// will never come, and the time that is left is better spent on another attempt.
+async fn exchange(conn: &mut Conn, parts: &Parts, deadline: Instant) -> Result<Answer, Broken> {
+    let skipped = Arc::new(AtomicUsize::new(0));
+    let request = request(parts, deadline, skipped.clone());
+    let (wire, mark) = (conn.wire.clone(), conn.wire.read());
+    tokio::select! {
+        biased;
+        answer = read_answer(&mut conn.sender, request) => answer,
+        () = stalled(&wire, mark, &skipped) => Err(Broken::Spoilt("an answer without an end")),
+    }
+}
+
+/// What goes on to a worker. `skipped` counts the interim answers (1xx) ahead of the final one.
+fn request(parts: &Parts, deadline: Instant, skipped: Arc<AtomicUsize>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(parts.body.clone()));
     *request.method_mut() = parts.method.clone();
     *request.uri_mut() = parts.uri.clone();
@@ -308,11 +344,58 @@
     if let Some(value) = &parts.content_type {
         headers.insert(CONTENT_TYPE, value.clone());
     }
-    let answer: Response<Incoming> = sender.send_request(request).await.map_err(|_| Broken::Connection)?;
+    hyper::ext::on_informational(&mut request, move |_| {
+        skipped.fetch_add(1, Ordering::Relaxed);
+    });
+    request
+}
+
+async fn read_answer(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, Broken> {
+    let answer: Response<Incoming> = sender.send_request(request).await.map_err(|e| match e.is_parse() {
+        true => Broken::Spoilt("an answer that can't be read"),
+        false => Broken::Connection,
+    })?;
     let (head, body) = answer.into_parts();
+    // Said to be too long, it is not worth waiting for.
+    if body.size_hint().lower() > BODY_MAX as u64 {
+        return Err(Broken::Spoilt("an answer too large"));
+    }
+    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
+    if !framed {
+        // It would end where the connection does, and might be cut there without a sign.
+        return match head.status {
+            StatusCode::OK => Err(Broken::Spoilt("an answer without a length")),
+            status => Ok((status, head.headers, None)),
+        };
+    }
     match Limited::new(body, BODY_MAX).collect().await {
-        Ok(body) => Ok((head.status, head.headers, body.to_bytes())),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Broken::TooLarge),
+        Ok(body) => Ok((head.status, head.headers, Some(body.to_bytes()))),
+        Err(e) if e.is::<LengthLimitError>() => Err(Broken::Spoilt("an answer too large")),
+        Err(e) if bad_framing(e.as_ref()) => Err(Broken::Spoilt("an answer that can't be read")),
         Err(_) => Err(Broken::Connection),
     }
 }
+
+/// Whether a body's chunks made no sense, as against a connection that ended.
+fn bad_framing(e: &(dyn Error + 'static)) -> bool {
+    let cause = e.source().and_then(|cause| cause.downcast_ref::<std::io::Error>());
+    cause.is_some_and(|e| matches!(e.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData))
+}
+
+/// Ends when an answer has begun, past `mark` bytes, and not been completed in time. Interim answers are no
+/// beginning: the final one comes when it is ready.
+async fn stalled(wire: &Wire, mut mark: u64, skipped: &AtomicUsize) {
+    let mut passed_over = 0;
+    loop {
+        wire.read_past(mark).await;
+        tokio::time::sleep(REST).await;
+        let interim = skipped.load(Ordering::Relaxed);
+        if interim == passed_over {
+            return;
+        }
+        (passed_over, mark) = (interim, wire.read());
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -22,6 +22,8 @@
     Answer(String, String),
     /// These bytes, then the connection ends.
     RawThenClose(String),
+    /// These bytes, and the connection stays.
+    Raw(String),
     /// Nothing, for as long as the connection stays open.
     Silence,
 }
@@ -112,6 +114,7 @@
                     let _ = (&stream).write_all(text.as_bytes());
                     break;
                 }
+                Reply::Raw(text) => drop((&stream).write_all(text.as_bytes())),
                 Reply::Silence => {
                     let _ = reader.read(&mut [0]);
                     break;
@@ -130,6 +133,11 @@
         self.seen.recv_timeout(PATIENCE).expect("nothing came to the worker")
     }
 
+    /// What comes within a time, if anything does.
+    pub fn seen_within(&self, time: Duration) -> Option<Seen> {
+        self.seen.recv_timeout(time).ok()
+    }
+
     /// The next request, passing over connections that end.
     pub fn request(&self) -> Message {
         loop {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -117,6 +117,8 @@
         Reply::RawThenClose(String::new()),
         Reply::RawThenClose(short.into()),
         Reply::RawThenClose("what is this\r\n\r\n".into()),
+        // Without a length it might have been cut.
+        Reply::RawThenClose("HTTP/1.1 200 OK\r\n\r\nwhole?".into()),
         Reply::Answer("500 Oops".into(), "no".into()),
         Reply::Answer("503 Full".into(), "no".into()),
         Reply::Answer("504 Late\r\nNot-Started: 0".into(), "no".into()),
@@ -428,8 +430,15 @@
 /// The true units of an answer replace the guess; what is no plain number of units changes nothing.
 #[test]
 fn the_answers_true_units_count_and_malformed_ones_do_not() {
-    let costs =
-        [("15", true), ("+15", false), ("15e0", false), ("-15", false), ("NaN", false), ("1 5", false)];
+    let costs = [
+        ("6", true),
+        ("+6", false),
+        ("6e0", false),
+        ("-6", false),
+        ("NaN", false),
+        ("6 6", false),
+        ("99", false),
+    ];
     for (cost, counts) in costs {
         let worker = Worker::start(Reply::Answer(format!("200 OK\r\nX-Cost-Units: {cost}"), "served".into()));
         let (gateway, _discovery) = stage(&[&worker]);
@@ -662,3 +671,62 @@
         }
     }
 }
+
+/// An answer that is of no use and leaves its connection open: found out long before the time is up, the
+/// connection ended, and what may be repeated is sent again. Workers that spoil answers now and then stay.
+#[test]
+fn a_spoilt_answer_is_no_answer_and_is_found_out_soon() {
+    let (spoiler, other) = (Worker::start(ok("")), Worker::start(ok("good")));
+    let head = "HTTP/1.1 200 OK\r\n";
+    for spoilt in [
+        "\u{1}\u{2}noise\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nX-Half: a he".to_owned(),
+        format!("{head}X-Long: {}", "x".repeat(300_000)),
+        format!("{head}Content-Length: 100\r\n\r\nshort"),
+        format!("{head}Content-Length: -4\r\n\r\nbody"),
+        format!("{head}Content-Length: 3000000000\r\n\r\n{}", "x".repeat(10_000)),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n"),
+        format!("{head}\r\nno length"),
+    ] {
+        spoiler.set(Reply::Raw(spoilt.clone()));
+        let (gateway, discovery) = stage(&[&spoiler]);
+        let mut client = gateway.connect();
+        // Left to the client's patience, a minute, it would outlast the test's.
+        client.send(&pull().text().replace("Request-Timeout: 1.500", "Request-Timeout: 60"));
+        let Seen::Request { conn, .. } = spoiler.next() else { panic!("no request") };
+        discovery.list(3, true, &[other.listed("w1", "up")]);
+        while !matches!(spoiler.next(), Seen::Closed { conn: closed } if closed == conn) {}
+        let answer = client.answer().expect("no answer");
+        assert!(answer.body == "good" || answer.status() != 200, "{spoilt:.40}: {}", answer.body);
+    }
+}
+
+/// Interim answers are no answer, and no beginning of one either: the final one may take its time.
+#[test]
+fn interim_answers_are_passed_over() {
+    let worker = Worker::start(Reply::Raw("HTTP/1.1 102 Processing\r\n\r\n".into()));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let mut client = gateway.connect();
+    client.send(&push().text());
+    let Seen::Request { conn, .. } = worker.next() else { panic!("no request") };
+    assert!(worker.seen_within(Duration::from_millis(600)).is_none(), "given up on {conn}");
+    worker.set(Reply::Raw(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal".into(),
+    ));
+    assert_eq!(gateway.ask(&push().text()).body, "final");
+}
+
+/// What follows a good answer belongs to nobody: the next request is never answered with it.
+#[test]
+fn what_follows_a_good_answer_is_never_the_next_one() {
+    let worker = Worker::start(ok("first"));
+    let (gateway, _discovery) = stage(&[&worker]);
+    let mut client = gateway.connect();
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    for round in 0..200 {
+        let body = format!("answer {round}");
+        let more = if round % 2 == 0 { answer(&body) } else { "noise\r\n\r\n".into() };
+        worker.set(Reply::Raw(answer(&body) + &more));
+        assert_eq!(client.ask(&push().text()).body, body);
+    }
+}
