--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,6 +56,8 @@
 /// Avoidance of a worker for a class that failed there, µs: at the least, and at the most. It lasts until the
 /// next of our requests would meet the worker by chance, and doubles with each failure, thrice at the most.
 const EJECT_FOR: (f64, f64) = (1e6, 30e6);
+/// Failures in a row, of one class, that tell of the worker itself: breaks and spoilt answers come from any.
+const IN_A_ROW: u32 = 3;
 /// Good answers, one at a time, that make up for one failure.
 const STRIKE: u32 = 3;
 /// Samples, and µs after which they count a third, at which a worker's own record weighs as much as the mean.
@@ -228,16 +230,12 @@
         let p = &self.set.plans[plan];
         let n = f64::from(gateways.max(1));
         let c = self.customers.entry(key.clone()).or_insert_with(|| Customer {
-            gateways: n,
-            shift: hash(&key.1) % WINDOW_MAX as u64,
             level: p.burst / n,
-            at: self.now,
-            read_at: self.now,
             others_rate: p.rate * (1.0 - 1.0 / n),
             // Whatever this gateway's former life drew, it cannot have drawn since it started: the local
             // share is taken as spent at the start, however late the customer shows up.
             ceiling_at: self.started,
-            ..Customer::default()
+            ..Customer::new(&key.1, n, self.now)
         });
         c.gateways = c.gateways.max(n);
         c.seen = self.now;
@@ -580,9 +578,7 @@
         w.inflight += 1.0;
         (w.credit, w.credit_at) = (credit - 1.0, self.now);
         r.held = false;
-        let (zone, cell, sent) = (w.info.zone.clone(), w.info.cell, self.now);
-        let (out_now, suspected, may_have_run) = (true, false, true);
-        r.attempts.push(Attempt { worker, zone, cell, sent, out: out_now, suspected, may_have_run });
+        r.attempts.push(Attempt::new(&w.info, self.now));
         out.push(Action::Send { request: id.clone(), worker, timeout: r.deadline - self.now });
         true
     }
@@ -827,10 +823,15 @@
         if slow_down && now > self.cut_at + 10 * TICK && cold >= 1.0 {
             (self.limit, self.cut_at) = ((self.limit * INFLIGHT_CUT).max(INFLIGHT.1), now);
         }
-        match outcome {
-            Outcome::ConnectFailed => (0..self.typical.len()).for_each(|class| self.strike(id, class)),
-            Outcome::Error | Outcome::Reset => self.strike(id, class_ix),
-            _ => w.health[class_ix].answered = now,
+        let h = &mut w.health[class_ix];
+        h.fails = if outcome == Outcome::Ok { 0 } else { h.fails + 1 };
+        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+            h.answered = now;
+        }
+        if outcome == Outcome::ConnectFailed {
+            (0..self.typical.len()).for_each(|class| self.strike(id, class));
+        } else if h.fails >= IN_A_ROW {
+            self.strike(id, class_ix);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,6 +9,9 @@
     pub read: bool,
 }
 
+/// Slots are moved by less than the longest window, µs.
+const SHIFT_MAX: u64 = 30_000_000;
+
 pub type Key = (usize, CustomerId);
 
 #[derive(Default)]
@@ -40,12 +43,21 @@
     pub prepaid: f64,
 }
 
+impl Customer {
+    /// One that comes through so many gateways and is seen for the first time.
+    pub fn new(id: &CustomerId, gateways: f64, now: Micros) -> Customer {
+        Customer { gateways, shift: hash(id) % SHIFT_MAX, at: now, read_at: now, ..Customer::default() }
+    }
+}
+
 /// What one class of requests met at one worker.
 #[derive(Clone, Default)]
 pub struct Health {
     pub answered: Micros,
     pub avoid_until: Micros,
     pub strikes: u32,
+    /// Attempts in a row that were not served.
+    pub fails: u32,
 }
 
 #[derive(Default)]
@@ -72,6 +84,14 @@
     pub may_have_run: bool,
 }
 
+impl Attempt {
+    /// One that goes out now; until its outcome is known it may have run.
+    pub fn new(to: &WorkerInfo, sent: Micros) -> Attempt {
+        let (worker, zone, cell) = (to.id, to.zone.clone(), to.cell);
+        Attempt { worker, zone, cell, sent, out: true, suspected: false, may_have_run: true }
+    }
+}
+
 #[derive(Default)]
 pub struct Open {
     pub key: Key,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -129,6 +129,22 @@
         *self.reply.lock().unwrap() = reply;
     }
 
+    /// Holds all answers back for as long as the guard lives.
+    pub fn hold(&self) -> std::sync::MutexGuard<'_, Reply> {
+        self.reply.lock().unwrap()
+    }
+
+    /// Waits for the end of a connection; false if it takes longer than `time`.
+    pub fn closes(&self, conn: usize, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        while let Some(seen) = self.seen_within(until.saturating_duration_since(Instant::now())) {
+            if matches!(seen, Seen::Closed { conn: closed } if closed == conn) {
+                return true;
+            }
+        }
+        false
+    }
+
     pub fn next(&self) -> Seen {
         self.seen.recv_timeout(PATIENCE).expect("nothing came to the worker")
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -730,3 +730,41 @@
         assert_eq!(client.ask(&push().text()).body, body);
     }
 }
+
+/// Left alone, an idle connection would be kept for half of the workers' 30 s.
+const WELL_BEFORE_RETIRED: Duration = Duration::from_secs(8);
+
+/// A connection that comes back from a former life of its worker does not serve the new one.
+#[test]
+fn a_connection_of_a_former_life_is_not_taken_back() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, discovery) = stage(&[&worker]);
+    let held = worker.hold();
+    let (mut before, mut after) = (gateway.connect(), gateway.connect());
+    before.send(&push().text());
+    let Seen::Request { conn, .. } = worker.next() else { panic!("no request") };
+    let mut listed = worker.listed("w0", "up");
+    listed["boot_ms"] = 1_000.into();
+    discovery.list(3, false, &[worker.listed("w0", "draining")]);
+    discovery.list(4, false, &[listed]);
+    // Taken in for certain once something new goes out: the drain came before.
+    std::thread::sleep(Duration::from_millis(200));
+    after.send(&push().text());
+    while !matches!(worker.next(), Seen::Request { conn: fresh, .. } if fresh != conn) {}
+    drop(held);
+    assert_eq!(before.answer().map(|answer| answer.body).as_deref(), Some("served"));
+    assert!(worker.closes(conn, WELL_BEFORE_RETIRED));
+    assert_eq!(after.answer().map(|answer| answer.body).as_deref(), Some("served"));
+}
+
+/// A new worker at the address of another gets no connection that was made to that.
+#[test]
+fn an_address_taken_over_gets_no_old_connection() {
+    let worker = Worker::start(ok("served"));
+    let (gateway, discovery) = stage(&[&worker]);
+    assert_eq!(gateway.ask(&pull().text()).body, "served");
+    let Seen::Request { conn, .. } = worker.next() else { panic!("no request") };
+    discovery.list(3, false, &[worker.listed("w1", "up")]);
+    assert!(worker.closes(conn, WELL_BEFORE_RETIRED));
+    assert_eq!(gateway.ask(&pull().text()).body, "served");
+}
