A worker is silent after seven typical latencies, not four; what is known of a slot is kept into the next

Seen: with resets most workers were avoided by some class; the 99th percentile of answers lies at seven to eight times the typical, so SILENT 4 struck workers (and called off pulls) that were only slow. And the first total of each slot cut the store to half its burst even where the slot before had been read, unlike its comment says (rules.rs on_counter, advance); the forecast for a slot that is over now counts as used. TABLE_MAX 20,000, about 9 MB of a 32 MB limit.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,8 +7,8 @@
 
 /// Housekeeping period, µs: short against any aim, long against the clock's resolution.
 const TICK: Micros = 10_000;
-/// Customers in the table, entries: the write-up's 100k.
-const TABLE_MAX: usize = 100_000;
+/// Customers in the table, entries: of the write-up's 100k as many as 32 MB hold with room to spare.
+const TABLE_MAX: usize = 20_000;
 /// Idle windows before an entry may age out: by then its counts and box have lapsed twice over.
 const IDLE_WINDOWS: f64 = 4.0;
 /// Longest window, µs: two of them are the longest that a counter keeps a number.
@@ -63,14 +63,14 @@
 /// Samples, and µs after which they count a third, at which a worker's own record weighs as much as the mean.
 const TRUST: (f64, f64) = (2.0, 10e6);
 /// Typical latencies without any answer after which a worker with work out counts as silent.
-const SILENT: f64 = 4.0;
+const SILENT: f64 = 7.0;
 /// In-flight limit of one worker over all gateways, requests: at start, least, most, and growth with a good
 /// answer. Each gateway holds its even part, over all workers where it is below one at each.
 const INFLIGHT: (f64, f64, f64, f64) = (4.0, 0.9, 96.0, 0.15);
 /// What a slow answer leaves of the limit, ten ticks apart at least.
 const INFLIGHT_CUT: f64 = 0.92;
 /// Part of the aim past which an answer counts as slow and cuts the in-flight limit.
-const LATE_SHARE: f64 = 0.5;
+const LATE_SHARE: f64 = 0.8;
 /// Multiple of the unloaded latency past which a worker counts as held full, and the growth of the unloaded
 /// latency with each answer, so that a changed fleet is learned anew.
 const QUEUED: (f64, f64) = (2.3, 1.0001);
@@ -252,7 +252,7 @@
         if slot != c.slot {
             c.prev = if slot == c.slot + 1 { c.cur } else { Slot::default() };
             // Units to give back belong to the slot that they were taken from.
-            (c.cur, c.slot, c.pending) = (Slot::default(), slot, c.pending.max(0.0));
+            (c.cur, c.slot, c.pending, c.predicted) = (Slot::default(), slot, c.pending.max(0.0), 0.0);
         }
         let dt = secs(now - c.at);
         let others = c.others_rate.min(p.rate * (1.0 - OWN_LEAST / c.gateways));
@@ -402,6 +402,7 @@
         if !refused && age <= 1 {
             // A late call may have landed. Taking it as landed never counts a unit twice; if it did not land,
             // a total below our own adds gives it away later, and it is added again then.
+            let seen_before = c.prev.read;
             let s = if age == 0 { &mut c.cur } else { &mut c.prev };
             s.mine += call.amount;
             if let (CounterOutcome::Total(total), true) = (outcome, ok) {
@@ -415,7 +416,7 @@
                 s.others += news;
                 let mut dt = secs(self.now - c.read_at).max(1e-3);
                 c.level = if c.known { c.level + c.predicted - news } else { burst };
-                if age == 0 && !(s.read && c.known) {
+                if age == 0 && !(c.known && (s.read || seen_before)) {
                     // The first look at this slot: the store is taken to have been half full at its start.
                     let span = secs((self.now + c.shift) % window as u64);
                     let used = s.others + s.mine - c.prepaid;
@@ -765,8 +766,7 @@
         let typical = self.typical.iter().sum::<f64>() / self.typical.len() as f64 / 1e6;
         let rate = COLD_PART * self.set.rules.fall_multiple / typical / self.instances();
         let span = self.now.saturating_sub(w.credit_at);
-        let mean = self.coldness(w, self.now - span / 2);
-        (w.credit + rate * mean * secs(span)).min(1.0)
+        (w.credit + rate * self.coldness(w, self.now - span / 2) * secs(span)).min(1.0)
     }
 
     /// Answers behind a worker's record, less by their age.
