--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -47,6 +47,8 @@
     pub settings: Settings,
     /// The names of classes and plans.
     pub names: Names,
+    /// The limit on descriptors.
+    pub sockets: usize,
     /// Most connections of clients, and most to workers: parts of the limit on descriptors.
     pub clients_max: usize,
     /// See `clients_max`.
@@ -119,6 +121,7 @@
             worker_idle: span("limits.connIdleUs")?,
             settings,
             names,
+            sockets,
             clients_max: share * 2 / 3,
             workers_max: share / 3,
         })
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -18,10 +18,10 @@
 
 /// Time to connect; a machine that is cut off never answers.
 const CONNECT: Duration = Duration::from_millis(500);
-/// An answer this late means that the connection leads nowhere.
-const SILENT: Duration = Duration::from_secs(1);
+/// An answer this late means that the connection leads nowhere; until then all calls go unanswered.
+const SILENT: Duration = Duration::from_millis(500);
 /// Pause after which an idle connection is asked for a sign of life, well before the counter would close it.
-const LISTEN: Duration = Duration::from_secs(1);
+const LISTEN: Duration = Duration::from_millis(250);
 /// Time for the rest of an answer that has begun; all others wait behind it.
 const REST: Duration = Duration::from_millis(100);
 /// The longest answer, bytes: a number or a line.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -26,7 +26,7 @@
 
 /// How long a client may take over a request's head, or be silent between two requests. Less than the 3 s in
 /// which one that never asks properly is owed an end.
-const HEAD_TIME: Duration = Duration::from_millis(2_500);
+const HEAD_TIME: Duration = Duration::from_millis(2_200);
 /// How long a client may take over a body.
 const BODY_TIME: Duration = Duration::from_millis(2_500);
 /// How long a client may leave its answer unread: longer than `HEAD_TIME`, which ends those that merely idle.
@@ -35,6 +35,9 @@
 const SAY_SOMETHING: Duration = Duration::from_millis(250);
 /// How long a connection may take to end by itself once it has been told to.
 const LINGER: Duration = Duration::from_millis(100);
+/// Part of the descriptors that connections may hold between two requests. Past that answers say that the
+/// connection ends: a crowd that asks once and stays would leave no place to those who come next.
+const IDLE_SHARE: usize = 8;
 /// How long all places may be taken by requests before the next client is closed on rather than left waiting.
 const FULL_TIME: Duration = Duration::from_secs(2);
 /// The largest head of a request, bytes.
@@ -80,6 +83,7 @@
     most_units: f64,
     patience_max: Duration,
     clients_max: usize,
+    idle_max: usize,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     left: Notify,
     turns: Cell<u64>,
@@ -99,6 +103,7 @@
             most_units: config.settings.most_units,
             patience_max: config.longest_deadline() * PATIENCE_MAX,
             clients_max: config.clients_max,
+            idle_max: config.sockets / IDLE_SHARE,
             clients: RefCell::default(),
             left: Notify::new(),
             turns: Cell::new(0),
@@ -179,6 +184,10 @@
         }
     }
 
+    fn idle_ones(&self) -> usize {
+        self.clients.borrow().values().filter(|c| c.served.get() && !c.busy.get()).count()
+    }
+
     fn turn(&self) -> u64 {
         self.turns.set(self.turns.get() + 1);
         self.turns.get()
@@ -200,7 +209,7 @@
             let (server, client) = (self.clone(), client.clone());
             async move {
                 let mut answer = server.answer(request, &client).await;
-                if server.stopping.get() {
+                if server.stopping.get() || server.idle_ones() >= server.idle_max {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 client.busy.set(false);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -828,7 +828,7 @@
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
             h.answered = now;
         }
-        if outcome == Outcome::ConnectFailed {
+        if outcome == Outcome::ConnectFailed && h.fails > 1 {
             (0..self.typical.len()).for_each(|class| self.strike(id, class));
         } else if h.fails >= IN_A_ROW {
             self.strike(id, class_ix);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -768,3 +768,22 @@
     assert!(worker.closes(conn, WELL_BEFORE_RETIRED));
     assert_eq!(gateway.ask(&pull().text()).body, "served");
 }
+
+/// Clients that ask once and stay: from some number on they are told to go, so that others find a place.
+#[test]
+fn a_crowd_that_asks_once_does_not_keep_its_connections() {
+    let worker = Worker::start(ok("served"));
+    let discovery = Discovery::start();
+    discovery.list(2, true, &[worker.listed("w0", "up")]);
+    let mut config = config(discovery.addr, &[]);
+    config["limits"]["sockets"] = 160.into();
+    let gateway = Gateway::ready(&config);
+    let mut crowd: Vec<Client> = (0..60).map(|_| gateway.connect()).collect();
+    let closes = |client: &mut Client| {
+        let answer = client.ask(&pull().text());
+        assert_eq!(answer.body, "served");
+        answer.header("connection") == Some("close")
+    };
+    assert!(!closes(&mut crowd[0]), "a lone client may stay");
+    assert!(crowd[1..].iter_mut().filter_map(|client| closes(client).then_some(())).count() > 0);
+}
