--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -227,3 +227,28 @@
     s.done(Outcome::Error);
     assert_eq!((s.sent("d"), s.answer_of("d")), (1, Some(Answer::Failed)));
 }
+
+/// What a slot has shown holds on in the next: a customer that asks for more than its quota gets all of it, and
+/// not only what is left of half a store at the start of each slot.
+#[test]
+fn the_store_is_carried_over_from_slot_to_slot() {
+    let mut s = Stage::new(settings(), &[1, 2, 3, 4]);
+    let (mut totals, mut let_in) = (BTreeMap::new(), 0.0);
+    for round in 0..400u64 {
+        // 16 units a second on the mean, in bursts; the quota is 10 a second.
+        for _ in 0..if round % 25 < 5 { 8 } else { 0 } {
+            let before = s.sends.len();
+            s.ask("ada", 0, 0, 2.0);
+            s.count(Counter::Answers, &mut totals);
+            while !s.out.is_empty() {
+                s.done(Outcome::Ok);
+            }
+            let_in += if round >= 100 { 2.0 * (s.sends.len() - before) as f64 } else { 0.0 };
+            s.pass(10 * MS);
+            s.count(Counter::Answers, &mut totals);
+        }
+        s.pass(if round % 25 < 5 { 120 * MS } else { 200 * MS });
+        s.count(Counter::Answers, &mut totals);
+    }
+    assert!(let_in >= 330.0, "{let_in} units let in, of 360 that the store gave");
+}
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -92,3 +92,47 @@
         assert!(late <= 40, "{late} sent to the silent worker");
     }
 }
+
+/// Breaks, spoilt answers and failed connects come from any worker now and then: one is no reason to leave it
+/// out, or all work meets on those that happen to have had none.
+#[test]
+fn a_chance_failure_leaves_a_worker_in() {
+    for outcome in [Outcome::Spoilt, Outcome::Reset, Outcome::Error, Outcome::ConnectFailed] {
+        let mut s = Stage::new(settings(), &[1, 2]);
+        let failed = std::cell::Cell::new(false);
+        let round = |s: &mut Stage, fails: bool| {
+            s.ask("ada", 0, 0, 0.0);
+            s.pass(5 * MS);
+            let end = |w| if fails && w == 1 && !failed.replace(true) { outcome } else { Outcome::Ok };
+            serve(s, |_| Some(5 * MS), end);
+        };
+        (0..100).for_each(|_| round(&mut s, false));
+        (0..50).for_each(|_| round(&mut s, true));
+        assert!(failed.get(), "nothing went to worker 1");
+        // A quarter of a second: the shortest avoidance is longer.
+        s.sends.clear();
+        (0..50).for_each(|_| round(&mut s, false));
+        let sent = s.sends.iter().filter(|(_, _, w)| *w == 1).count();
+        assert!(sent >= 5, "{outcome:?}: {sent} of 50 sent after one failure");
+    }
+}
+
+/// One answer in a hundred takes seven times the typical: that is slow, not silent.
+#[test]
+fn a_slow_answer_is_waited_for() {
+    let mut figures = settings();
+    figures.limits.second_copies = false;
+    let mut s = Stage::new(figures, &[1, 2]);
+    for step in 0..100u64 {
+        s.ask(&format!("c{step}"), 0, 0, 1.0);
+        s.pass(30 * MS);
+        s.done(Outcome::Ok);
+    }
+    s.log.clear();
+    s.ask("late", 0, 0, 1.0);
+    s.pass(180 * MS);
+    assert!(
+        !s.log.iter().any(|a| matches!(a, Action::Cancel { .. })),
+        "called off after six times the typical"
+    );
+}
