Lay the sources out as a workspace: crates/policy for the decisions, crates/gateway for sockets

Need: what comes next (a simulator, planners, health) needs rooms of its own, and everything stood in one package.

Change: moves only. `api`, `rules`, `state` and `settings` go to `crates/policy` with the tests of the decisions; `net/` goes to `crates/gateway`; `main.rs` and the adapter stay in the root package.

--- a/src/net/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,8 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
-use crate::net::discovery::HostList;
-use crate::settings::{flatten, settings, Fields, Names};
-use crate::{Micros, Settings};
+use crate::discovery::HostList;
+use hingestage_policy::settings::{flatten, settings, Fields, Names};
+use hingestage_policy::{Micros, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/net/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,9 +1,9 @@
 //! The connection to the counter: calls written one behind another, answers taken in their order.
 
-use crate::net::driver::Driver;
-use crate::net::{note, Backoff};
-use crate::{CounterName, CounterOutcome, Event, Micros};
+use crate::driver::Driver;
+use crate::{note, Backoff};
 use bytes::BytesMut;
+use hingestage_policy::{CounterName, CounterOutcome, Event, Micros};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
 use std::cell::{Cell, RefCell};
--- a/src/net/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,10 +1,10 @@
 //! The list of workers: its form, the watch on it, and the book of who is where.
 
-use crate::net::driver::Driver;
-use crate::net::wire::{Place, Wire, WireIo};
-use crate::net::{note, Backoff};
-use crate::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
+use crate::driver::Driver;
+use crate::wire::{Place, Wire, WireIo};
+use crate::{note, Backoff};
 use bytes::{Bytes, BytesMut};
+use hingestage_policy::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
--- a/src/net/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -1,10 +1,12 @@
 //! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
 
-use crate::net::config::Config;
-use crate::net::counter::Counter;
-use crate::net::workers::{Attempted, Parts, Progress, Served, Workers};
-use crate::{Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId};
-use crate::{Request, RequestId, WorkerId};
+use crate::config::Config;
+use crate::counter::Counter;
+use crate::workers::{Attempted, Parts, Progress, Served, Workers};
+use hingestage_policy::{
+    Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId,
+};
+use hingestage_policy::{Request, RequestId, WorkerId};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
--- a/src/net/mod.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,4 +1,4 @@
-//! The gateway on real sockets: carries events to the one [`crate::Gatekeeper`] and its actions out.
+//! The gateway on real sockets: carries events to the one [`hingestage_policy::Gatekeeper`] and its actions out.
 
 pub mod config;
 pub mod counter;
--- a/src/net/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,12 +1,12 @@
 //! The clients' side: connections and their number, requests read and checked, answers written.
 
-use crate::net::config::Config;
-use crate::net::driver::{Answer, Driver, Taken};
-use crate::net::workers::Parts;
-use crate::net::{decimal, note, BODY_MAX};
-use crate::settings::Names;
-use crate::{ClassId, CustomerId, Effect, PlanId};
+use crate::config::Config;
+use crate::driver::{Answer, Driver, Taken};
+use crate::workers::Parts;
+use crate::{decimal, note, BODY_MAX};
 use bytes::Bytes;
+use hingestage_policy::settings::Names;
+use hingestage_policy::{ClassId, CustomerId, Effect, PlanId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
--- a/src/net/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -1,9 +1,9 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
-use crate::net::wire::{Place, Wire, WireIo};
-use crate::net::{decimal, note, BODY_MAX};
-use crate::{Outcome, WorkerId};
+use crate::wire::{Place, Wire, WireIo};
+use crate::{decimal, note, BODY_MAX};
 use bytes::Bytes;
+use hingestage_policy::{Outcome, WorkerId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! the counter service that the actions address. `docs/design.md` explains the mechanism.
 //!
 //! ```
-//! use hingestage::*;
+//! use hingestage_policy::*;
 //!
 //! let settings = Settings {
 //!     instances: 2,
@@ -44,7 +44,6 @@
 #![warn(missing_docs)]
 
 mod api;
-pub mod net;
 mod rules;
 pub mod settings;
 mod state;
--- a/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions, tables and tuned values. The types, settings, events and actions are in `src/api.rs`.
+//! All decisions, tables and tuned values. Types, settings, events and actions: `crates/policy/src/api.rs`.
 //!
 //! Order of the file: tuned values, tables, events, customers and counter, sending and ending, workers.
 use crate::api::*;
--- a/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,4 +1,4 @@
-//! Records that the decisions in `src/rules.rs` keep, and helpers without a choice in them.
+//! Records that the decisions in `crates/policy/src/rules.rs` keep, and helpers without a choice in them.
 use crate::api::*;
 
 /// One customer's own and others' units in one slot, as the counter has them.
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stage for the module: settings, events and a counter service kept by the test itself.
 #![allow(dead_code)]
 
-use hingestage::*;
+use hingestage_policy::*;
 use std::collections::BTreeMap;
 
 pub const MS: Micros = 1_000;
--- a/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use hingestage::*;
+use hingestage_policy::*;
 use std::collections::BTreeMap;
 
 const GATEWAYS: u32 = 300;
--- a/tests/module_size.rs
+++ b/crates/policy/tests/module_size.rs
@@ -13,5 +13,5 @@
 
 #[test]
 fn its_first_lines_name_the_interface() {
-    assert!(MODULE.lines().take(3).any(|line| line.contains("src/api.rs")));
+    assert!(MODULE.lines().take(3).any(|line| line.contains("crates/policy/src/api.rs")));
 }
--- a/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use hingestage::*;
+use hingestage_policy::*;
 use std::collections::BTreeMap;
 
 fn served(s: &mut Stage, customer: &str, n: usize, units: f64) -> usize {
--- a/tests/workers.rs
+++ b/crates/policy/tests/workers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use hingestage::*;
+use hingestage_policy::*;
 
 /// Ends every attempt that has been out for its time, given by worker; `None` never ends.
 fn serve(s: &mut Stage, time: impl Fn(u64) -> Option<Micros>, outcome: impl Fn(u64) -> Outcome) {
--- a/src/bin/hingestage-adapter/main.rs
+++ b/src/bin/hingestage-adapter/main.rs
@@ -4,8 +4,8 @@
 
 mod wire;
 
-use hingestage::settings::{Fields, Names};
-use hingestage::{Action, Event, Gatekeeper};
+use hingestage_policy::settings::{Fields, Names};
+use hingestage_policy::{Action, Event, Gatekeeper};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{self, AssertUnwindSafe};
@@ -76,7 +76,7 @@
                         let line = lines.next()?.ok_or("input ends inside a list")?;
                         workers.push(wire::row(&Fields::parse(&line, lines.number)?)?);
                     }
-                    Event::Workers(hingestage::WorkerList { scope, workers })
+                    Event::Workers(hingestage_policy::WorkerList { scope, workers })
                 }
                 Input::Event(event) => event,
             };
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/src/bin/hingestage-adapter/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's words: parsing of events and settings, printing of actions. No decisions.
 
-use hingestage::settings::{settings, Fields, Names};
-use hingestage::*;
+use hingestage_policy::settings::{settings, Fields, Names};
+use hingestage_policy::*;
 use std::fmt::Write;
 
 /// What one line asks of the host.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,11 @@
 //! One gateway: reads its configuration, serves until told to stop, and exits when all is answered.
 #![forbid(unsafe_code)]
 
-use hingestage::net::config::Config;
-use hingestage::net::discovery::{Book, Watcher};
-use hingestage::net::driver::Driver;
-use hingestage::net::server::Server;
-use hingestage::ListScope;
+use hingestage_gateway::config::Config;
+use hingestage_gateway::discovery::{Book, Watcher};
+use hingestage_gateway::driver::Driver;
+use hingestage_gateway::server::Server;
+use hingestage_policy::ListScope;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
