Cut the import circle of config, discovery, driver and counter

Need: config took the list's form from discovery, discovery fed the driver, the driver read the config and the counter called the driver back, so none of the four could be understood or moved alone.

Change: the list's form is a module of its own (`hosts`), below all others. The counter no longer knows the driver: it is given the function that hears how a call ended. Arrows now point one way: server and discovery to driver, driver to workers, counter and config, all to wire and hosts.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,6 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
-use crate::discovery::HostList;
+use crate::hosts::HostList;
 use hingestage_policy::settings::{flatten, settings, Fields, Names};
 use hingestage_policy::{Micros, Settings};
 use serde::Deserialize;
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,9 +1,8 @@
 //! The connection to the counter: calls written one behind another, answers taken in their order.
 
-use crate::driver::Driver;
 use crate::{note, Backoff};
 use bytes::BytesMut;
-use hingestage_policy::{CounterName, CounterOutcome, Event, Micros};
+use hingestage_policy::{CounterName, CounterOutcome, Micros};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
 use std::cell::{Cell, RefCell};
@@ -80,8 +79,12 @@
     }
 }
 
+/// Who hears how a call ended: exactly once for each call.
+pub type Tell = Box<dyn Fn(CounterName, CounterOutcome)>;
+
 /// The counter, wherever it is.
 pub struct Counter {
+    tell: Tell,
     at: Cell<Option<SocketAddr>>,
     moved: Notify,
     wait: Duration,
@@ -92,10 +95,10 @@
 
 impl Counter {
     /// Not connected yet; `wait` is how long a call may take.
-    pub fn new(at: Option<SocketAddr>, wait: Micros) -> Self {
+    pub fn new(at: Option<SocketAddr>, wait: Micros, tell: Tell) -> Rc<Self> {
         let (at, moved, line) = (Cell::new(at), Notify::new(), RefCell::default());
         let wait = Duration::from_micros(wait);
-        Counter { at, moved, wait, line, next: Cell::new(0), odd: Cell::new(0) }
+        Rc::new(Counter { tell, at, moved, wait, line, next: Cell::new(0), odd: Cell::new(0) })
     }
 
     /// Goes over to another address. The old connection is used until there is a new one, and then still
@@ -107,19 +110,19 @@
     }
 
     /// Adds to a number. The answer, exactly one, comes as an event.
-    pub fn call(&self, driver: &Rc<Driver>, name: CounterName, amount: f64, keep: Micros) {
+    pub fn call(self: &Rc<Self>, name: CounterName, amount: f64, keep: Micros) {
         let keep = keep.div_ceil(1_000).max(1).to_string();
         let words = ["CNT.ADD", &name.0, &amount.to_string(), &keep];
         let line = self.line.borrow().clone();
         let (seq, question) = (self.seq(), Question::Call(Some(name.clone())));
         let Some(line) = line.filter(|line| line.write(seq, &words, question)) else {
-            return driver.feed(Event::Counter { name, outcome: CounterOutcome::Refused });
+            return (self.tell)(name, CounterOutcome::Refused);
         };
-        let (driver, wait) = (driver.clone(), self.wait);
+        let (counter, wait) = (self.clone(), self.wait);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(wait).await;
             if let Some(name) = line.expire(seq) {
-                driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+                (counter.tell)(name, CounterOutcome::Timeout);
             }
         });
     }
@@ -130,7 +133,7 @@
     }
 
     /// Keeps a connection for ever. The counter closes one that is idle; that is no failure.
-    pub async fn run(&self, driver: Rc<Driver>) {
+    pub async fn run(self: Rc<Self>) {
         let mut backoff = Backoff::new();
         loop {
             let Some(at) = self.at.get() else { return };
@@ -142,7 +145,7 @@
                 if let Some(old) = self.line.replace(Some(line.clone())) {
                     old.retired.set(true);
                 }
-                let listening = listen(driver.clone(), line, reader);
+                let listening = listen(self.clone(), line, reader);
                 tokio::select! {
                     () = self.moved.notified() => backoff = Backoff::new(),
                     any = tokio::task::spawn_local(listening) => {
@@ -165,7 +168,7 @@
     }
 
     /// What was written and not answered may have been added: it counts as added and is never added again.
-    fn hang_up(&self, driver: &Rc<Driver>, line: &Rc<Line>) {
+    fn hang_up(&self, line: &Rc<Line>) {
         *line.half.borrow_mut() = None;
         let current = self.line.borrow().as_ref().is_some_and(|now| Rc::ptr_eq(now, line));
         if current {
@@ -174,19 +177,13 @@
         let owed = std::mem::take(&mut *line.owed.borrow_mut());
         for owed in owed {
             if let Question::Call(Some(name)) = owed.question {
-                driver.feed(Event::Counter { name, outcome: CounterOutcome::Timeout });
+                (self.tell)(name, CounterOutcome::Timeout);
             }
         }
     }
 
     /// Reads answers until the connection ends; notes in `any` whether any came.
-    async fn read(
-        &self,
-        driver: &Rc<Driver>,
-        line: &Line,
-        mut from: OwnedReadHalf,
-        any: &mut bool,
-    ) -> Result<(), &'static str> {
+    async fn read(&self, line: &Line, mut from: OwnedReadHalf, any: &mut bool) -> Result<(), &'static str> {
         let mut buffer = BytesMut::new();
         loop {
             if line.retired.get() && line.owed.borrow().is_empty() {
@@ -216,40 +213,39 @@
             *any = true;
             while let Some((frame, ..)) = decode_bytes_mut(&mut buffer).map_err(|_| "no proper answer")? {
                 let owed = line.owed.borrow_mut().pop_front().ok_or("an answer to no call")?;
-                take_in(driver, owed.question, &frame)?;
+                self.take_in(owed.question, &frame)?;
             }
             if buffer.len() > ANSWER_MAX {
                 return Err("an answer too long");
             }
         }
     }
+
+    /// Takes in one answer. One that fits no question ends the connection: whatever comes after it may belong
+    /// to another call, and a total told of the wrong customer boxes it.
+    fn take_in(&self, question: Question, frame: &BytesFrame) -> Result<(), &'static str> {
+        let (name, outcome) = match (question, frame) {
+            (Question::Ping, BytesFrame::SimpleString(_) | BytesFrame::Error(_)) => return Ok(()),
+            (Question::Ping, _) => return Err("no answer to a ping"),
+            (Question::Call(name), frame) => (name, outcome(frame)),
+        };
+        if let Some(name) = name {
+            (self.tell)(name, outcome.unwrap_or(CounterOutcome::Timeout));
+        }
+        outcome.map(drop).ok_or("an answer that is no total")
+    }
 }
 
 /// Reads a connection to its end, and settles what it still owes. Tells whether it has served.
-async fn listen(driver: Rc<Driver>, line: Rc<Line>, reader: OwnedReadHalf) -> bool {
+async fn listen(counter: Rc<Counter>, line: Rc<Line>, reader: OwnedReadHalf) -> bool {
     let mut any = false;
-    if let Err(what) = driver.counter.read(&driver, &line, reader, &mut any).await {
-        note(&driver.counter.odd, format_args!("counter: {what}"));
+    if let Err(what) = counter.read(&line, reader, &mut any).await {
+        note(&counter.odd, format_args!("counter: {what}"));
     }
-    driver.counter.hang_up(&driver, &line);
+    counter.hang_up(&line);
     any
 }
 
-/// Takes in one answer. One that fits no question ends the connection: whatever comes after it may belong
-/// to another call, and a total told of the wrong customer boxes it.
-fn take_in(driver: &Rc<Driver>, question: Question, frame: &BytesFrame) -> Result<(), &'static str> {
-    let (name, outcome) = match (question, frame) {
-        (Question::Ping, BytesFrame::SimpleString(_) | BytesFrame::Error(_)) => return Ok(()),
-        (Question::Ping, _) => return Err("no answer to a ping"),
-        (Question::Call(name), frame) => (name, outcome(frame)),
-    };
-    if let Some(name) = name {
-        let outcome = outcome.unwrap_or(CounterOutcome::Timeout);
-        driver.feed(Event::Counter { name, outcome });
-    }
-    outcome.map(drop).ok_or("an answer that is no total")
-}
-
 /// What an answer to a call says; none where it says nothing that can be read.
 fn outcome(frame: &BytesFrame) -> Option<CounterOutcome> {
     let text = match frame {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,6 +1,7 @@
-//! The list of workers: its form, the watch on it, and the book of who is where.
+//! The list of workers: the watch on it, and the book of who is where.
 
 use crate::driver::Driver;
+use crate::hosts::{HostList, Target};
 use crate::wire::{Place, Wire, WireIo};
 use crate::{note, Backoff};
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,6 @@
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -29,36 +29,6 @@
 /// Ids kept, of workers listed and gone; past that those gone are forgotten.
 const IDS_MAX: usize = 1_000;
 
-/// A list of workers, or what changed of it.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct HostList {
-    /// Its version.
-    pub rev: u64,
-    /// Whether it names all workers.
-    #[serde(default)]
-    pub all: bool,
-    /// The workers.
-    #[serde(default)]
-    pub targets: Vec<Target>,
-}
-
-/// One worker as listed.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Target {
-    uid: String,
-    #[serde(default)]
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    pod_group: u64,
-    #[serde(default)]
-    state: String,
-    capacity_hint: Option<f64>,
-    #[serde(default)]
-    boot_ms: u64,
-}
-
 /// Which worker is which: `uid`s as the ids that the decisions go by, never given twice.
 #[derive(Default)]
 pub struct Book {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -1,7 +1,7 @@
 //! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
 
 use crate::config::Config;
-use crate::counter::Counter;
+use crate::counter::{Counter, Tell};
 use crate::workers::{Attempted, Parts, Progress, Served, Workers};
 use hingestage_policy::{
     Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId,
@@ -10,7 +10,7 @@
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -89,7 +89,7 @@
     /// The workers' side.
     pub workers: Workers,
     /// The counter's side.
-    pub counter: Counter,
+    pub counter: Rc<Counter>,
     gatekeeper: RefCell<Gatekeeper>,
     clock: Clock,
     open: RefCell<HashMap<RequestId, Open>>,
@@ -106,9 +106,9 @@
     pub fn new(config: &Config) -> Rc<Driver> {
         let clock = Clock::new();
         let settings = config.settings.clone();
-        Rc::new(Driver {
+        Rc::new_cyclic(|this: &Weak<Driver>| Driver {
             workers: Workers::new(config.workers_max, config.connect_timeout, config.worker_idle),
-            counter: Counter::new(config.counter, settings.counter_timeout),
+            counter: Counter::new(config.counter, settings.counter_timeout, tell_counter(this.clone())),
             gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
             clock,
             open: RefCell::default(),
@@ -153,7 +153,7 @@
                     driver.feed(Event::Timer(token));
                 });
             }
-            Action::Count { name, amount, keep } => self.counter.call(self, name, amount, keep),
+            Action::Count { name, amount, keep } => self.counter.call(name, amount, keep),
             // The watch is always on.
             Action::Subscribe => {}
         }
@@ -283,6 +283,15 @@
     }
 }
 
+/// How the counter's side tells the decisions of the end of a call.
+fn tell_counter(driver: Weak<Driver>) -> Tell {
+    Box::new(move |name, outcome| {
+        if let Some(driver) = driver.upgrade() {
+            driver.feed(Event::Counter { name, outcome });
+        }
+    })
+}
+
 /// Stands for a client that waits.
 pub struct Ticket {
     driver: Rc<Driver>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod hosts;
 pub mod server;
 pub mod wire;
 pub mod workers;
--- a/src/main.rs
+++ b/src/main.rs
@@ -74,10 +74,7 @@
             server.set_ready();
         });
     }
-    spawn_local({
-        let driver = driver.clone();
-        async move { driver.counter.run(driver.clone()).await }
-    });
+    spawn_local(driver.counter.clone().run());
     spawn_local({
         let server = server.clone();
         async move {
