--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -2,18 +2,20 @@
 
 use crate::{note, Backoff};
 use bytes::BytesMut;
+use hingestage_platform::{Platform, Stream};
 use hingestage_policy::{CounterName, CounterOutcome, Micros};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::{timeout, Duration, Instant};
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::sync::{oneshot, Notify};
 
 /// Time to connect; a machine that is cut off never answers.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -43,14 +45,24 @@
 }
 
 /// One connection to the counter, with the answers owed on it.
-struct Line {
-    half: RefCell<Option<OwnedWriteHalf>>,
+struct Line<P: Platform> {
+    platform: P,
+    /// None once it has been given up.
+    stream: RefCell<Option<P::Stream>>,
+    /// Told once a call could not be written.
+    failed: Notify,
     owed: RefCell<VecDeque<Owed>>,
     /// Takes no more calls; over once it owes nothing.
     retired: Cell<bool>,
 }
 
-impl Line {
+impl<P: Platform> Line<P> {
+    fn new(platform: P, stream: P::Stream) -> Rc<Self> {
+        let stream = RefCell::new(Some(stream));
+        let (owed, retired) = (RefCell::default(), Cell::new(false));
+        Rc::new(Line { platform, stream, failed: Notify::new(), owed, retired })
+    }
+
     /// Writes a call whole, or not at all as far as the counter can tell. A full or broken connection is
     /// given up: its last call has not come whole, so that nothing was added by it.
     fn write(&self, seq: u64, words: &[&str], question: Question) -> bool {
@@ -58,14 +70,15 @@
         for word in words {
             call.push_str(&format!("${}\r\n{word}\r\n", word.len()));
         }
-        let mut half = self.half.borrow_mut();
-        let Some(open) = half.as_ref() else { return false };
+        let mut stream = self.stream.borrow_mut();
+        let Some(open) = stream.as_ref() else { return false };
         let room = self.owed.borrow().len() < OWED_MAX;
         if !room || !matches!(open.try_write(call.as_bytes()), Ok(n) if n == call.len()) {
-            *half = None;
+            *stream = None;
+            self.failed.notify_one();
             return false;
         }
-        self.owed.borrow_mut().push_back(Owed { seq, question, since: Instant::now() });
+        self.owed.borrow_mut().push_back(Owed { seq, question, since: self.platform.now() });
         true
     }
 
@@ -79,26 +92,39 @@
     }
 }
 
+/// The side of a [`Line`] that is read.
+struct Reader<'a, P: Platform>(&'a Line<P>);
+
+impl<P: Platform> AsyncRead for Reader<'_, P> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        match self.0.stream.borrow_mut().as_mut() {
+            Some(stream) => Pin::new(stream).poll_read(cx, buf),
+            None => Poll::Ready(Ok(())),
+        }
+    }
+}
+
 /// Who hears how a call ended: exactly once for each call.
 pub type Tell = Box<dyn Fn(CounterName, CounterOutcome)>;
 
 /// The counter, wherever it is.
-pub struct Counter {
+pub struct Counter<P: Platform> {
+    platform: P,
     tell: Tell,
     at: Cell<Option<SocketAddr>>,
     moved: Notify,
     wait: Duration,
-    line: RefCell<Option<Rc<Line>>>,
+    line: RefCell<Option<Rc<Line<P>>>>,
     next: Cell<u64>,
     odd: Cell<u64>,
 }
 
-impl Counter {
+impl<P: Platform> Counter<P> {
     /// Not connected yet; `wait` is how long a call may take.
-    pub fn new(at: Option<SocketAddr>, wait: Micros, tell: Tell) -> Rc<Self> {
+    pub fn new(platform: P, at: Option<SocketAddr>, wait: Micros, tell: Tell) -> Rc<Self> {
         let (at, moved, line) = (Cell::new(at), Notify::new(), RefCell::default());
         let wait = Duration::from_micros(wait);
-        Rc::new(Counter { tell, at, moved, wait, line, next: Cell::new(0), odd: Cell::new(0) })
+        Rc::new(Counter { platform, tell, at, moved, wait, line, next: Cell::new(0), odd: Cell::new(0) })
     }
 
     /// Goes over to another address. The old connection is used until there is a new one, and then still
@@ -118,9 +144,9 @@
         let Some(line) = line.filter(|line| line.write(seq, &words, question)) else {
             return (self.tell)(name, CounterOutcome::Refused);
         };
-        let (counter, wait) = (self.clone(), self.wait);
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(wait).await;
+        let (counter, sleep) = (self.clone(), self.platform.sleep(self.wait));
+        self.platform.spawn(async move {
+            sleep.await;
             if let Some(name) = line.expire(seq) {
                 (counter.tell)(name, CounterOutcome::Timeout);
             }
@@ -137,18 +163,21 @@
         let mut backoff = Backoff::new();
         loop {
             let Some(at) = self.at.get() else { return };
-            if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(at)).await {
-                let _ = stream.set_nodelay(true);
-                let (reader, writer) = stream.into_split();
-                let half = RefCell::new(Some(writer));
-                let line = Rc::new(Line { half, owed: RefCell::default(), retired: Cell::new(false) });
+            if let Ok(Ok(stream)) = self.platform.timeout(CONNECT, self.platform.connect(at)).await {
+                let line = Line::new(self.platform.clone(), stream);
                 if let Some(old) = self.line.replace(Some(line.clone())) {
                     old.retired.set(true);
                 }
-                let listening = listen(self.clone(), line, reader);
+                let (ended, listening) = oneshot::channel();
+                let listen = listen(self.clone(), line);
+                self.platform.spawn(async move {
+                    // Nobody waits for it any more where the counter has moved.
+                    let _ = ended.send(listen.await);
+                });
                 tokio::select! {
+                    biased;
                     () = self.moved.notified() => backoff = Backoff::new(),
-                    any = tokio::task::spawn_local(listening) => {
+                    any = listening => {
                         // One that has served is replaced at once: until then no call can be made.
                         if any.unwrap_or(false) {
                             backoff = Backoff::new();
@@ -161,15 +190,16 @@
                 }
             }
             tokio::select! {
+                biased;
                 () = self.moved.notified() => backoff = Backoff::new(),
-                () = backoff.wait() => {}
+                () = backoff.wait(&self.platform) => {}
             }
         }
     }
 
     /// What was written and not answered may have been added: it counts as added and is never added again.
-    fn hang_up(&self, line: &Rc<Line>) {
-        *line.half.borrow_mut() = None;
+    fn hang_up(&self, line: &Rc<Line<P>>) {
+        *line.stream.borrow_mut() = None;
         let current = self.line.borrow().as_ref().is_some_and(|now| Rc::ptr_eq(now, line));
         if current {
             *self.line.borrow_mut() = None;
@@ -183,24 +213,28 @@
     }
 
     /// Reads answers until the connection ends; notes in `any` whether any came.
-    async fn read(&self, line: &Line, mut from: OwnedReadHalf, any: &mut bool) -> Result<(), &'static str> {
+    async fn read(&self, line: &Line<P>, any: &mut bool) -> Result<(), &'static str> {
+        let mut from = Reader(line);
         let mut buffer = BytesMut::new();
         loop {
             if line.retired.get() && line.owed.borrow().is_empty() {
                 return Ok(());
             }
             let half = !buffer.is_empty();
-            let read = timeout(if half { REST } else { LISTEN }, from.read_buf(&mut buffer)).await;
-            if line.half.borrow().is_none() {
-                return Err("could not be written to");
-            }
-            let Ok(read) = read else {
+            let wait = self.platform.sleep(if half { REST } else { LISTEN });
+            let read = tokio::select! {
+                biased;
+                () = line.failed.notified() => return Err("could not be written to"),
+                read = from.read_buf(&mut buffer) => Some(read),
+                () = wait => None,
+            };
+            let Some(read) = read else {
                 if half {
                     return Err("half an answer");
                 }
                 let oldest = line.owed.borrow().front().map(|owed| owed.since);
                 match oldest {
-                    Some(since) if since.elapsed() >= SILENT => return Err("fell silent"),
+                    Some(since) if self.platform.since(since) >= SILENT => return Err("fell silent"),
                     None => drop(line.write(self.seq(), &["PING"], Question::Ping)),
                     Some(_) => {}
                 }
@@ -237,10 +271,10 @@
 }
 
 /// Reads a connection to its end, and settles what it still owes. Tells whether it has served.
-async fn listen(counter: Rc<Counter>, line: Rc<Line>, reader: OwnedReadHalf) -> bool {
+async fn listen<P: Platform>(counter: Rc<Counter<P>>, line: Rc<Line<P>>) -> bool {
     let mut any = false;
-    if let Err(what) = counter.read(&line, reader, &mut any).await {
-        note(&counter.odd, format_args!("counter: {what}"));
+    if let Err(what) = counter.read(&line, &mut any).await {
+        note(&counter.platform, &counter.odd, format_args!("counter: {what}"));
     }
     counter.hang_up(&line);
     any
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,6 +5,7 @@
 use crate::wire::{Place, Wire, WireIo};
 use crate::{note, Backoff};
 use bytes::{Bytes, BytesMut};
+use hingestage_platform::{Platform, Stream, Task};
 use hingestage_policy::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -15,9 +16,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
-use tokio::time::{timeout, Duration};
+use std::time::Duration;
 
 /// Silence after which a watch is dead: an empty line is due every 2 s.
 const SILENT: Duration = Duration::from_millis(4_500);
@@ -46,7 +45,7 @@
     }
 
     /// Brings pools and decisions to a list. `scope` says what the list covers.
-    pub fn apply(&self, driver: &Rc<Driver>, list: &HostList, scope: ListScope) {
+    pub fn apply<P: Platform>(&self, driver: &Rc<Driver<P>>, list: &HostList, scope: ListScope) {
         let workers: Vec<WorkerInfo> = list.targets.iter().map(|t| self.worker(driver, t)).collect();
         let named: HashSet<WorkerId> = workers.iter().map(|w| w.id).collect();
         if scope != ListScope::Delta {
@@ -60,7 +59,7 @@
         driver.recall_unwritten();
     }
 
-    fn worker(&self, driver: &Driver, target: &Target) -> WorkerInfo {
+    fn worker<P: Platform>(&self, driver: &Driver<P>, target: &Target) -> WorkerInfo {
         let id = self.id(&target.uid);
         let mut availability = match target.state.as_str() {
             "up" => Availability::Ready,
@@ -74,7 +73,11 @@
             }
             parsed => {
                 if parsed.is_err() && availability != Availability::Gone {
-                    note(&self.odd, format_args!("discovery: worker {:?} has no address", target.uid));
+                    note(
+                        &driver.platform,
+                        &self.odd,
+                        format_args!("discovery: worker {:?} has no address", target.uid),
+                    );
                 }
                 availability = Availability::Gone;
                 driver.workers.unlist(id);
@@ -93,35 +96,35 @@
 }
 
 /// The discovery in use, and its successor until that has told its list.
-pub struct Watcher {
-    driver: Rc<Driver>,
+pub struct Watcher<P: Platform> {
+    driver: Rc<Driver<P>>,
     book: Rc<Book>,
     told: Box<dyn Fn()>,
-    now: RefCell<Option<Followed>>,
-    coming: RefCell<Option<Followed>>,
+    now: RefCell<Option<Followed<P::Task>>>,
+    coming: RefCell<Option<Followed<P::Task>>>,
 }
 
 /// A discovery that is being followed; no longer once this is dropped.
-struct Followed {
+struct Followed<T: Task> {
     at: SocketAddr,
-    task: AbortHandle,
+    task: T,
 }
 
-impl Drop for Followed {
+impl<T: Task> Drop for Followed<T> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl Watcher {
+impl<P: Platform> Watcher<P> {
     /// Follows the list at `at` from version `rev` on; calls `told` after each list or change.
     pub fn start(
-        driver: Rc<Driver>,
+        driver: Rc<Driver<P>>,
         book: Book,
         at: SocketAddr,
         rev: u64,
         told: impl Fn() + 'static,
-    ) -> Rc<Watcher> {
+    ) -> Rc<Self> {
         let (now, coming) = (RefCell::default(), RefCell::default());
         let watcher = Rc::new(Watcher { driver, book: Rc::new(book), told: Box::new(told), now, coming });
         *watcher.now.borrow_mut() = Some(watcher.follow(at, Some(rev)));
@@ -138,9 +141,8 @@
         }
     }
 
-    fn follow(self: &Rc<Self>, at: SocketAddr, rev: Option<u64>) -> Followed {
-        let task = tokio::task::spawn_local(follow(self.clone(), at, rev));
-        Followed { at, task: task.abort_handle() }
+    fn follow(self: &Rc<Self>, at: SocketAddr, rev: Option<u64>) -> Followed<P::Task> {
+        Followed { at, task: self.driver.platform.spawn(follow(self.clone(), at, rev)) }
     }
 
     fn told(&self, at: SocketAddr) {
@@ -157,25 +159,25 @@
 }
 
 /// Follows one discovery for ever.
-async fn follow(watcher: Rc<Watcher>, at: SocketAddr, mut rev: Option<u64>) {
+async fn follow<P: Platform>(watcher: Rc<Watcher<P>>, at: SocketAddr, mut rev: Option<u64>) {
     let mut backoff = Backoff::new();
     loop {
         let before = rev;
         match watch(&watcher, at, &mut rev).await {
             Ok(()) => {}
-            Err(what) => note(&watcher.book.odd, format_args!("discovery: {what}")),
+            Err(what) => note(&watcher.driver.platform, &watcher.book.odd, format_args!("discovery: {what}")),
         }
         if rev != before {
             backoff = Backoff::new();
         }
-        backoff.wait().await;
+        backoff.wait(&watcher.driver.platform).await;
     }
 }
 
 /// Closes the connection with the watch on it, however that ends.
-struct Closing(Rc<Wire>);
+struct Closing<S: Stream>(Rc<Wire<S>>);
 
-impl Drop for Closing {
+impl<S: Stream> Drop for Closing<S> {
     fn drop(&mut self) {
         self.0.close();
     }
@@ -185,16 +187,20 @@
 
 /// One watch, until it ends, falls silent or talks nonsense. A change that could not be read is asked for
 /// again: the next watch starts after the last version that was taken in.
-async fn watch(watcher: &Watcher, at: SocketAddr, rev: &mut Option<u64>) -> Result<(), String> {
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await;
+async fn watch<P: Platform>(
+    watcher: &Watcher<P>,
+    at: SocketAddr,
+    rev: &mut Option<u64>,
+) -> Result<(), String> {
+    let platform = &watcher.driver.platform;
+    let stream = platform.timeout(CONNECT, platform.connect(at)).await;
     let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
     let place = Place::take(&Rc::default(), 1).ok_or("no place")?;
     let closing = Closing(Wire::new(stream, place));
     let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(WireIo(closing.0.clone())))
         .await
         .map_err(|e| e.to_string())?;
-    let task = tokio::task::spawn_local(async move { drop(conn.await) });
-    closing.0.driven_by(task.abort_handle());
+    closing.0.driven_by(platform.spawn(async move { drop(conn.await) }));
     let from = match *rev {
         Some(from) => from,
         None => {
@@ -208,10 +214,14 @@
     read_watch(watcher, at, &mut sender, from, rev).await
 }
 
-async fn ask(sender: &mut Sender, path: &str) -> Result<Response<Incoming>, String> {
+async fn ask(
+    platform: &impl Platform,
+    sender: &mut Sender,
+    path: &str,
+) -> Result<Response<Incoming>, String> {
     let request =
         Request::get(path).header(HOST, "discovery").body(Empty::new()).map_err(|e| e.to_string())?;
-    let answer = timeout(SILENT, sender.send_request(request)).await;
+    let answer = platform.timeout(SILENT, sender.send_request(request)).await;
     let answer = answer.map_err(|_| "no answer in time")?.map_err(|e| e.to_string())?;
     match answer.status() {
         StatusCode::OK => Ok(answer),
@@ -220,26 +230,28 @@
 }
 
 /// Takes in the whole list; gives its version.
-async fn read_whole(watcher: &Watcher, sender: &mut Sender) -> Result<u64, String> {
-    let answer = ask(sender, "/discovery/hosts").await?;
-    let body = timeout(SILENT, Limited::new(answer.into_body(), LINE_MAX).collect()).await;
+async fn read_whole<P: Platform>(watcher: &Watcher<P>, sender: &mut Sender) -> Result<u64, String> {
+    let platform = &watcher.driver.platform;
+    let answer = ask(platform, sender, "/discovery/hosts").await?;
+    let body = platform.timeout(SILENT, Limited::new(answer.into_body(), LINE_MAX).collect()).await;
     let body = body.map_err(|_| "half a list")?.map_err(|e| e.to_string())?.to_bytes();
     let list: HostList = serde_json::from_slice(&body).map_err(|e| format!("the list: {e}"))?;
     watcher.apply(&list, ListScope::Full);
     Ok(list.rev)
 }
 
-async fn read_watch(
-    watcher: &Watcher,
+async fn read_watch<P: Platform>(
+    watcher: &Watcher<P>,
     at: SocketAddr,
     sender: &mut Sender,
     from: u64,
     rev: &mut Option<u64>,
 ) -> Result<(), String> {
-    let mut answer = ask(sender, &format!("/discovery/hosts?stream=1&index={from}")).await?;
+    let platform = &watcher.driver.platform;
+    let mut answer = ask(platform, sender, &format!("/discovery/hosts?stream=1&index={from}")).await?;
     let mut buffer = BytesMut::new();
     loop {
-        let frame = timeout(SILENT, answer.frame()).await.map_err(|_| "the watch fell silent")?;
+        let frame = platform.timeout(SILENT, answer.frame()).await.map_err(|_| "the watch fell silent")?;
         let Some(frame) = frame else { return Ok(()) };
         let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
         buffer.extend_from_slice(&data);
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -3,18 +3,17 @@
 use crate::config::Config;
 use crate::counter::{Counter, Tell};
 use crate::workers::{Attempted, Parts, Progress, Served, Workers};
+use hingestage_platform::{Platform, Task};
 use hingestage_policy::{
     Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId,
 };
 use hingestage_policy::{Request, RequestId, WorkerId};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::{Rc, Weak};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use tokio::task::AbortHandle;
-use tokio::time::{Duration, Instant};
 
 /// Time kept back from each client's own, so that the last moment's answer reaches it before it leaves.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
@@ -27,13 +26,12 @@
 }
 
 impl Clock {
-    fn new() -> Self {
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { at: at.as_micros() as Micros, since: Instant::now() }
+    fn new(platform: &impl Platform) -> Self {
+        Clock { at: platform.unix_time().as_micros() as Micros, since: platform.now() }
     }
 
-    fn now(&self) -> Micros {
-        self.at + self.since.elapsed().as_micros() as Micros
+    fn at(&self, now: Instant) -> Micros {
+        self.at + now.saturating_duration_since(self.since).as_micros() as Micros
     }
 }
 
@@ -68,31 +66,34 @@
     pub parts: Parts,
 }
 
-struct Open {
+struct Open<P: Platform> {
     parts: Rc<Parts>,
     /// Where its answer goes; none once it has been given or the client has left.
     reply: Option<oneshot::Sender<Answer>>,
     /// By number; none once they have ended.
-    attempts: Vec<Option<Running>>,
+    attempts: Vec<Option<Running<P>>>,
     late: bool,
 }
 
-struct Running {
+struct Running<P: Platform> {
     worker: WorkerId,
-    progress: Rc<Progress>,
-    task: AbortHandle,
+    progress: Rc<Progress<P::Stream>>,
+    task: P::Task,
     sent: Instant,
 }
 
 /// The gateway's heart.
-pub struct Driver {
+pub struct Driver<P: Platform> {
+    /// What all of it runs on.
+    pub platform: P,
     /// The workers' side.
-    pub workers: Workers,
+    pub workers: Workers<P>,
     /// The counter's side.
-    pub counter: Rc<Counter>,
+    pub counter: Rc<Counter<P>>,
     gatekeeper: RefCell<Gatekeeper>,
     clock: Clock,
-    open: RefCell<HashMap<RequestId, Open>>,
+    /// In order: what is called off together must not hang on a table's random keys.
+    open: RefCell<BTreeMap<RequestId, Open<P>>>,
     /// The clients' own ids of all that is open.
     ids: RefCell<HashSet<HeaderValue>>,
     next: Cell<u64>,
@@ -101,16 +102,28 @@
     feeding: Cell<bool>,
 }
 
-impl Driver {
+impl<P: Platform> Driver<P> {
     /// A driver that has heard nothing yet.
-    pub fn new(config: &Config) -> Rc<Driver> {
-        let clock = Clock::new();
+    pub fn new(platform: P, config: &Config) -> Rc<Self> {
+        let clock = Clock::new(&platform);
+        let now = clock.at(platform.now());
         let settings = config.settings.clone();
-        Rc::new_cyclic(|this: &Weak<Driver>| Driver {
-            workers: Workers::new(config.workers_max, config.connect_timeout, config.worker_idle),
-            counter: Counter::new(config.counter, settings.counter_timeout, tell_counter(this.clone())),
-            gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, clock.now())),
+        Rc::new_cyclic(|this: &Weak<Self>| Driver {
+            workers: Workers::new(
+                platform.clone(),
+                config.workers_max,
+                config.connect_timeout,
+                config.worker_idle,
+            ),
+            counter: Counter::new(
+                platform.clone(),
+                config.counter,
+                settings.counter_timeout,
+                tell_counter(this.clone()),
+            ),
+            gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, now)),
             clock,
+            platform,
             open: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
@@ -130,7 +143,8 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
-            self.gatekeeper.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            let now = self.clock.at(self.platform.now());
+            self.gatekeeper.borrow_mut().handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action);
             }
@@ -148,8 +162,9 @@
             Action::Fail(request) => self.answer(&request, |open| Answer::Failed { late: open.late }),
             Action::SetTimer { token, after } => {
                 let driver = self.clone();
-                tokio::task::spawn_local(async move {
-                    tokio::time::sleep(Duration::from_micros(after)).await;
+                let sleep = self.platform.sleep(Duration::from_micros(after));
+                self.platform.spawn(async move {
+                    sleep.await;
                     driver.feed(Event::Timer(token));
                 });
             }
@@ -161,7 +176,7 @@
 
     /// Takes a request in. Its answer comes on the channel; dropping the ticket says that the client left.
     /// One whose own id is open already is not taken: at a worker it would be a second copy of the first.
-    pub fn take(self: &Rc<Self>, taken: Taken) -> Option<(Ticket, oneshot::Receiver<Answer>)> {
+    pub fn take(self: &Rc<Self>, taken: Taken) -> Option<(Ticket<P>, oneshot::Receiver<Answer>)> {
         if !self.ids.borrow_mut().insert(taken.parts.id.clone()) {
             return None;
         }
@@ -171,7 +186,7 @@
         let open =
             Open { parts: Rc::new(taken.parts), reply: Some(reply), attempts: Vec::new(), late: false };
         self.open.borrow_mut().insert(id.clone(), open);
-        let left = taken.until.saturating_duration_since(Instant::now()).saturating_sub(ANSWER_MARGIN);
+        let left = taken.until.saturating_duration_since(self.platform.now()).saturating_sub(ANSWER_MARGIN);
         self.feed(Event::Request(Request {
             id: id.clone(),
             customer: taken.customer,
@@ -189,18 +204,18 @@
         let Some(open) = all.get_mut(&id) else { return };
         let (parts, n) = (open.parts.clone(), open.attempts.len());
         let progress = Rc::new(Progress::default());
-        let sent = Instant::now();
+        let sent = self.platform.now();
         let (driver, told, request) = (self.clone(), progress.clone(), id.clone());
-        let task = tokio::task::spawn_local(async move {
+        let task = self.platform.spawn(async move {
             let deadline = sent + Duration::from_micros(timeout);
             let mut attempted = driver.workers.attempt(worker, &parts, deadline, &told).await;
             driver.attempt_done(&request, n, &mut attempted);
             driver.workers.give_back(worker, attempted).await;
         });
-        open.attempts.push(Some(Running { worker, progress, task: task.abort_handle(), sent }));
+        open.attempts.push(Some(Running { worker, progress, task, sent }));
     }
 
-    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, attempted: &mut Attempted) {
+    fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, attempted: &mut Attempted<P::Stream>) {
         let ended = self.open.borrow_mut().get_mut(id).and_then(|open| {
             open.late |= attempted.outcome == Outcome::Timeout;
             open.attempts.get_mut(n).and_then(Option::take)
@@ -249,13 +264,13 @@
     ) {
         let closed = self.open.borrow().get(id).is_none_or(|open| open.reply.is_none());
         self.forget_if_over(id);
-        let latency = sent.elapsed().as_micros() as Micros;
+        let latency = self.platform.since(sent).as_micros() as Micros;
         let request = id.clone();
         self.feed(Event::AttemptDone(AttemptDone { request, attempt, outcome, latency, closed, true_units }));
     }
 
     /// The only place that answers a client.
-    fn answer(&self, id: &RequestId, answer: impl FnOnce(&Open) -> Answer) {
+    fn answer(&self, id: &RequestId, answer: impl FnOnce(&Open<P>) -> Answer) {
         if let Some(open) = self.open.borrow_mut().get_mut(id) {
             if let Some(reply) = open.reply.take() {
                 // A client that has just left needs none.
@@ -284,7 +299,7 @@
 }
 
 /// How the counter's side tells the decisions of the end of a call.
-fn tell_counter(driver: Weak<Driver>) -> Tell {
+fn tell_counter<P: Platform>(driver: Weak<Driver<P>>) -> Tell {
     Box::new(move |name, outcome| {
         if let Some(driver) = driver.upgrade() {
             driver.feed(Event::Counter { name, outcome });
@@ -293,12 +308,12 @@
 }
 
 /// Stands for a client that waits.
-pub struct Ticket {
-    driver: Rc<Driver>,
+pub struct Ticket<P: Platform> {
+    driver: Rc<Driver<P>>,
     id: RequestId,
 }
 
-impl Drop for Ticket {
+impl<P: Platform> Drop for Ticket<P> {
     fn drop(&mut self) {
         self.driver.client_gone(&self.id);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,24 +1,26 @@
-//! The gateway on real sockets: carries events to the one [`hingestage_policy::Gatekeeper`] and its actions out.
+//! The gateway on connections: carries events to the one [`hingestage_policy::Gatekeeper`] and its actions out.
 
 pub mod config;
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod gateway;
 pub mod hosts;
 pub mod server;
 pub mod wire;
 pub mod workers;
 
-use tokio::time::Duration;
+use hingestage_platform::Platform;
+use std::time::Duration;
 
 /// The longest body, of a request or an answer, in bytes.
 pub const BODY_MAX: usize = 64 * 1024;
 
 /// Reports something odd from outside, sparsely: what repeats says so at powers of two only.
-pub fn note(count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
+pub fn note(platform: &impl Platform, count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
     count.set(count.get() + 1);
     if count.get().is_power_of_two() {
-        eprintln!("hingestage: {what} (time {})", count.get());
+        platform.log(format_args!("{what} (time {})", count.get()));
     }
 }
 
@@ -41,8 +43,8 @@
     }
 
     /// Waits, the longer the more often in a row.
-    pub async fn wait(&mut self) {
-        tokio::time::sleep(self.0).await;
+    pub async fn wait(&mut self, platform: &impl Platform) {
+        platform.sleep(self.0).await;
         self.0 = (self.0 * 2).min(Self::LONGEST);
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,6 +5,7 @@
 use crate::workers::Parts;
 use crate::{decimal, note, BODY_MAX};
 use bytes::Bytes;
+use hingestage_platform::{Listener, Platform};
 use hingestage_policy::settings::Names;
 use hingestage_policy::{ClassId, CustomerId, Effect, PlanId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -14,15 +15,13 @@
 };
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// How long a client may take over a request's head, or be silent between two requests. Less than the 3 s in
 /// which one that never asks properly is owed an end.
@@ -63,9 +62,9 @@
 }
 
 impl Client {
-    fn new() -> Rc<Client> {
+    fn new(now: Instant) -> Rc<Client> {
         let (busy, served, drop) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        Rc::new(Client { busy, served, since: Cell::new(Instant::now()), drop, close: Notify::new() })
+        Rc::new(Client { busy, served, since: Cell::new(now), drop, close: Notify::new() })
     }
 
     fn end(&self, at_once: bool) {
@@ -75,8 +74,9 @@
 }
 
 /// The clients' side.
-pub struct Server {
-    driver: Rc<Driver>,
+pub struct Server<P: Platform> {
+    platform: P,
+    driver: Rc<Driver<P>>,
     names: Names,
     effects: Vec<Effect>,
     instances: u32,
@@ -92,10 +92,11 @@
     odd: Cell<u64>,
 }
 
-impl Server {
+impl<P: Platform> Server<P> {
     /// A server without clients, not ready yet.
-    pub fn new(driver: Rc<Driver>, config: &Config) -> Rc<Server> {
+    pub fn new(driver: Rc<Driver<P>>, config: &Config) -> Rc<Self> {
         Rc::new(Server {
+            platform: driver.platform.clone(),
             driver,
             names: config.names.clone(),
             effects: config.settings.classes.iter().map(|class| class.effect).collect(),
@@ -120,25 +121,25 @@
 
     /// Takes connections in for ever. At the limit one that idles makes room, or the next waits in line, but
     /// not for long: it may be one that is owed an end soon.
-    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    pub async fn accept(self: &Rc<Self>, listener: &P::Listener) {
         loop {
-            let until = Instant::now() + FULL_TIME;
-            while self.clients.borrow().len() >= self.clients_max && Instant::now() < until {
+            let until = self.platform.now() + FULL_TIME;
+            while self.clients.borrow().len() >= self.clients_max && self.platform.now() < until {
                 let left = self.left.notified();
                 self.close_an_idle_one();
                 // Looked at anew before long: one that says nothing may have become old enough to go.
-                let _ = tokio::time::timeout(LINGER, left).await;
+                let _ = self.platform.timeout(LINGER, left).await;
             }
             match listener.accept().await {
                 Ok(_) if self.clients.borrow().len() >= self.clients_max => {
-                    note(&self.odd, "all places taken by requests: a connection closed")
+                    note(&self.platform, &self.odd, "all places taken by requests: a connection closed")
                 }
-                Ok((stream, _)) => self.admit(stream),
+                Ok(stream) => self.admit(stream),
                 // Out of descriptors, or the client has gone already: neither may end the gateway.
                 Err(e) => {
-                    note(&self.odd, format_args!("accept: {e}"));
+                    note(&self.platform, &self.odd, format_args!("accept: {e}"));
                     self.close_an_idle_one();
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    self.platform.sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
@@ -147,23 +148,24 @@
     /// Ends connections whose clients do not read what they asked for.
     pub fn close_stuck(&self) {
         let clients = self.clients.borrow();
-        let stuck = clients.values().filter(|c| !c.busy.get() && c.since.get().elapsed() > UNREAD_TIME);
+        let stuck =
+            clients.values().filter(|c| !c.busy.get() && self.platform.since(c.since.get()) > UNREAD_TIME);
         stuck.for_each(|client| client.end(true));
     }
 
     /// Stops as the deployment expects it: connections still come for a while and are taken in; all that was
     /// taken is answered; those between requests are closed at once, while there is still someone to take in
     /// a request that crosses the closing.
-    pub async fn stop(self: &Rc<Self>, listener: TcpListener, longest: Duration) {
+    pub async fn stop(self: &Rc<Self>, listener: P::Listener, longest: Duration) {
         self.stopping.set(true);
-        let until = Instant::now() + longest;
+        let until = self.platform.now() + longest;
         self.close_idle(|client| client.served.get());
-        let _ = tokio::time::timeout(STILL_ACCEPT, self.accept(&listener)).await;
+        let _ = self.platform.timeout(STILL_ACCEPT, self.accept(&listener)).await;
         drop(listener);
         self.close_idle(|_| true);
-        while !self.clients.borrow().is_empty() && Instant::now() < until {
+        while !self.clients.borrow().is_empty() && self.platform.now() < until {
             let left = self.left.notified();
-            let _ = tokio::time::timeout_at(until, left).await;
+            let _ = self.platform.timeout_at(until, left).await;
         }
     }
 
@@ -177,7 +179,7 @@
     /// its request may be on the way.
     fn close_an_idle_one(&self) {
         let clients = self.clients.borrow();
-        let silent = |c: &Client| !c.served.get() && c.since.get().elapsed() > SAY_SOMETHING;
+        let silent = |c: &Client| !c.served.get() && self.platform.since(c.since.get()) > SAY_SOMETHING;
         let idle = clients.values().filter(|c| !c.busy.get() && (c.served.get() || silent(c)));
         if let Some(least) = idle.min_by_key(|c| (c.served.get(), c.since.get())) {
             least.end(true);
@@ -193,18 +195,17 @@
         self.turns.get()
     }
 
-    fn admit(self: &Rc<Self>, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let (server, number, client) = (self.clone(), self.turn(), Client::new());
+    fn admit(self: &Rc<Self>, stream: P::Stream) {
+        let (server, number, client) = (self.clone(), self.turn(), Client::new(self.platform.now()));
         self.clients.borrow_mut().insert(number, client.clone());
-        tokio::task::spawn_local(async move {
+        self.platform.spawn(async move {
             server.serve(stream, &client).await;
             server.clients.borrow_mut().remove(&number);
             server.left.notify_one();
         });
     }
 
-    async fn serve(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
+    async fn serve(self: &Rc<Self>, stream: P::Stream, client: &Rc<Client>) {
         let service = service_fn(|request| {
             let (server, client) = (self.clone(), client.clone());
             async move {
@@ -214,26 +215,27 @@
                 }
                 client.busy.set(false);
                 client.served.set(true);
-                client.since.set(Instant::now());
+                client.since.set(server.platform.now());
                 // At the limit `accept` may have found none that idles: now there is one.
                 server.left.notify_one();
                 Ok::<_, Infallible>(answer)
             }
         });
         let conn = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
+            .timer(self.platform.timer())
             .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_MAX)
             .serve_connection(TokioIo::new(stream), service);
         let mut conn = std::pin::pin!(conn);
         // A client that misbehaves or leaves ends its own connection and nothing else.
         tokio::select! {
+            biased;
             ended = conn.as_mut() => return drop(ended),
             () = client.close.notified() => conn.as_mut().graceful_shutdown(),
         }
         // Half a head, or an answer that nobody reads, would hold its place for as long as it pleases.
         let linger = if client.drop.get() { Duration::ZERO } else { LINGER };
-        if tokio::time::timeout(linger, conn.as_mut()).await.is_err() && client.busy.get() {
+        if self.platform.timeout(linger, conn.as_mut()).await.is_err() && client.busy.get() {
             let _ = conn.await;
         }
     }
@@ -244,7 +246,7 @@
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         // The first request is owed its end by the time of the connection, not of its own head.
-        let begun = if client.served.get() { Instant::now() } else { client.since.get() };
+        let begun = if client.served.get() { self.platform.now() } else { client.since.get() };
         let taken = match self.read(request, begun + BODY_TIME).await {
             Ok(taken) => taken,
             Err(bad) => return refuse(bad),
@@ -293,7 +295,7 @@
         header(&head.headers, "request-id")?;
         let id = head.headers.get("request-id").cloned().ok_or(bad("no Request-Id"))?;
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
-        let body = if body.is_end_stream() { Bytes::new() } else { read_body(body, until).await? };
+        let body = if body.is_end_stream() { Bytes::new() } else { self.read_body(body, until).await? };
         if safe && !body.is_empty() {
             return Err(bad("a body where none belongs"));
         }
@@ -304,7 +306,7 @@
             units,
             gateways,
             // The request's last byte has just been read.
-            until: Instant::now() + patience.min(self.patience_max),
+            until: self.platform.now() + patience.min(self.patience_max),
             parts: Parts {
                 method: head.method,
                 uri: uri.ok_or(bad("bad path"))?,
@@ -314,6 +316,15 @@
             },
         })
     }
+
+    async fn read_body(&self, body: Incoming, until: Instant) -> Result<Bytes, Bad> {
+        let read = self.platform.timeout_at(until, Limited::new(body, BODY_MAX).collect()).await;
+        match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body takes too long"))? {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
+            Err(_) => Err(bad("bad framing")),
+        }
+    }
 }
 
 type Bad = (StatusCode, &'static str);
@@ -322,15 +333,6 @@
     (StatusCode::BAD_REQUEST, what)
 }
 
-async fn read_body(body: Incoming, until: Instant) -> Result<Bytes, Bad> {
-    let read = tokio::time::timeout_at(until, Limited::new(body, BODY_MAX).collect()).await;
-    match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body takes too long"))? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
-        Err(_) => Err(bad("bad framing")),
-    }
-}
-
 /// A header that must be there once, as text.
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Bad> {
     let mut values = headers.get_all(name).iter();
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -1,17 +1,14 @@
-//! A TCP connection that counts what passes, can be closed at once from outside, and writes nothing new
+//! A connection that counts what passes, can be closed at once from outside, and writes nothing new
 //! where something unasked has come in.
 
-use socket2::SockRef;
+use hingestage_platform::{Stream, Task};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
 
 /// One of a bounded number of places; free again when dropped.
 pub struct Place(Rc<Cell<usize>>);
@@ -33,20 +30,20 @@
 }
 
 /// The part of a connection that stays in hand while the HTTP library drives the rest.
-pub struct Wire {
-    stream: RefCell<Option<(TcpStream, Place)>>,
+pub struct Wire<S> {
+    stream: RefCell<Option<(S, Place)>>,
     written: Cell<u64>,
     read: Cell<u64>,
     /// Told of whatever has been read.
     heard: Notify,
     /// Whether nothing may have come in by the time of the next write.
     silent: Cell<bool>,
-    driver: RefCell<Option<AbortHandle>>,
+    driver: RefCell<Option<Box<dyn Task>>>,
 }
 
-impl Wire {
+impl<S: Stream> Wire<S> {
     /// Takes a connection in.
-    pub fn new(stream: TcpStream, place: Place) -> Rc<Wire> {
+    pub fn new(stream: S, place: Place) -> Rc<Self> {
         let stream = RefCell::new(Some((stream, place)));
         Rc::new(Wire {
             stream,
@@ -59,8 +56,8 @@
     }
 
     /// Names the task that drives it, which ends with it.
-    pub fn driven_by(&self, task: AbortHandle) {
-        *self.driver.borrow_mut() = Some(task);
+    pub fn driven_by(&self, task: impl Task) {
+        *self.driver.borrow_mut() = Some(Box::new(task));
     }
 
     /// Bytes that the system has taken for sending so far.
@@ -90,9 +87,9 @@
     fn check_silence(&self) -> io::Result<()> {
         let stream = self.stream.borrow();
         let (true, Some((stream, _))) = (self.silent.replace(false), stream.as_ref()) else { return Ok(()) };
-        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            _ => Err(io::ErrorKind::ConnectionAborted.into()),
+        match stream.is_quiet() {
+            true => Ok(()),
+            false => Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
 
@@ -105,17 +102,14 @@
         }
     }
 
-    fn poll<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    fn poll<T>(&self, poll: impl FnOnce(Pin<&mut S>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         match self.stream.borrow_mut().as_mut() {
             Some((stream, _)) => poll(Pin::new(stream)),
             None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
         }
     }
 
-    fn write(
-        &self,
-        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
-    ) -> Poll<io::Result<usize>> {
+    fn write(&self, poll: impl FnOnce(Pin<&mut S>) -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.check_silence()?;
         let polled = self.poll(poll);
         if let Poll::Ready(Ok(n)) = polled {
@@ -126,16 +120,16 @@
 }
 
 /// The side of a [`Wire`] that the HTTP library reads and writes.
-pub struct WireIo(pub Rc<Wire>);
+pub struct WireIo<S: Stream>(pub Rc<Wire<S>>);
 
-impl Drop for WireIo {
+impl<S: Stream> Drop for WireIo<S> {
     fn drop(&mut self) {
         // The library is done with it: no descriptor may outlive that.
         drop(self.0.stream.borrow_mut().take());
     }
 }
 
-impl AsyncRead for WireIo {
+impl<S: Stream> AsyncRead for WireIo<S> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = self.0.poll(|stream| stream.poll_read(cx, buf));
@@ -148,7 +142,7 @@
     }
 }
 
-impl AsyncWrite for WireIo {
+impl<S: Stream> AsyncWrite for WireIo<S> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.0.write(|stream| stream.poll_write(cx, buf))
     }
@@ -178,7 +172,7 @@
 mod tests {
     use super::*;
     use std::future::poll_fn;
-    use tokio::io::AsyncWrite;
+    use tokio::net::TcpStream;
 
     /// What has come in and the runtime has not noticed yet must stop a write all the same.
     #[tokio::test]
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -3,6 +3,7 @@
 use crate::wire::{Place, Wire, WireIo};
 use crate::{decimal, note, BODY_MAX};
 use bytes::Bytes;
+use hingestage_platform::{Platform, Stream};
 use hingestage_policy::{Outcome, WorkerId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -11,15 +12,14 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use tokio::net::TcpStream;
-use tokio::time::{timeout, timeout_at, Duration, Instant};
+use std::time::{Duration, Instant};
 
 /// The name under which workers serve.
 const SERVICE: &str = "backend.local";
@@ -55,7 +55,7 @@
 }
 
 /// The end of an attempt.
-pub struct Attempted {
+pub struct Attempted<S: Stream> {
     /// How it ended.
     pub outcome: Outcome,
     /// The true units, if told.
@@ -63,22 +63,27 @@
     /// The answer, if good.
     pub served: Option<Served>,
     /// The connection, where it can serve again.
-    conn: Option<Conn>,
+    conn: Option<Conn<S>>,
 }
 
-impl From<Outcome> for Attempted {
+impl<S: Stream> From<Outcome> for Attempted<S> {
     fn from(outcome: Outcome) -> Self {
         Attempted { outcome, true_units: None, served: None, conn: None }
     }
 }
 
 /// How far an attempt has come, for those who may call it off.
-#[derive(Default)]
-pub struct Progress {
-    wire: RefCell<Option<(Rc<Wire>, u64)>>,
+pub struct Progress<S> {
+    wire: RefCell<Option<(Rc<Wire<S>>, u64)>>,
 }
 
-impl Progress {
+impl<S> Default for Progress<S> {
+    fn default() -> Self {
+        Progress { wire: RefCell::default() }
+    }
+}
+
+impl<S: Stream> Progress<S> {
     /// Whether it still waits for a connection.
     pub fn waits(&self) -> bool {
         self.wire.borrow().is_none()
@@ -96,7 +101,7 @@
     }
 
     /// From here on the request may be written. Below `least` bytes written it can't be whole.
-    fn begin(&self, wire: &Rc<Wire>, used: bool, parts: &Parts) {
+    fn begin(&self, wire: &Rc<Wire<S>>, used: bool, parts: &Parts) {
         let least = wire.written() + 1 + parts.body.len() as u64;
         if used {
             wire.expect_silence();
@@ -106,9 +111,9 @@
 }
 
 /// A connection between two requests.
-struct Conn {
+struct Conn<S: Stream> {
     sender: SendRequest<Full<Bytes>>,
-    wire: Rc<Wire>,
+    wire: Rc<Wire<S>>,
     /// Where it leads, and to which life of the worker.
     life: Life,
     idle_since: Instant,
@@ -118,21 +123,23 @@
 /// Address and start of a worker.
 type Life = (SocketAddr, u64);
 
-impl Drop for Conn {
+impl<S: Stream> Drop for Conn<S> {
     fn drop(&mut self) {
         self.wire.close();
     }
 }
 
-struct Pool {
+struct Pool<S: Stream> {
     life: Life,
     ready: bool,
-    idle: Vec<Conn>,
+    idle: Vec<Conn<S>>,
 }
 
 /// Connections to all workers.
-pub struct Workers {
-    pools: RefCell<HashMap<WorkerId, Pool>>,
+pub struct Workers<P: Platform> {
+    platform: P,
+    /// In order: whose idle connection makes room must not hang on a table's random keys.
+    pools: RefCell<BTreeMap<WorkerId, Pool<P::Stream>>>,
     open: Rc<Cell<usize>>,
     most: usize,
     connect_timeout: Duration,
@@ -140,12 +147,13 @@
     odd: Cell<u64>,
 }
 
-impl Workers {
+impl<P: Platform> Workers<P> {
     /// None known yet. Connections are retired at half the time after which workers close them: a request
     /// that crosses the closing would be a reset, which may have run.
-    pub fn new(most: usize, connect_timeout: Duration, worker_idle: Duration) -> Self {
+    pub fn new(platform: P, most: usize, connect_timeout: Duration, worker_idle: Duration) -> Self {
         let (pools, open) = (RefCell::default(), Rc::default());
-        Workers { pools, open, most, connect_timeout, keep_idle: worker_idle / 2, odd: Cell::new(0) }
+        let keep_idle = worker_idle / 2;
+        Workers { platform, pools, open, most, connect_timeout, keep_idle, odd: Cell::new(0) }
     }
 
     /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
@@ -186,8 +194,11 @@
 
     /// Closes connections that have been idle for long.
     pub fn retire_idle(&self) {
+        let now = self.platform.now();
         for pool in self.pools.borrow_mut().values_mut() {
-            pool.idle.retain(|conn| conn.idle_since.elapsed() < self.keep_idle && !conn.sender.is_closed());
+            pool.idle.retain(|conn| {
+                now.saturating_duration_since(conn.idle_since) < self.keep_idle && !conn.sender.is_closed()
+            });
         }
     }
 
@@ -197,8 +208,8 @@
         worker: WorkerId,
         parts: &Parts,
         deadline: Instant,
-        progress: &Progress,
-    ) -> Attempted {
+        progress: &Progress<P::Stream>,
+    ) -> Attempted<P::Stream> {
         loop {
             let mut conn = match self.connection(worker, deadline).await {
                 Ok(conn) => conn,
@@ -209,7 +220,8 @@
                 return Outcome::NotSent.into();
             }
             progress.begin(&conn.wire, conn.used, parts);
-            let ended = timeout_at(deadline, exchange(&mut conn, parts, deadline)).await;
+            let exchanged = exchange(&self.platform, &mut conn, parts, deadline);
+            let ended = self.platform.timeout_at(deadline, exchanged).await;
             if let Ok(Ok(answer)) = ended {
                 return judge(answer, conn);
             }
@@ -220,7 +232,7 @@
                 Ok(Err(_)) if used && !whole => continue,
                 _ if !whole => return Outcome::ConnectFailed.into(),
                 Ok(Err(Broken::Spoilt(what))) => {
-                    note(&self.odd, format_args!("worker {}: {what}", worker.0));
+                    note(&self.platform, &self.odd, format_args!("worker {}: {what}", worker.0));
                     return Outcome::Spoilt.into();
                 }
                 Ok(_) => return Outcome::Reset.into(),
@@ -230,12 +242,12 @@
     }
 
     /// Takes a connection back once it is ready for another request.
-    pub async fn give_back(&self, worker: WorkerId, attempted: Attempted) {
+    pub async fn give_back(&self, worker: WorkerId, attempted: Attempted<P::Stream>) {
         let Some(mut conn) = attempted.conn else { return };
-        if !matches!(timeout(SETTLE, conn.sender.ready()).await, Ok(Ok(()))) {
+        if !matches!(self.platform.timeout(SETTLE, conn.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
-        (conn.idle_since, conn.used) = (Instant::now(), true);
+        (conn.idle_since, conn.used) = (self.platform.now(), true);
         if let Some(pool) = self.pools.borrow_mut().get_mut(&worker) {
             // Not to the pool of another life: there it would be taken for a connection to that.
             if pool.ready && pool.life == conn.life && pool.idle.len() < IDLE_MAX {
@@ -245,12 +257,12 @@
     }
 
     /// A kept connection, the last used first, or a new one.
-    async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn, Outcome> {
+    async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn<P::Stream>, Outcome> {
         let life = {
             let mut pools = self.pools.borrow_mut();
             let pool = pools.get_mut(&worker).filter(|pool| pool.ready).ok_or(Outcome::NotSent)?;
             while let Some(conn) = pool.idle.pop() {
-                if conn.idle_since.elapsed() < self.keep_idle && conn.sender.is_ready() {
+                if self.platform.since(conn.idle_since) < self.keep_idle && conn.sender.is_ready() {
                     return Ok(conn);
                 }
             }
@@ -262,10 +274,9 @@
         });
         let place = place.ok_or(Outcome::NotSent)?;
         // A machine that is cut off says nothing: the time-out is ours.
-        let until = deadline.min(Instant::now() + self.connect_timeout);
-        let connected = timeout_at(until, TcpStream::connect(life.0)).await;
+        let until = deadline.min(self.platform.now() + self.connect_timeout);
+        let connected = self.platform.timeout_at(until, self.platform.connect(life.0)).await;
         let Ok(Ok(stream)) = connected else { return Err(Outcome::ConnectFailed) };
-        let _ = stream.set_nodelay(true);
         let wire = Wire::new(stream, place);
         let io = TokioIo::new(WireIo(wire.clone()));
         let (sender, driver) = http1::Builder::new()
@@ -273,12 +284,12 @@
             .handshake(io)
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
-        let task = tokio::task::spawn_local(async move {
+        let task = self.platform.spawn(async move {
             // How it ends is told to the attempt that it carries.
             let _ = driver.await;
         });
-        wire.driven_by(task.abort_handle());
-        Ok(Conn { sender, wire, life, idle_since: Instant::now(), used: false })
+        wire.driven_by(task);
+        Ok(Conn { sender, wire, life, idle_since: self.platform.now(), used: false })
     }
 
     fn close_an_idle_one(&self) {
@@ -292,7 +303,7 @@
 }
 
 /// What an answer says. One without an end of its own is read no further, and its connection not kept.
-fn judge((status, headers, body): Answer, conn: Conn) -> Attempted {
+fn judge<S: Stream>((status, headers, body): Answer, conn: Conn<S>) -> Attempted<S> {
     let not_started = headers.get("not-started").is_some_and(|value| value == "1");
     let outcome = match status {
         StatusCode::OK => Outcome::Ok,
@@ -318,26 +329,31 @@
 
 /// Writes a request and reads its answer. An answer that begins and does not go on has been spoilt: the rest
 /// will never come, and the time that is left is better spent on another attempt.
-async fn exchange(conn: &mut Conn, parts: &Parts, deadline: Instant) -> Result<Answer, Broken> {
+async fn exchange<P: Platform>(
+    platform: &P,
+    conn: &mut Conn<P::Stream>,
+    parts: &Parts,
+    deadline: Instant,
+) -> Result<Answer, Broken> {
     let skipped = Arc::new(AtomicUsize::new(0));
-    let request = request(parts, deadline, skipped.clone());
+    let left = deadline.saturating_duration_since(platform.now());
+    let request = request(parts, left, skipped.clone());
     let (wire, mark) = (conn.wire.clone(), conn.wire.read());
     tokio::select! {
         biased;
         answer = read_answer(&mut conn.sender, request) => answer,
-        () = stalled(&wire, mark, &skipped) => Err(Broken::Spoilt("an answer without an end")),
+        () = stalled(platform, &wire, mark, &skipped) => Err(Broken::Spoilt("an answer without an end")),
     }
 }
 
 /// What goes on to a worker. `skipped` counts the interim answers (1xx) ahead of the final one.
-fn request(parts: &Parts, deadline: Instant, skipped: Arc<AtomicUsize>) -> Request<Full<Bytes>> {
+fn request(parts: &Parts, left: Duration, skipped: Arc<AtomicUsize>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(parts.body.clone()));
     *request.method_mut() = parts.method.clone();
     *request.uri_mut() = parts.uri.clone();
     let headers = request.headers_mut();
     headers.insert(HOST, HeaderValue::from_static(SERVICE));
     headers.insert("request-id", parts.id.clone());
-    let left = deadline.saturating_duration_since(Instant::now());
     if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64())) {
         headers.insert("request-timeout", value);
     }
@@ -387,11 +403,11 @@
 
 /// Ends when an answer has begun, past `mark` bytes, and not been completed in time. Interim answers are no
 /// beginning: the final one comes when it is ready.
-async fn stalled(wire: &Wire, mut mark: u64, skipped: &AtomicUsize) {
+async fn stalled<P: Platform>(platform: &P, wire: &Wire<P::Stream>, mut mark: u64, skipped: &AtomicUsize) {
     let mut passed_over = 0;
     loop {
         wire.read_past(mark).await;
-        tokio::time::sleep(REST).await;
+        platform.sleep(REST).await;
         let interim = skipped.load(Ordering::Relaxed);
         if interim == passed_over {
             return;
--- /dev/null
+++ b/crates/platform/src/real.rs
@@ -0,0 +1,93 @@
+//! The real platform: tokio on one thread, TCP, the system's clocks, standard error.
+
+use crate::{Listener, Platform, Stream, Task};
+use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+/// Tokio's runtime with a `LocalSet`, which must be running where a method is called.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tokio;
+
+impl Platform for Tokio {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+    type Sleep = tokio::time::Sleep;
+    type Timer = TokioTimer;
+    type Task = AbortHandle;
+
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn unix_time(&self) -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+
+    fn sleep_until(&self, at: Instant) -> Self::Sleep {
+        tokio::time::sleep_until(at.into())
+    }
+
+    fn timer(&self) -> Self::Timer {
+        TokioTimer::new()
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Self::Task {
+        tokio::task::spawn_local(task).abort_handle()
+    }
+
+    async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
+        without_delay(TcpStream::connect(to).await?)
+    }
+
+    async fn listen(&self, at: SocketAddr) -> io::Result<TcpListener> {
+        TcpListener::bind(at).await
+    }
+
+    fn log(&self, line: fmt::Arguments) {
+        eprintln!("hingestage: {line}");
+    }
+}
+
+/// Small messages both ways: none may wait for the other side's acknowledgement.
+fn without_delay(stream: TcpStream) -> io::Result<TcpStream> {
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+impl Stream for TcpStream {
+    fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        TcpStream::try_write(self, bytes)
+    }
+
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Listener for TcpListener {
+    type Stream = TcpStream;
+
+    async fn accept(&self) -> io::Result<TcpStream> {
+        let (stream, _) = TcpListener::accept(self).await?;
+        without_delay(stream)
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        TcpListener::local_addr(self)
+    }
+}
+
+impl Task for AbortHandle {
+    fn abort(&self) {
+        AbortHandle::abort(self);
+    }
+}
