Simulate whole mornings: gateways, workers, discovery, counter and clients on a virtual clock

Need: the worst mornings came from faults in combinations nobody thought of; no change to routing, retries or recovery should be believed before thousands of such mornings were played against it.

Change: `crates/standins` has workers, discovery, counter and clients, good and bad, over the platform seam. The gateway runs unchanged; the decisions are handed to `serve`, so that tests can wrap them.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -88,7 +88,8 @@
         Duration::from_micros(longest.unwrap_or(0))
     }
 
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    /// Checks a configuration. The message of an error names the field.
+    pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
         let mut pairs = Vec::new();
         flatten("", &file.settings, &mut pairs);
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -5,9 +5,9 @@
 use crate::workers::{Attempted, Parts, Progress, Served, Workers};
 use hingestage_platform::{Platform, Task};
 use hingestage_policy::{
-    Action, AttemptDone, ClassId, CustomerId, Event, Gatekeeper, Micros, Outcome, PlanId,
+    Action, AttemptDone, ClassId, CustomerId, Decide, Event, Gatekeeper, Micros, Outcome, PlanId,
 };
-use hingestage_policy::{Request, RequestId, WorkerId};
+use hingestage_policy::{Request, RequestId, Settings, WorkerId};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -82,6 +82,14 @@
     sent: Instant,
 }
 
+/// Makes the decisions of one gateway's life, from settings, seed and the time of its start, µs.
+pub type MakeDecisions = fn(Settings, u64, Micros) -> Box<dyn Decide>;
+
+/// The decisions as they are served.
+pub fn gatekeeper(settings: Settings, seed: u64, now: Micros) -> Box<dyn Decide> {
+    Box::new(Gatekeeper::new(settings, seed, now))
+}
+
 /// The gateway's heart.
 pub struct Driver<P: Platform> {
     /// What all of it runs on.
@@ -90,7 +98,7 @@
     pub workers: Workers<P>,
     /// The counter's side.
     pub counter: Rc<Counter<P>>,
-    gatekeeper: RefCell<Gatekeeper>,
+    decisions: RefCell<Box<dyn Decide>>,
     clock: Clock,
     /// In order: what is called off together must not hang on a table's random keys.
     open: RefCell<BTreeMap<RequestId, Open<P>>>,
@@ -104,7 +112,7 @@
 
 impl<P: Platform> Driver<P> {
     /// A driver that has heard nothing yet.
-    pub fn new(platform: P, config: &Config) -> Rc<Self> {
+    pub fn new(platform: P, config: &Config, decide: MakeDecisions) -> Rc<Self> {
         let clock = Clock::new(&platform);
         let now = clock.at(platform.now());
         let settings = config.settings.clone();
@@ -121,7 +129,7 @@
                 settings.counter_timeout,
                 tell_counter(this.clone()),
             ),
-            gatekeeper: RefCell::new(Gatekeeper::new(settings, config.seed, now)),
+            decisions: RefCell::new(decide(settings, config.seed, now)),
             clock,
             platform,
             open: RefCell::default(),
@@ -144,7 +152,7 @@
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
             let now = self.clock.at(self.platform.now());
-            self.gatekeeper.borrow_mut().handle(now, event, &mut actions);
+            self.decisions.borrow_mut().handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action);
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::discovery::{Book, Watcher};
-use crate::driver::Driver;
+use crate::driver::{Driver, MakeDecisions};
 use crate::server::Server;
 use hingestage_platform::{Listener, Platform};
 use hingestage_policy::ListScope;
@@ -29,6 +29,7 @@
 pub async fn serve<P: Platform>(
     platform: P,
     config: Config,
+    decide: MakeDecisions,
     stop: impl Future<Output = ()>,
     reloads: mpsc::Receiver<Reload>,
 ) -> Result<(), String> {
@@ -36,7 +37,7 @@
     let listener = listener.map_err(|e| format!("field `listen`: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
     platform.log(format_args!("listening on {bound}"));
-    let driver = Driver::new(platform.clone(), &config);
+    let driver = Driver::new(platform.clone(), &config, decide);
     let server = Server::new(driver.clone(), &config);
     let book = Book::default();
     book.apply(&driver, &config.known, ListScope::Cached);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,3 +50,15 @@
 
 pub use api::*;
 pub use rules::Gatekeeper;
+
+/// What takes events and gives actions: the one [`Gatekeeper`], or something round it in tests.
+pub trait Decide {
+    /// Takes in one event at an instant, and appends what is to be done about it.
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Gatekeeper {
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        Gatekeeper::handle(self, now, event, out);
+    }
+}
--- /dev/null
+++ b/crates/sim/src/script.rs
@@ -0,0 +1,523 @@
+//! A run written down: who is there and what happens when, as short lines that a person can read and change.
+//!
+//! ```text
+//! hingestage-sim 1
+//! seed 42
+//! gateways 2
+//! runs-on no
+//! worker 0 cores=2 speed=1.3 queue=8 cold=no
+//! at 120.5 ask gateway=0 class=push account=7 plan=base units=2 work=70 patience=1800 body=40 usual
+//! at 180 fault worker 0 silent
+//! at 900 mend worker 0
+//! ```
+//!
+//! Times are milliseconds from the moment at which the gateways serve. `seed` orders what happens at the same
+//! instant and draws the network's delays. Lines that begin with `#` are comments.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Microseconds from the moment at which the gateways serve.
+pub type Micros = u64;
+
+/// The first line of every script.
+const HEAD: &str = "hingestage-sim 1";
+/// Most gateways of a world.
+pub const GATEWAYS_MAX: usize = 4;
+/// Most workers of a world.
+pub const WORKERS_MAX: usize = 14;
+/// Most lines of a script.
+const LINES_MAX: usize = 20_000;
+/// Latest time of a line.
+const AT_MAX: Micros = 60_000_000;
+
+/// A worker at the start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerLine {
+    /// Its number.
+    pub number: usize,
+    /// Requests that it runs at once.
+    pub cores: usize,
+    /// Seconds of work that a core does in a second.
+    pub speed: f64,
+    /// Requests that may wait.
+    pub queue: usize,
+    /// Whether it starts cold, just before the gateways serve.
+    pub cold: bool,
+}
+
+/// How a client behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// Writes at once and waits.
+    Usual,
+    /// Writes in so many pieces, a millisecond apart.
+    Slowly(u64),
+    /// Leaves so many microseconds after its last byte.
+    Leaves(Micros),
+}
+
+/// A request of a usual client.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AskLine {
+    /// Through which gateway; the front goes to another where that is not up.
+    pub gateway: usize,
+    /// Whether it is a push, which must never run twice, or a pull.
+    pub push: bool,
+    /// The account.
+    pub account: u64,
+    /// The plan, a place in [`PLANS`].
+    pub plan: usize,
+    /// Units, as guessed.
+    pub units: u64,
+    /// Work, milliseconds.
+    pub work: u64,
+    /// How long the client waits, milliseconds.
+    pub patience: u64,
+    /// Bytes of a push's body.
+    pub body: usize,
+    /// How it behaves.
+    pub manner: Manner,
+}
+
+/// The plans of the site.
+pub const PLANS: [&str; 3] = ["base", "ufficio", "ente"];
+
+/// Something that goes wrong, or is changed on purpose.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// A worker behaves in one of the ways of [`WORKER_WAYS`], with a figure where the way takes one.
+    Worker(usize, &'static str, u64),
+    /// A worker drains and goes; a cold successor under another name takes its place, at the same address or
+    /// at one of its own.
+    Deploy(usize, bool),
+    /// A worker's process dies and starts again under its name, cold.
+    Restart(usize),
+    /// A worker's machine is cut off.
+    CutWorker(usize),
+    /// A worker's machine passes only so many bytes a second.
+    Throttle(usize, u64),
+    /// The agent of a gateway falls silent.
+    Dead(usize),
+    /// The agent of a gateway writes a line of nonsense.
+    Babble(usize),
+    /// The agent of a gateway tells its news so much later, milliseconds.
+    Late(usize, u64),
+    /// The counter behaves in one of the ways of [`COUNTER_WAYS`], with a figure where the way takes one.
+    Counter(&'static str, u64),
+    /// A gateway's process is killed; it starts anew after so many milliseconds.
+    Kill(usize, u64),
+    /// A gateway is told to stop; it starts anew once it has ended.
+    Term(usize),
+    /// A gateway reads its configuration again: a good one with other addresses, or a bad one.
+    Reload(usize, bool),
+    /// A client behaves badly, in one of the ways of the stand-in clients.
+    Rude(usize, &'static str),
+    /// Every gateway's own copy of nothing at all: a marker for tests.
+    Nothing,
+}
+
+/// Ways in which a worker may behave badly.
+pub const WORKER_WAYS: [&str; 16] = [
+    "silent",
+    "reset-answer",
+    "reset-asked",
+    "trickle",
+    "slower",
+    "noise",
+    "endless-head",
+    "wrong-length",
+    "huge",
+    "twice",
+    "noise-behind",
+    "interim",
+    "error",
+    "full",
+    "figures",
+    "closes",
+];
+
+/// Ways in which the counter may behave badly.
+pub const COUNTER_WAYS: [&str; 7] = ["busy", "late", "spoilt", "silent", "breaks", "gone", "empty"];
+
+/// The names of all kinds of faults, as the table of what was reached has them.
+pub fn kinds() -> Vec<String> {
+    let workers = WORKER_WAYS.iter().map(|way| format!("worker {way}"));
+    let counters = COUNTER_WAYS.iter().map(|way| format!("counter {way}"));
+    let others = [
+        "deploy",
+        "take-over",
+        "restart",
+        "cut",
+        "throttle",
+        "discovery dead",
+        "discovery babble",
+        "discovery late",
+        "kill",
+        "term",
+        "reload",
+        "reload-bad",
+    ];
+    let rude = hingestage_standins::client::RUDE.iter().map(|what| format!("rude {what}"));
+    workers.chain(counters).chain(others.iter().map(|s| s.to_string())).chain(rude).collect()
+}
+
+impl Fault {
+    /// Its kind, one of [`kinds`].
+    pub fn kind(&self) -> String {
+        match self {
+            Fault::Worker(_, way, _) => format!("worker {way}"),
+            Fault::Deploy(_, false) => "deploy".into(),
+            Fault::Deploy(_, true) => "take-over".into(),
+            Fault::Restart(_) => "restart".into(),
+            Fault::CutWorker(_) => "cut".into(),
+            Fault::Throttle(..) => "throttle".into(),
+            Fault::Dead(_) => "discovery dead".into(),
+            Fault::Babble(_) => "discovery babble".into(),
+            Fault::Late(..) => "discovery late".into(),
+            Fault::Counter(way, _) => format!("counter {way}"),
+            Fault::Kill(..) => "kill".into(),
+            Fault::Term(_) => "term".into(),
+            Fault::Reload(_, true) => "reload".into(),
+            Fault::Reload(_, false) => "reload-bad".into(),
+            Fault::Rude(_, what) => format!("rude {what}"),
+            Fault::Nothing => "nothing".into(),
+        }
+    }
+}
+
+/// What is set right again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mend {
+    /// A worker, in all respects.
+    Worker(usize),
+    /// The agent of a gateway.
+    Discovery(usize),
+    /// The counter.
+    Counter,
+}
+
+/// Something that happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A client asks.
+    Ask(AskLine),
+    /// Something goes wrong.
+    Fault(Fault),
+    /// Something is set right.
+    Mend(Mend),
+}
+
+/// A run, written down.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Script {
+    /// Orders ties and draws the network's delays.
+    pub seed: u64,
+    /// How many gateways there are.
+    pub gateways: usize,
+    /// Whether workers run on what their callers have given up.
+    pub runs_on: bool,
+    /// The workers at the start.
+    pub workers: Vec<WorkerLine>,
+    /// What happens and when, in order of time.
+    pub acts: Vec<(Micros, Act)>,
+}
+
+impl Script {
+    /// Lines that say something.
+    pub fn lines(&self) -> usize {
+        4 + self.workers.len() + self.acts.len()
+    }
+}
+
+fn millis(at: Micros) -> String {
+    match at % 1_000 {
+        0 => format!("{}", at / 1_000),
+        rest => format!("{}.{:03}", at / 1_000, rest).trim_end_matches('0').to_owned(),
+    }
+}
+
+impl fmt::Display for AskLine {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "ask gateway={} class={} account={} plan={} units={} work={} patience={} body={} ",
+            self.gateway,
+            if self.push { "push" } else { "pull" },
+            self.account,
+            PLANS[self.plan],
+            self.units,
+            self.work,
+            self.patience,
+            self.body,
+        )?;
+        match self.manner {
+            Manner::Usual => write!(f, "usual"),
+            Manner::Slowly(pieces) => write!(f, "slowly={pieces}"),
+            Manner::Leaves(after) => write!(f, "leaves={}", millis(after)),
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::Worker(n, way, 0) => write!(f, "worker {n} {way}"),
+            Fault::Worker(n, way, figure) => write!(f, "worker {n} {way} {figure}"),
+            Fault::Deploy(n, false) => write!(f, "deploy {n}"),
+            Fault::Deploy(n, true) => write!(f, "take-over {n}"),
+            Fault::Restart(n) => write!(f, "restart {n}"),
+            Fault::CutWorker(n) => write!(f, "cut {n}"),
+            Fault::Throttle(n, rate) => write!(f, "throttle {n} {rate}"),
+            Fault::Dead(g) => write!(f, "discovery {g} dead"),
+            Fault::Babble(g) => write!(f, "discovery {g} babble"),
+            Fault::Late(g, by) => write!(f, "discovery {g} late {by}"),
+            Fault::Counter(way, 0) => write!(f, "counter {way}"),
+            Fault::Counter(way, figure) => write!(f, "counter {way} {figure}"),
+            Fault::Kill(g, back) => write!(f, "kill {g} {back}"),
+            Fault::Term(g) => write!(f, "term {g}"),
+            Fault::Reload(g, true) => write!(f, "reload {g}"),
+            Fault::Reload(g, false) => write!(f, "reload-bad {g}"),
+            Fault::Rude(g, what) => write!(f, "rude {g} {what}"),
+            Fault::Nothing => write!(f, "nothing"),
+        }
+    }
+}
+
+impl fmt::Display for Script {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let word = |yes| if yes { "yes" } else { "no" };
+        writeln!(
+            f,
+            "{HEAD}\nseed {}\ngateways {}\nruns-on {}",
+            self.seed,
+            self.gateways,
+            word(self.runs_on)
+        )?;
+        for w in &self.workers {
+            let (cold, speed) = (word(w.cold), w.speed);
+            let (number, cores, queue) = (w.number, w.cores, w.queue);
+            writeln!(f, "worker {number} cores={cores} speed={speed} queue={queue} cold={cold}")?;
+        }
+        for (at, act) in &self.acts {
+            let at = millis(*at);
+            match act {
+                Act::Ask(ask) => writeln!(f, "at {at} {ask}")?,
+                Act::Fault(fault) => writeln!(f, "at {at} fault {fault}")?,
+                Act::Mend(Mend::Worker(n)) => writeln!(f, "at {at} mend worker {n}")?,
+                Act::Mend(Mend::Discovery(g)) => writeln!(f, "at {at} mend discovery {g}")?,
+                Act::Mend(Mend::Counter) => writeln!(f, "at {at} mend counter")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+fn number<T: FromStr>(word: &str, what: &str) -> Result<T, String> {
+    word.parse().map_err(|_| format!("`{word}` is no proper {what}"))
+}
+
+fn below(word: &str, what: &str, limit: usize) -> Result<usize, String> {
+    let n: usize = number(word, what)?;
+    if n >= limit {
+        return Err(format!("{what} `{n}` is not below {limit}"));
+    }
+    Ok(n)
+}
+
+fn time(word: &str) -> Result<Micros, String> {
+    let bad = || format!("`{word}` is no time in milliseconds");
+    let plain = !word.is_empty() && word.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let ms: f64 = word.parse().ok().filter(|_| plain).ok_or_else(bad)?;
+    let at = (ms * 1_000.0).round() as Micros;
+    if at > AT_MAX {
+        return Err(format!("`{word}` is past the latest time, {} ms", AT_MAX / 1_000));
+    }
+    Ok(at)
+}
+
+fn one_of(word: &str, words: &[&'static str], what: &str) -> Result<&'static str, String> {
+    words.iter().find(|w| **w == word).copied().ok_or_else(|| format!("`{word}` is no {what}"))
+}
+
+fn yes(word: &str) -> Result<bool, String> {
+    match word {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(format!("`{word}` is neither yes nor no")),
+    }
+}
+
+/// The values of `key=value` words, in the order of the keys.
+fn values<'a, const N: usize>(words: &[&'a str], keys: [&str; N]) -> Result<[&'a str; N], String> {
+    let mut found = [""; N];
+    for (i, key) in keys.iter().enumerate() {
+        let value = words.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
+        found[i] = value.ok_or_else(|| format!("field `{key}` is missing"))?;
+    }
+    Ok(found)
+}
+
+impl Fault {
+    fn parse(words: &[&str]) -> Result<Fault, String> {
+        let worker = |word: &str| below(word, "worker", 1_000);
+        let gateway = |word: &str| below(word, "gateway", GATEWAYS_MAX);
+        let figure = |word: &str| number::<u64>(word, "figure");
+        Ok(match words {
+            ["worker", n, way] => Fault::Worker(worker(n)?, one_of(way, &WORKER_WAYS, "way of a worker")?, 0),
+            ["worker", n, way, fig] => {
+                Fault::Worker(worker(n)?, one_of(way, &WORKER_WAYS, "way of a worker")?, figure(fig)?)
+            }
+            ["deploy", n] => Fault::Deploy(worker(n)?, false),
+            ["take-over", n] => Fault::Deploy(worker(n)?, true),
+            ["restart", n] => Fault::Restart(worker(n)?),
+            ["cut", n] => Fault::CutWorker(worker(n)?),
+            ["throttle", n, rate] => Fault::Throttle(worker(n)?, figure(rate)?),
+            ["discovery", g, "dead"] => Fault::Dead(gateway(g)?),
+            ["discovery", g, "babble"] => Fault::Babble(gateway(g)?),
+            ["discovery", g, "late", by] => Fault::Late(gateway(g)?, figure(by)?),
+            ["counter", way] => Fault::Counter(one_of(way, &COUNTER_WAYS, "way of the counter")?, 0),
+            ["counter", way, fig] => {
+                Fault::Counter(one_of(way, &COUNTER_WAYS, "way of the counter")?, figure(fig)?)
+            }
+            ["kill", g, back] => Fault::Kill(gateway(g)?, figure(back)?),
+            ["term", g] => Fault::Term(gateway(g)?),
+            ["reload", g] => Fault::Reload(gateway(g)?, true),
+            ["reload-bad", g] => Fault::Reload(gateway(g)?, false),
+            ["rude", g, what] => Fault::Rude(
+                gateway(g)?,
+                one_of(what, &hingestage_standins::client::RUDE, "way to behave badly")?,
+            ),
+            ["nothing"] => Fault::Nothing,
+            _ => return Err(format!("`{}` is no fault", words.join(" "))),
+        })
+    }
+}
+
+fn ask(words: &[&str]) -> Result<AskLine, String> {
+    let keys = ["gateway", "class", "account", "plan", "units", "work", "patience", "body"];
+    let [gateway, class, account, plan, units, work, patience, body] = values(words, keys)?;
+    let manner = match words.last().copied().unwrap_or_default() {
+        "usual" => Manner::Usual,
+        word => match word.split_once('=') {
+            Some(("slowly", pieces)) => Manner::Slowly(number(pieces, "number of pieces")?),
+            Some(("leaves", after)) => Manner::Leaves(time(after)?),
+            _ => return Err(format!("`{word}` is no manner of a client")),
+        },
+    };
+    let plan = PLANS.iter().position(|name| *name == plan);
+    Ok(AskLine {
+        gateway: below(gateway, "gateway", GATEWAYS_MAX)?,
+        push: one_of(class, &["pull", "push"], "class")? == "push",
+        account: number(account, "account")?,
+        plan: plan.ok_or("no such plan")?,
+        units: number(units, "number of units")?,
+        work: number(work, "work in milliseconds")?,
+        patience: number(patience, "patience in milliseconds")?,
+        body: below(body, "length of a body", 64 * 1024)?,
+        manner,
+    })
+}
+
+fn act(words: &[&str]) -> Result<Act, String> {
+    Ok(match words {
+        ["ask", rest @ ..] => Act::Ask(ask(rest)?),
+        ["fault", rest @ ..] => Act::Fault(Fault::parse(rest)?),
+        ["mend", "worker", n] => Act::Mend(Mend::Worker(below(n, "worker", 1_000)?)),
+        ["mend", "discovery", g] => Act::Mend(Mend::Discovery(below(g, "gateway", GATEWAYS_MAX)?)),
+        ["mend", "counter"] => Act::Mend(Mend::Counter),
+        _ => return Err(format!("`{}` says nothing known", words.join(" "))),
+    })
+}
+
+impl FromStr for Script {
+    type Err = String;
+
+    /// Reads a script; the message of an error names the line.
+    fn from_str(text: &str) -> Result<Script, String> {
+        let mut lines = text.lines().enumerate().map(|(n, line)| (n + 1, line.trim()));
+        let mut lines = lines.by_ref().filter(|(_, line)| !line.is_empty() && !line.starts_with('#'));
+        match lines.next() {
+            Some((_, HEAD)) => {}
+            Some((n, line)) => return Err(format!("line {n}: `{HEAD}` expected, not `{line}`")),
+            None => return Err(format!("an empty script; its first line is `{HEAD}`")),
+        }
+        let mut script =
+            Script { seed: 0, gateways: 1, runs_on: false, workers: Vec::new(), acts: Vec::new() };
+        for (count, (n, line)) in lines.enumerate() {
+            if count > LINES_MAX {
+                return Err(format!("line {n}: more than {LINES_MAX} lines"));
+            }
+            script
+                .take(&line.split_whitespace().collect::<Vec<_>>())
+                .map_err(|e| format!("line {n}: {e}"))?;
+        }
+        script.acts.sort_by_key(|(at, _)| *at);
+        Ok(script)
+    }
+}
+
+impl Script {
+    fn take(&mut self, words: &[&str]) -> Result<(), String> {
+        match words {
+            ["seed", seed] => self.seed = number(seed, "seed")?,
+            ["gateways", n] => {
+                self.gateways = below(n, "number of gateways", GATEWAYS_MAX + 1)?.max(1);
+            }
+            ["runs-on", word] => self.runs_on = yes(word)?,
+            ["worker", n, rest @ ..] => {
+                let [cores, speed, queue, cold] = values(rest, ["cores", "speed", "queue", "cold"])?;
+                let speed: f64 = number(speed, "speed")?;
+                if !(0.01..=100.0).contains(&speed) {
+                    return Err(format!("speed `{speed}` is not within 0.01 to 100"));
+                }
+                self.workers.push(WorkerLine {
+                    number: below(n, "worker", WORKERS_MAX)?,
+                    cores: below(cores, "number of cores", 65)?.max(1),
+                    speed,
+                    queue: below(queue, "length of a queue", 10_000)?,
+                    cold: yes(cold)?,
+                });
+            }
+            ["at", at, rest @ ..] => self.acts.push((time(at)?, act(rest)?)),
+            _ => return Err(format!("`{}` says nothing known", words.join(" "))),
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::scenario;
+
+    #[test]
+    fn what_is_written_is_read_again() {
+        for seed in 0..200 {
+            let script = scenario(seed);
+            let text = script.to_string();
+            assert_eq!(text.parse::<Script>().map_err(|e| format!("{e}\n{text}")), Ok(script));
+        }
+    }
+
+    #[test]
+    fn a_bad_script_is_named_by_its_line() {
+        for (text, says) in [
+            ("", "empty script"),
+            ("hingestage-sim 2\n", "line 1: `hingestage-sim 1` expected"),
+            ("hingestage-sim 1\n\nseed x", "line 3: `x` is no proper seed"),
+            ("hingestage-sim 1\ngateways 9", "line 2: number of gateways"),
+            ("hingestage-sim 1\n# ok\nworker 0 cores=2 speed=NaN queue=1 cold=no", "line 3: speed"),
+            ("hingestage-sim 1\nworker 0 cores=2 speed=1", "field `queue` is missing"),
+            ("hingestage-sim 1\nat soon fault nothing", "no time in milliseconds"),
+            ("hingestage-sim 1\nat 1e9 fault nothing", "no time in milliseconds"),
+            ("hingestage-sim 1\nat 999999 fault nothing", "past the latest time"),
+            ("hingestage-sim 1\nat 1 fault worker 0 dancing", "`dancing` is no way of a worker"),
+            ("hingestage-sim 1\nat 1 ask gateway=0", "field `class` is missing"),
+            ("hingestage-sim 1\nhello", "`hello` says nothing known"),
+        ] {
+            let said = text.parse::<Script>().unwrap_err();
+            assert!(said.contains(says), "{text:?}: {said}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/site.rs
@@ -0,0 +1,102 @@
+//! The site that simulated gateways are told of: figures like those of the registry, the start-up of workers
+//! and the windows of quotas shortened so that seconds show what days would.
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Where gateways listen.
+pub const GATEWAY_PORT: u16 = 3000;
+/// Where agents of discovery listen.
+pub const DISCOVERY_PORT: u16 = 8500;
+/// Where the counter listens, and at the next port as well.
+pub const COUNTER_PORT: u16 = 6400;
+/// Where workers listen.
+pub const WORKER_PORT: u16 = 4000;
+/// Share of its capacity that a worker starts with, and the time until it is warm.
+pub const COLD: (f64, Duration) = (0.22, Duration::from_secs(6));
+/// A cold worker falls over when sent more than this multiple of what it can do ...
+pub const FALL_MULTIPLE: f64 = 3.0;
+/// ... for so long.
+pub const FALL_AFTER: Duration = Duration::from_millis(1_500);
+/// Nothing new goes to a worker later than this after the gateway was told that it drains.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(500);
+/// Attempts that a request may have.
+pub const MAX_ATTEMPTS: usize = 6;
+/// Most units of a request.
+pub const MOST_UNITS: f64 = 6.0;
+
+/// A plan: quota in units a second and units, and ceiling.
+pub struct Plan {
+    name: &'static str,
+    rate: f64,
+    burst: f64,
+    /// Units a second that fill the ceiling's store; 0 for none.
+    pub ceiling_rate: f64,
+    /// Units that it holds.
+    pub ceiling_depth: f64,
+    /// How far below nothing it may go.
+    pub ceiling_slack: f64,
+}
+
+/// The plans, in the order of `script::PLANS`.
+pub const PLANS: [Plan; 3] = [
+    Plan { name: "base", rate: 2.0, burst: 8.0, ceiling_rate: 0.0, ceiling_depth: 0.0, ceiling_slack: 0.0 },
+    Plan {
+        name: "ufficio",
+        rate: 10.0,
+        burst: 20.0,
+        ceiling_rate: 0.0,
+        ceiling_depth: 0.0,
+        ceiling_slack: 0.0,
+    },
+    Plan {
+        name: "ente",
+        rate: 20.0,
+        burst: 24.0,
+        ceiling_rate: 36.0,
+        ceiling_depth: 44.0,
+        ceiling_slack: 6.0,
+    },
+];
+
+/// The configuration of one gateway.
+pub fn config(
+    instances: usize,
+    me: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: SocketAddr,
+    seed: u64,
+    known: Value,
+) -> Value {
+    let plans: Vec<Value> = PLANS.iter().map(plan).collect();
+    let micros = |span: Duration| span.as_micros() as u64;
+    json!({
+        "name": format!("n{me}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "counter": counter.to_string(), "seed": format!("{seed:016x}"),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": known,
+        "settings": {
+            "instances": instances, "me": me, "resolutionUs": 1000, "zone": "a", "registryMode": "pushed",
+            "familyInfo": {"mayCount": true, "countWaitUs": 50_000, "mostUnits": MOST_UNITS, "costAfter": true},
+            "limits": {"maxAttempts": MAX_ATTEMPTS, "mayCancel": true, "mayDuplicate": false,
+                       "retryAfter": true, "maxRetryAfterUs": 500_000, "connIdleUs": 4_000_000,
+                       "connectTimeoutUs": 250_000},
+            "rules": {"coldFrom": COLD.0, "coldUs": micros(COLD.1), "fallMultiple": FALL_MULTIPLE,
+                      "tipAfterUs": micros(FALL_AFTER)},
+            "services": [
+                {"name": "pull", "aimUs": 600_000, "giveUpUs": 1_500_000, "effect": "idempotent",
+                 "group": "all"},
+                {"name": "push", "aimUs": 750_000, "giveUpUs": 2_500_000, "effect": "at_most_once",
+                 "group": "all"}],
+            "tiersOfService": plans
+        }
+    })
+}
+
+fn plan(plan: &Plan) -> Value {
+    json!({"name": plan.name, "rate": plan.rate, "storeSize": plan.burst, "hardRate": plan.ceiling_rate,
+           "capDepth": plan.ceiling_depth, "ceilingSlack": plan.ceiling_slack, "beyondEarns": 0.0,
+           "overCost": 1.0})
+}
--- /dev/null
+++ b/crates/standins/src/peer.rs
@@ -0,0 +1,42 @@
+//! What stand-ins ask of a connection beyond what served code does.
+
+use hingestage_platform::Stream;
+use socket2::SockRef;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// A connection as a stand-in holds it.
+pub trait Peer: Stream {
+    /// Lets the drop of this end reset the connection.
+    fn reset_on_drop(&self);
+
+    /// A number that tells it from others.
+    fn id(&self) -> u64;
+
+    /// How many bytes written here reached the other machine before that ended the connection; none where
+    /// nobody can tell.
+    fn delivered(&self) -> Option<u64>;
+
+    /// When the other side wrote the byte that ends at this offset; none where nobody can tell. Asked for
+    /// with growing offsets.
+    fn written_at(&self, offset: u64) -> Option<Instant>;
+}
+
+impl Peer for TcpStream {
+    fn reset_on_drop(&self) {
+        let _ = SockRef::from(self).set_linger(Some(Duration::ZERO));
+    }
+
+    fn id(&self) -> u64 {
+        let port = |addr: std::io::Result<std::net::SocketAddr>| addr.map_or(0, |a| u64::from(a.port()));
+        port(self.local_addr()) << 16 | port(self.peer_addr())
+    }
+
+    fn delivered(&self) -> Option<u64> {
+        None
+    }
+
+    fn written_at(&self, _: u64) -> Option<Instant> {
+        None
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use hingestage_gateway::config::Config;
+use hingestage_gateway::driver::gatekeeper;
 use hingestage_gateway::gateway::{serve, Reload};
 use hingestage_platform::Tokio;
 use std::process::ExitCode;
@@ -43,7 +44,7 @@
     let stop = async move {
         let _ = term.recv().await;
     };
-    serve(Tokio, config, stop, reloads).await
+    serve(Tokio, config, gatekeeper, stop, reloads).await
 }
 
 /// Reads the configuration again at each signal.
