Play seeds and scripts from a command line; shorten what fails

Shrinking leaves out lines, workers and gateways and takes plain values for the rest; it tries a few orders of ties for each candidate.

--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -6,10 +6,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod campaign;
 pub mod checker;
 pub mod executor;
 pub mod net;
 pub mod scenario;
 pub mod script;
+pub mod shrink;
 pub mod site;
 pub mod world;
