Let a worker's connection rest 2 ms after an answer, so that a doubled one can't serve the next client

A worker that sends an answer twice sends the copy right behind. The system was asked whether anything unasked had come in before the next request was written, but the copy may still be on its way then: it was taken for the answer to that request, and one client got what was made for another.

Change: a kept connection carries no request until 2 ms after its last answer; another one, or a new one, is taken instead.

--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -29,6 +29,10 @@
 const HEAD_MAX: usize = 16 * 1024;
 /// Time for the rest of an answer that has begun: the machines share a room, and an answer is short.
 const REST: Duration = Duration::from_millis(150);
+/// How long a connection rests after an answer before it carries another request. A worker that sends an
+/// answer twice sends the copy right behind; on its way while the next request is written, it would be taken
+/// for the answer to that and serve one client with what was made for another.
+const RESTED: Duration = Duration::from_millis(2);
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE: Duration = Duration::from_millis(250);
 
@@ -256,13 +260,16 @@
         }
     }
 
-    /// A kept connection, the last used first, or a new one.
+    /// A kept connection, the last used first among those that have rested, or a new one.
     async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn<P::Stream>, Outcome> {
         let life = {
             let mut pools = self.pools.borrow_mut();
             let pool = pools.get_mut(&worker).filter(|pool| pool.ready).ok_or(Outcome::NotSent)?;
-            while let Some(conn) = pool.idle.pop() {
-                if self.platform.since(conn.idle_since) < self.keep_idle && conn.sender.is_ready() {
+            let now = self.platform.now();
+            let rested = |conn: &Conn<_>| now.saturating_duration_since(conn.idle_since) >= RESTED;
+            while let Some(place) = pool.idle.iter().rposition(rested) {
+                let conn = pool.idle.remove(place);
+                if now.saturating_duration_since(conn.idle_since) < self.keep_idle && conn.sender.is_ready() {
                     return Ok(conn);
                 }
             }
