--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod scenario;
 pub mod script;
 pub mod shrink;
-pub mod site;
+pub use hingestage_standins::site;
 pub mod world;
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -41,6 +41,13 @@
     pub partial: u64,
 }
 
+impl Links {
+    /// Each way takes 0.5 ms to the nanosecond and passes everything whole.
+    pub fn exact() -> Links {
+        Links { latency: 500_000, jitter: 0, bandwidth: u64::MAX, partial: 0 }
+    }
+}
+
 impl Default for Links {
     fn default() -> Self {
         Links { latency: 150_000, jitter: 100_000, bandwidth: 125_000_000, partial: 8 }
@@ -273,7 +280,8 @@
             let piece = rest[..len].to_vec();
             rest = &rest[len..];
             let takes = (len as u64).saturating_mul(1_000_000_000) / self.bandwidth(conn.hosts);
-            let at = own.last_arrival.max(now + self.one_way()) + takes;
+            // Never at the instant of the piece before: it might overtake that.
+            let at = (now + self.one_way() + takes).max(own.last_arrival + takes.max(1));
             own.last_arrival = at;
             let (net, conn) = (self.clone(), conn.clone());
             self.deliver_at(at, conn.hosts, move || net.arrive(&conn, 1 - side, &piece));
--- a/crates/sim/src/shrink.rs
+++ b/crates/sim/src/shrink.rs
@@ -5,7 +5,7 @@
 //! for each candidate before it is given up, and the script carries the one that fails.
 
 use crate::checker::Violation;
-use crate::script::{Act, AskLine, Manner, Script};
+use crate::script::{Act, AskLine, Manner, Micros, Script};
 use crate::world::{play, Options};
 
 /// Seeds tried for each candidate.
@@ -45,6 +45,8 @@
         shrinker.drop_workers();
         shrinker.fewer_gateways();
         shrinker.plainer();
+        shrinker.merge();
+        shrinker.fewer_times();
         if shrinker.best.to_string() == before || shrinker.plays >= PLAYS_MAX {
             break;
         }
@@ -145,6 +147,67 @@
         }
     }
 
+    /// Tells what runs of lines ask through one gateway by one line each, long runs first.
+    fn merge(&mut self) {
+        for gateway in 0..self.best.gateways {
+            let mut size = self.asks(gateway).len();
+            while size > 1 {
+                let mut at = 0;
+                while at + size <= self.asks(gateway).len() {
+                    if !self.merge_run(gateway, at, size) {
+                        at += size.div_ceil(2);
+                    }
+                }
+                size = size.min(self.asks(gateway).len()).div_ceil(2).min(size - 1);
+            }
+        }
+    }
+
+    /// Lines that ask through a gateway: their places among the acts.
+    fn asks(&self, gateway: usize) -> Vec<usize> {
+        let through = |act: &Act| matches!(act, Act::Ask(ask) if ask.gateway == gateway);
+        let acts = self.best.acts.iter().enumerate();
+        acts.filter(|(_, (_, act))| through(act)).map(|(place, _)| place).collect()
+    }
+
+    fn merge_run(&mut self, gateway: usize, at: usize, size: usize) -> bool {
+        let places = self.asks(gateway)[at..at + size].to_vec();
+        let asks: Vec<(Micros, AskLine)> = places
+            .iter()
+            .filter_map(|place| match &self.best.acts[*place] {
+                (at, Act::Ask(ask)) => Some((*at, ask.clone())),
+                _ => None,
+            })
+            .collect();
+        let [(from, first), .., (to, last)] = &asks[..] else { return false };
+        let count: u64 = asks.iter().map(|(_, ask)| ask.times.0).sum();
+        let spans = [(to - from) / count, 1_000, 10_000];
+        let mut ways = spans.into_iter().flat_map(|every| [(every, first), (every, last)]);
+        ways.any(|(every, like)| {
+            let mut candidate = self.best.clone();
+            for place in places.iter().rev() {
+                candidate.acts.remove(*place);
+            }
+            let one = AskLine { times: (count, every), ..like.clone() };
+            candidate.acts.push((*from, Act::Ask(one)));
+            candidate.acts.sort_by_key(|(at, _)| *at);
+            self.keeps(candidate)
+        })
+    }
+
+    /// Lets lines ask less often.
+    fn fewer_times(&mut self) {
+        for i in 0..self.best.acts.len() {
+            for part in [2, 4, 8] {
+                self.change(|script| {
+                    if let Act::Ask(ask) = &mut script.acts[i].1 {
+                        ask.times.0 -= ask.times.0 / part;
+                    }
+                });
+            }
+        }
+    }
+
     fn change(&mut self, change: impl FnOnce(&mut Script)) {
         let mut candidate = self.best.clone();
         change(&mut candidate);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 mod message;
 mod peer;
+pub mod site;
 pub mod worker;
 
 pub use message::{End, Message, Reader};
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -1,5 +1,5 @@
-//! The site that simulated gateways are told of: figures like those of the registry, the start-up of workers
-//! and the windows of quotas shortened so that seconds show what days would.
+//! A site for gateways to be tried on: figures like those of the registry, the start-up of workers and the
+//! windows of quotas shortened so that seconds show what days would.
 
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -28,9 +28,12 @@
 
 /// A plan: quota in units a second and units, and ceiling.
 pub struct Plan {
-    name: &'static str,
-    rate: f64,
-    burst: f64,
+    /// Its name.
+    pub name: &'static str,
+    /// Units a second that fill the quota's store.
+    pub rate: f64,
+    /// Units that it holds.
+    pub burst: f64,
     /// Units a second that fill the ceiling's store; 0 for none.
     pub ceiling_rate: f64,
     /// Units that it holds.
@@ -39,7 +42,7 @@
     pub ceiling_slack: f64,
 }
 
-/// The plans, in the order of `script::PLANS`.
+/// The plans.
 pub const PLANS: [Plan; 3] = [
     Plan { name: "base", rate: 8.0, burst: 16.0, ceiling_rate: 0.0, ceiling_depth: 0.0, ceiling_slack: 0.0 },
     Plan {
