Check that tables empty as well: gateways tell their platform how many entries these have

Need: the simulator held tasks and descriptors against their floor, but a table that keeps what is over would have gone unseen.

Change: once a second a gateway tells open requests, open ids and what the decisions hold as not over; the real platform ignores it, the simulated one holds the last word against none.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -141,6 +141,13 @@
         })
     }
 
+    /// Tells the platform how large the tables are that hold what is not over.
+    pub fn gauge(&self) {
+        self.platform.gauge("open requests", self.open.borrow().len());
+        self.platform.gauge("open ids", self.ids.borrow().len());
+        self.platform.gauge("pending decisions", self.decisions.borrow().pending());
+    }
+
     /// Tells the decisions of something, and does what they want done about it. What that leads to at once
     /// waits its turn, so that actions are carried out in the order in which they were decided.
     pub fn feed(self: &Rc<Self>, event: Event) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,6 +69,7 @@
     loop {
         driver.platform.sleep(TIDY).await;
         driver.workers.retire_idle();
+        driver.gauge();
         server.close_stuck();
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -59,6 +59,9 @@
     /// Writes a line to the log.
     fn log(&self, line: fmt::Arguments);
 
+    /// Tells how many entries a table has, now and then; for whoever watches that all of them shrink.
+    fn gauge(&self, _table: &'static str, _entries: usize) {}
+
     /// Waits for a span.
     fn sleep(&self, span: Duration) -> Self::Sleep {
         self.sleep_until(self.now() + span)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -55,10 +55,17 @@
 pub trait Decide {
     /// Takes in one event at an instant, and appends what is to be done about it.
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+
+    /// Requests, calls and timers that are not over: none at rest.
+    fn pending(&self) -> usize;
 }
 
 impl Decide for Gatekeeper {
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         Gatekeeper::handle(self, now, event, out);
     }
+
+    fn pending(&self) -> usize {
+        Gatekeeper::pending(self)
+    }
 }
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Requests, calls and timers that are not over: none at rest.
+    pub fn pending(&self) -> usize {
+        self.requests.len() + self.calls.len() + self.timers.len() + self.unpushed.len()
+    }
+
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         self.ticking = false;
         self.watch_requests(out);
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -89,6 +89,8 @@
     parked: RefCell<Vec<([Host; 2], Job)>>,
     hook: RefCell<Option<Hook>>,
     log: RefCell<Option<LogHook>>,
+    /// What machines told last of their tables.
+    gauges: RefCell<BTreeMap<(Host, &'static str), usize>>,
 }
 
 struct Ear {
@@ -152,6 +154,7 @@
             parked: RefCell::default(),
             hook: RefCell::default(),
             log: RefCell::default(),
+            gauges: RefCell::default(),
         }))
     }
 
@@ -225,6 +228,16 @@
         ends + self.0.listeners.borrow().values().filter(|ear| ear.host == host).count()
     }
 
+    /// Tables of a machine that had entries when it last told.
+    pub fn tables(&self, host: Host) -> Vec<(&'static str, usize)> {
+        let gauges = self.0.gauges.borrow();
+        gauges
+            .iter()
+            .filter(|((h, _), n)| *h == host && **n > 0)
+            .map(|((_, table), n)| (*table, *n))
+            .collect()
+    }
+
     /// Whether a program listens there.
     pub fn listens(&self, at: SocketAddr) -> bool {
         self.0.listeners.borrow().contains_key(&at)
@@ -647,6 +660,10 @@
         Ok(Port { net: self.net.clone(), at, ear })
     }
 
+    fn gauge(&self, table: &'static str, entries: usize) {
+        self.net.0.gauges.borrow_mut().insert((self.host, table), entries);
+    }
+
     fn log(&self, line: fmt::Arguments) {
         if let Some(log) = self.net.0.log.borrow().as_ref() {
             log(self.host, line.to_string());
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -298,6 +298,11 @@
         for g in 0..self.gateways.len() {
             let host = GATEWAY + g as Host;
             let now = (self.executor.tasks_of(host), self.net.descriptors(host));
+            let tables = self.net.tables(host);
+            if !tables.is_empty() {
+                let what = format!("gateway {g} still holds {tables:?} with no client left");
+                self.checker.borrow_mut().break_rule("floor", self.executor.nanos(), what);
+            }
             if now.0 > tasks || now.1 > descriptors {
                 let what = format!(
                     "gateway {g} has {} tasks and {} descriptors left, {tasks} and {descriptors} at rest",
--- a/crates/sim/tests/planted.rs
+++ b/crates/sim/tests/planted.rs
@@ -59,6 +59,10 @@
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         (self.1)(&mut self.0, now, event, out);
     }
+
+    fn pending(&self) -> usize {
+        self.0.pending()
+    }
 }
 
 fn with(
@@ -183,6 +187,15 @@
     caught("each gateway takes the whole ceiling for itself", &["ceilings"], start);
 }
 
+#[test]
+fn what_a_client_has_left_stays_in_a_table() {
+    let start = handling!(|inner, now, event, out| match event {
+        Event::AttemptDone(done) if done.outcome == Outcome::Cancelled && done.closed => {}
+        event => inner.handle(now, event, out),
+    });
+    caught("what a client has left stays in a table", &["floor", "liveness"], start);
+}
+
 #[test]
 fn cold_workers_are_taken_for_warm() {
     let start = handling!(|inner, now, event, out| {
@@ -360,6 +373,10 @@
         Ok(BentPort(self.sim.listen(at).await?, self.clone()))
     }
 
+    fn gauge(&self, table: &'static str, entries: usize) {
+        self.sim.gauge(table, entries);
+    }
+
     fn log(&self, line: fmt::Arguments) {
         self.sim.log(line);
     }
