Take out what the simulator and the laboratory wrote twice, and what nothing calls

The example `cost` had its own ports and its own wait for a gateway beside the laboratory's; a small pull was spelled out in two places; two functions and a kept clone had no use.

No served code is touched.

--- a/crates/lab/examples/cost.rs
+++ b/crates/lab/examples/cost.rs
@@ -9,11 +9,12 @@
 //! and are noisy.
 
 use clap::Parser;
+use hingestage_lab::{any, local, port, wait_until_up};
 use hingestage_platform::{Platform, Tokio};
 use hingestage_standins::client::{Ask, Ended, Manner, Pool};
 use hingestage_standins::discovery::{Agent, Listed};
 use hingestage_standins::worker::{Spec, Worker};
-use hingestage_standins::{counter::Counter, site, Observer, Reader};
+use hingestage_standins::{counter::Counter, site, Observer};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -60,14 +61,14 @@
     let silent: Observer = Rc::new(|_| {});
     let agent = Agent::new(Tokio, 0, silent.clone());
     for number in 0..usize::from(args.workers) {
-        let listener = port().await?;
+        let listener = port(any()).await?;
         let cold = site::COLD;
         let spec = Spec { number, cores: 4, queue: 64, speed: 1.0, cold, started: None, runs_on: false };
         let endpoint = local(&listener)?.to_string();
         agent.change(Listed { uid: format!("w{number}"), endpoint, state: "up".into(), boot_ms: 0 });
         Tokio.spawn(Worker::new(Tokio, spec, silent.clone()).run(listener));
     }
-    let (discovery, counter) = (port().await?, port().await?);
+    let (discovery, counter) = (port(any()).await?, port(any()).await?);
     let (discovery_at, counter_at) = (local(&discovery)?, local(&counter)?);
     Tokio.spawn(agent.clone().run(discovery));
     Tokio.spawn(Counter::new(Tokio, Duration::from_micros(500)).run(counter));
@@ -77,7 +78,7 @@
     for round in 1..=args.rounds {
         let mut cost = [0.0; 2];
         for (n, program) in [&args.baseline, &args.candidate].into_iter().enumerate() {
-            let listen = local(&port().await?)?;
+            let listen = local(&port(any()).await?)?;
             cost[n] = measure(program, listen, &config(listen), args).await?;
         }
         let ratio = cost[1] / cost[0];
@@ -89,14 +90,6 @@
     Ok(())
 }
 
-async fn port() -> Result<<Tokio as Platform>::Listener, String> {
-    Tokio.listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.map_err(|e| format!("no port: {e}"))
-}
-
-fn local(listener: &<Tokio as Platform>::Listener) -> Result<SocketAddr, String> {
-    listener.local_addr().map_err(|e| e.to_string())
-}
-
 /// A gateway that is ended with this.
 struct Gateway(Child, PathBuf);
 
@@ -133,13 +126,7 @@
 /// CPU that a request costs a program, microseconds.
 async fn measure(program: &Path, listen: SocketAddr, config: &str, args: &Args) -> Result<f64, String> {
     let gateway = Gateway::start(program, config)?;
-    let until = Tokio.now() + Duration::from_secs(10);
-    while !is_up(listen).await {
-        if Tokio.now() > until {
-            return Err(format!("{} is not up after 10 s", program.display()));
-        }
-        Tokio.sleep(Duration::from_millis(20)).await;
-    }
+    wait_until_up(listen).await.map_err(|e| format!("{}: {e}", program.display()))?;
     let pool = Pool::new(Tokio, listen, Rc::new(|_| {}));
     // Connections are made and latencies learned before it counts.
     flow(&pool, args.rate, Duration::from_secs(1)).await;
@@ -153,13 +140,6 @@
     Ok(spent.as_secs_f64() * 1e6 / served as f64)
 }
 
-async fn is_up(at: SocketAddr) -> bool {
-    let Ok(stream) = Tokio.connect(at).await else { return false };
-    let mut reader = Reader::new(stream);
-    reader.write(b"GET /up HTTP/1.1\r\nHost: cost\r\n\r\n").await
-        && reader.message().await.is_ok_and(|answer| answer.status() == 200)
-}
-
 /// Sends a steady flow and waits for its answers; gives how many were served.
 async fn flow(pool: &Rc<Pool<Tokio>>, rate: u32, lasts: Duration) -> u64 {
     thread_local!(static NUMBER: Cell<u64> = const { Cell::new(0) });
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 use hingestage_standins::discovery::{Agent, Listed};
 use hingestage_standins::worker::{Mood, Spec, Worker};
 use hingestage_standins::{site, Observer, Seen};
+use load::is_up;
 use load::Load;
 use std::cell::RefCell;
 use std::io::{IsTerminal, Write};
@@ -134,15 +135,18 @@
     out.flush()
 }
 
-fn any() -> SocketAddr {
+/// Any free port of this machine.
+pub fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-async fn port(at: SocketAddr) -> Result<<Tokio as Platform>::Listener, String> {
+/// Listens at an address; the message of an error names it.
+pub async fn port(at: SocketAddr) -> Result<<Tokio as Platform>::Listener, String> {
     Tokio.listen(at).await.map_err(|e| format!("can't listen at {at}: {e}"))
 }
 
-fn local(listener: &<Tokio as Platform>::Listener) -> Result<SocketAddr, String> {
+/// Where a listener is.
+pub fn local(listener: &<Tokio as Platform>::Listener) -> Result<SocketAddr, String> {
     listener.local_addr().map_err(|e| e.to_string())
 }
 
@@ -151,10 +155,11 @@
     local(&port(at).await?)
 }
 
-async fn wait_until_up(at: SocketAddr) -> Result<(), String> {
+/// Waits until a gateway says that it can serve, 10 s at most.
+pub async fn wait_until_up(at: SocketAddr) -> Result<(), String> {
     let until = Tokio.now() + Duration::from_secs(10);
     while Tokio.now() < until {
-        if load::is_up(at).await {
+        if is_up(at).await {
             return Ok(());
         }
         Tokio.sleep(Duration::from_millis(20)).await;
--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -188,11 +188,6 @@
         *self.lives.entry(gateway).or_default() += 1;
     }
 
-    /// Requests that a client still waits for.
-    pub fn open(&self) -> usize {
-        self.requests.values().filter(|r| matches!(r.state, Client::Writes | Client::Waits)).count()
-    }
-
     /// The phases in which requests are at present, as places in [`PHASES`].
     pub fn phases(&self) -> BTreeSet<usize> {
         let mut phases = BTreeSet::new();
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -408,9 +408,7 @@
         let there = self.host_at(to);
         self.deliver_at(self.0.executor.nanos() + self.one_way(), [from, there], move || {
             let Some(reply) = net.knock(from, to) else { return };
-            let net_back = net.clone();
             net.deliver_at(net.0.executor.nanos() + net.one_way(), [from, there], move || {
-                let _keep = net_back;
                 let mut told = told.borrow_mut();
                 told.0 = Some(reply);
                 if let Some(waker) = told.1.take() {
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -86,6 +86,15 @@
     pub times: (u64, Micros),
 }
 
+impl AskLine {
+    /// A small pull, asked once.
+    pub fn plain(gateway: usize, account: u64, plan: usize) -> AskLine {
+        let (manner, times) = (Manner::Usual, (1, 0));
+        let (push, units, work, patience, body) = (false, 1, 20, 1_500, 0);
+        AskLine { gateway, push, account, plan, units, work, patience, body, manner, times }
+    }
+}
+
 /// The plans of the site.
 pub const PLANS: [&str; 3] = ["base", "ufficio", "ente"];
 
@@ -119,7 +128,7 @@
     Reload(usize, bool),
     /// A client behaves badly, in one of the ways of the stand-in clients.
     Rude(usize, &'static str),
-    /// Every gateway's own copy of nothing at all: a marker for tests.
+    /// Nothing goes wrong: a last line that keeps the world from being mended before.
     Nothing,
 }
 
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -1,6 +1,6 @@
 //! A script played: gateways, workers, discovery, counter and clients in one thread on the virtual clock.
 
-use crate::checker::{Asked, Checker, Figures, Violation, PHASES};
+use crate::checker::{Asked, Checker, Figures, Violation};
 use crate::executor::{Executor, Host, Nanos};
 use crate::net::{address, Links, Net, Sim, Wired};
 use crate::script::{Act, AskLine, Fault, Manner, Mend, Micros, Script, PLANS};
@@ -82,7 +82,7 @@
     /// Events of the world.
     pub steps: u64,
     /// Kinds of faults, and phases that requests were in as these struck: places in `script::kinds()` and
-    /// [`PHASES`].
+    /// `checker::PHASES`.
     pub reached: BTreeSet<(String, usize)>,
     /// Answers to usual clients, by status.
     pub answers: BTreeMap<u16, usize>,
@@ -317,18 +317,7 @@
         for g in 0..self.gateways.len() {
             for n in 0..LAST_ASKS {
                 let world = self.clone();
-                let ask = AskLine {
-                    gateway: g,
-                    push: false,
-                    account: 1_000 + g as u64,
-                    plan: 1,
-                    units: 1,
-                    work: 20,
-                    patience: 1_500,
-                    body: 0,
-                    manner: Manner::Usual,
-                    times: (1, 0),
-                };
+                let ask = AskLine::plain(g, 1_000 + g as u64, 1);
                 let at = self.executor.nanos() + n * S;
                 self.executor.at(at, move || world.ask(&ask));
             }
@@ -500,11 +489,11 @@
     fn list(self: &Rc<Self>, listed: Listed) {
         for g in 0..self.gateways.len() {
             let (world, listed) = (self.clone(), listed.clone());
-            let late = if self.executor.nanos() < READY / 2 { 0 } else { self.gateways[g].late.get() };
-            let takes = if late == 0 && self.executor.nanos() < READY / 2 {
-                0
-            } else {
-                late + MS + if self.script.exact { 0 } else { self.executor.draw(200 * MS) }
+            // At the start all is known at once.
+            let takes = match self.executor.nanos() < READY / 2 {
+                true => 0,
+                false if self.script.exact => self.gateways[g].late.get() + MS,
+                false => self.gateways[g].late.get() + MS + self.executor.draw(200 * MS),
             };
             let job = move || world.gateways[g].agents.iter().for_each(|agent| agent.change(listed.clone()));
             match takes {
@@ -787,19 +776,7 @@
 
     fn rude(self: &Rc<Self>, g: usize, what: &'static str) {
         let Some(g) = self.front(g) else { return };
-        let line = AskLine {
-            gateway: g,
-            push: false,
-            account: 77,
-            plan: 0,
-            units: 1,
-            work: 20,
-            patience: 1_500,
-            body: 0,
-            manner: Manner::Usual,
-            times: (1, 0),
-        };
-        let ask = self.next_ask(&line, g);
+        let ask = self.next_ask(&AskLine::plain(g, 77, 0), g);
         let ask = Ask { body: Vec::new(), ..ask };
         let host = CLIENTS + g as Host;
         let platform = self.net.platform(host);
@@ -909,8 +886,3 @@
         other => format!("{other:?}"),
     }
 }
-
-/// The name of a phase.
-pub fn phase_name(phase: usize) -> &'static str {
-    PHASES[phase]
-}
