Let gateways whose part of the in-flight limit is below one send by turns, not rest after answers

It now saves up turns, two at the most, that come as fast as its part allows for answers of the usual length, which is learned from many.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -65,10 +65,15 @@
 /// Typical latencies without any answer after which a worker with work out counts as silent.
 const SILENT: f64 = 7.0;
 /// In-flight limit of one worker over all gateways, requests: at start, least, most, and growth with a good
-/// answer. Each gateway holds its even part, over all workers where it is below one at each.
+/// answer. Each gateway holds its even part, over all workers where it is below one at each; where all of
+/// it is below one, by turns.
 const INFLIGHT: (f64, f64, f64, f64) = (4.0, 0.9, 96.0, 0.15);
 /// What a slow answer leaves of the limit, ten ticks apart at least.
 const INFLIGHT_CUT: f64 = 0.92;
+/// Turns that a gateway may save up whose part of the in-flight limit is below one request. Each send takes
+/// one; they come as fast as the part allows for answers of usual length. Two let a pair through that comes
+/// after a pause, and all gateways together can't save up more than two requests each for one rush.
+const TURNS_SAVED: f64 = 2.0;
 /// Part of the aim past which an answer counts as slow and cuts the in-flight limit.
 const LATE_SHARE: f64 = 0.8;
 /// Multiple of the unloaded latency past which a worker counts as held full, and the growth of the unloaded
@@ -118,7 +123,10 @@
     limit: f64,
     out: f64,
     cut_at: Micros,
-    rest_until: Micros,
+    /// Turns saved up, as of when, and how long a request is usually out, µs.
+    turns: f64,
+    turns_at: Micros,
+    usual: f64,
     aged: Micros,
     ticking: bool,
 }
@@ -129,6 +137,7 @@
         // A quarter of the aim is what a fleet worth having needs; learned from the first answers on.
         let mut typical: Vec<f64> = settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1.0)).collect();
         typical.push(100_000.0);
+        let usual = typical.iter().copied().fold(f64::MAX, f64::min);
         let n = f64::from(settings.instances.max(1));
         let mut rng = fastrand::Rng::with_seed(seed);
         Gatekeeper {
@@ -140,6 +149,9 @@
             started: now,
             aged: now,
             sent_at: now,
+            turns: TURNS_SAVED,
+            turns_at: now,
+            usual,
             next_timer: 1,
             typical,
             retries: RETRY_EARN.1 / 2.0,
@@ -561,12 +573,24 @@
         effect_ok && ceiling_ok
     }
 
+    /// What all workers may have in hand, an even part of it.
+    fn room(&self) -> f64 {
+        self.limit * self.ready.len() as f64 / self.instances()
+    }
+
+    /// Turns saved up by now. No single answer, however slow, holds them up: what they go by is learned from
+    /// many, and an idle gateway always has one.
+    fn turns_by_now(&self, room: f64) -> f64 {
+        let gained = (self.now - self.turns_at) as f64 * room / self.usual;
+        (self.turns + gained).min(TURNS_SAVED)
+    }
+
     /// Sends a request to the best worker that its guards allow. The only place that sends.
     fn dispatch(&mut self, id: &RequestId, out: &mut Vec<Action>) -> bool {
         let Some(key) = self.requests.get(id).map(|r| r.key.clone()) else { return false };
-        // What all workers may have in hand, an even part of it; less than one is kept by resting.
-        let room = self.limit * self.ready.len() as f64 / self.instances();
-        if self.out >= room.max(1.0) || (room < 1.0 && self.now < self.rest_until) {
+        let room = self.room();
+        let turns = self.turns_by_now(room);
+        if self.out >= room.max(1.0) || (room < 1.0 && turns < 1.0) {
             return false;
         }
         self.advance(&key);
@@ -579,6 +603,7 @@
             self.retries = (self.retries + RETRY_EARN.0).min(RETRY_EARN.1);
             self.customers.entry(r.key.clone()).and_modify(|c| c.ceiling -= r.units);
         }
+        (self.turns, self.turns_at) = ((turns - 1.0).max(0.0), self.now);
         self.send_gap += ((self.now - self.sent_at) as f64 - self.send_gap) * LEARN.0;
         (self.sent_at, self.out) = (self.now, self.out + 1.0);
         w.inflight += 1.0;
@@ -786,9 +811,7 @@
 
     fn learn(&mut self, id: WorkerId, class_ix: usize, aim: Micros, outcome: Outcome, sent: Micros) {
         self.out = (self.out - 1.0).max(0.0);
-        let (now, latency) = (self.now, (self.now - sent) as f64);
-        let room = self.limit * self.ready.len() as f64 / self.instances();
-        self.rest_until = now + (latency * (1.0 / room - 1.0).clamp(0.0, 100.0)) as Micros;
+        let (now, latency, room) = (self.now, (self.now - sent) as f64, self.room());
         let Some(w) = self.workers.get(&id) else { return };
         let (cold, slow) = (self.coldness(w, now), self.slow_of(w));
         let samples = self.samples(w);
@@ -808,11 +831,12 @@
                 h.avoid_until = now;
             }
             // What a warm worker would have taken.
-            let latency = latency * cold;
+            let (out_for, latency) = (latency, latency * cold);
             w.slow += ((latency / *typical).min(10.0) - w.slow) * LEARN.1;
             // The first answers weigh more: they come from workers without queues.
             self.answers += 1.0;
             let first = 1.0 / (self.answers + 1.0);
+            self.usual += (out_for.clamp(100.0, 2.0 * self.usual) - self.usual) * LEARN.0.max(first);
             *typical += (latency.max(100.0) - *typical) * LEARN.0.max(first);
             // In parts of the aim all classes tell together of pressure, which few answers of each could not.
             self.pressure += (latency / aim.max(1) as f64 - self.pressure) * LEARN.0.max(first);
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -223,3 +223,115 @@
     let refused = class_of.keys().filter(|id| matches!(s.answer_of(id), Some(Answer::Refused(_)))).count();
     assert!(refused <= 20, "{refused} of 900 refused");
 }
+
+/// Three workers of two cores, 50 ms a request and a queue of 64 each, before a hundred gateways.
+struct Crowd {
+    fleet: Vec<Stage>,
+    /// When each core of each worker is free.
+    cores: [[Micros; 2]; 3],
+    served: usize,
+    refused: usize,
+    held: u64,
+    steps: u64,
+}
+
+impl Crowd {
+    fn new() -> Crowd {
+        let mut figures = settings();
+        (figures.instances, figures.counter, figures.plans[0].rate) = (100, false, 0.0);
+        figures.plans[0].burst = 0.0;
+        let fleet = (0..100).map(|n| gateway(n, &figures, &[0, 1, 2])).collect();
+        Crowd { fleet, cores: [[START; 2]; 3], served: 0, refused: 0, held: 0, steps: 0 }
+    }
+
+    /// Lets 5 ms pass. `asks` says whether a gateway is asked now, `worked` how long a request takes.
+    fn step(&mut self, asks: impl Fn(usize, u64) -> bool, worked: impl Fn(u64) -> Micros) {
+        let step = self.steps;
+        self.steps += 1;
+        for n in 0..self.fleet.len() {
+            let s = &mut self.fleet[n];
+            if asks(n, step) {
+                let (known, id) = (s.sends.len(), ask(s, &format!("c{n}"), 0, 0.0, 2));
+                self.refused += usize::from(s.answer_of(&id).is_some());
+                self.begin(n, known, &worked);
+            }
+            let s = &mut self.fleet[n];
+            let (known, answered) = (s.sends.len(), s.answers.len());
+            s.pass(5 * MS);
+            self.refused += s.answers.len() - answered;
+            self.begin(n, known, &worked);
+            let s = &mut self.fleet[n];
+            let done: Vec<Out> = std::mem::take(&mut s.out);
+            for o in done {
+                // The worker's place in `attempt`'s stead: when its answer is due was noted at its sending.
+                if s.now >= o.sent {
+                    self.served += 1;
+                    let out = Out { sent: s.sends.iter().rev().find(|x| x.1 == o.request).unwrap().0, ..o };
+                    s.end(out, Outcome::Ok);
+                } else {
+                    s.out.push(o);
+                }
+            }
+            self.held += s.out.len() as u64;
+        }
+    }
+
+    /// Gives what was just sent to the cores; `sent` of what is out then says when its answer is due.
+    fn begin(&mut self, n: usize, known: usize, worked: &impl Fn(u64) -> Micros) {
+        let s = &mut self.fleet[n];
+        for (at, id, worker) in s.sends[known..].to_vec() {
+            let core = self.cores[worker as usize].iter_mut().min().unwrap();
+            *core = (*core).max(at) + worked(worker);
+            let due = *core;
+            s.out.iter_mut().filter(|o| o.request == id).for_each(|o| o.sent = due);
+        }
+    }
+}
+
+/// A gateway's part of the in-flight limit is far below one request. It went by the last answer's latency
+/// once, and a single slow one shut it for seconds before an idle fleet.
+#[test]
+fn a_hundred_gateways_before_three_idle_workers_serve_everything() {
+    let mut crowd = Crowd::new();
+    // Each gateway is asked two at a time every 3 s: 67 a second, of the 120 that the fleet can do. Now and
+    // then an answer takes 1.2 s.
+    let slow = std::cell::Cell::new(0u64);
+    for _ in 0..6_000 {
+        let asks = |n: usize, step: u64| matches!((step + 6 * n as u64) % 600, 0 | 3);
+        crowd.step(asks, |_| {
+            slow.set(slow.get() + 1);
+            if slow.get() % 97 == 0 {
+                1_200 * MS
+            } else {
+                25 * MS
+            }
+        });
+    }
+    let all = crowd.served + crowd.refused;
+    println!("idle: {} of {all} refused", crowd.refused);
+    assert!(all >= 1_900, "{all} asked");
+    assert!(crowd.refused * 100 <= all, "{} of {all} refused before an idle fleet", crowd.refused);
+}
+
+/// The same hundred, asked ten times what the workers can do: what is out stays near the limit.
+#[test]
+fn a_hundred_gateways_before_three_workers_hold_the_limit_in_a_flood() {
+    let mut crowd = Crowd::new();
+    let mut held = Vec::new();
+    for second in 0..40 {
+        (crowd.held, crowd.served, crowd.refused) = (0, 0, 0);
+        for _ in 0..200 {
+            crowd.step(|n, step| (step + n as u64) % 16 == 0, |_| 50 * MS);
+        }
+        held.push(crowd.held / 200);
+        println!(
+            "second {second}: {} out, {} served, {} refused",
+            crowd.held / 200,
+            crowd.served,
+            crowd.refused
+        );
+    }
+    let late = held[10..].iter().sum::<u64>() / 30;
+    assert!(late <= 24, "{late} out on the mean, at six cores: {held:?}");
+    assert!(crowd.served >= 90, "{} served in the last second, of 120 possible", crowd.served);
+}
