--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::counter::{Counter, Tell};
-use crate::workers::{Attempted, Parts, Progress, Served, Workers};
+use crate::workers::{Attempted, Parts, Progress, Served, Times, Workers};
 use hingestage_platform::{Platform, Task};
 use hingestage_policy::{
     Action, AttemptDone, ClassId, CustomerId, Decide, Event, Gatekeeper, Micros, Outcome, PlanId,
@@ -169,7 +169,9 @@
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { request, worker, timeout } => self.send(request, worker, timeout),
+            Action::Send { request, worker, timeout, begin_within } => {
+                self.send(request, worker, timeout, begin_within)
+            }
             Action::Cancel { request, attempt } => self.cancel(&request, attempt),
             Action::Refuse { request, retry_after } => {
                 self.answer(&request, |_| Answer::Refused(retry_after))
@@ -214,7 +216,7 @@
         Some((Ticket { driver: self.clone(), id }, answer))
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros) {
+    fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros, begin_within: Micros) {
         let mut all = self.open.borrow_mut();
         let Some(open) = all.get_mut(&id) else { return };
         let (parts, n) = (open.parts.clone(), open.attempts.len());
@@ -222,8 +224,11 @@
         let sent = self.platform.now();
         let (driver, told, request) = (self.clone(), progress.clone(), id.clone());
         let task = self.platform.spawn(async move {
-            let deadline = sent + Duration::from_micros(timeout);
-            let mut attempted = driver.workers.attempt(worker, &parts, deadline, &told).await;
+            let times = Times {
+                begin_by: sent + Duration::from_micros(begin_within),
+                deadline: sent + Duration::from_micros(timeout),
+            };
+            let mut attempted = driver.workers.attempt(worker, &parts, times, &told).await;
             driver.attempt_done(&request, n, &mut attempted);
             driver.workers.give_back(worker, attempted).await;
         });
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -50,6 +50,15 @@
     pub body: Bytes,
 }
 
+/// By when an attempt must have come how far.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Not written at all after this.
+    pub begin_by: Instant,
+    /// Given up then.
+    pub deadline: Instant,
+}
+
 /// A worker's whole good answer.
 pub struct Served {
     /// The body, unchanged.
@@ -211,16 +220,17 @@
         &self,
         worker: WorkerId,
         parts: &Parts,
-        deadline: Instant,
+        times: Times,
         progress: &Progress<P::Stream>,
     ) -> Attempted<P::Stream> {
+        let deadline = times.deadline;
         loop {
-            let mut conn = match self.connection(worker, deadline).await {
+            let mut conn = match self.connection(worker, times.begin_by.min(deadline)).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome.into(),
             };
             // The connection may have taken its time: the list of now decides, not that of the send.
-            if !self.takes_work(worker) {
+            if !self.takes_work(worker) || self.platform.now() > times.begin_by {
                 return Outcome::NotSent.into();
             }
             progress.begin(&conn.wire, conn.used, parts);
@@ -261,7 +271,7 @@
     }
 
     /// A kept connection, the last used first among those that have rested, or a new one.
-    async fn connection(&self, worker: WorkerId, deadline: Instant) -> Result<Conn<P::Stream>, Outcome> {
+    async fn connection(&self, worker: WorkerId, until: Instant) -> Result<Conn<P::Stream>, Outcome> {
         let life = {
             let mut pools = self.pools.borrow_mut();
             let pool = pools.get_mut(&worker).filter(|pool| pool.ready).ok_or(Outcome::NotSent)?;
@@ -281,7 +291,7 @@
         });
         let place = place.ok_or(Outcome::NotSent)?;
         // A machine that is cut off says nothing: the time-out is ours.
-        let until = deadline.min(self.platform.now() + self.connect_timeout);
+        let until = until.min(self.platform.now() + self.connect_timeout);
         let connected = self.platform.timeout_at(until, self.platform.connect(life.0)).await;
         let Ok(Ok(stream)) = connected else { return Err(Outcome::ConnectFailed) };
         let wire = Wire::new(stream, place);
--- a/crates/lab/examples/cost.rs
+++ b/crates/lab/examples/cost.rs
@@ -63,16 +63,36 @@
     for number in 0..usize::from(args.workers) {
         let listener = port(any()).await?;
         let cold = site::COLD;
-        let spec = Spec { number, cores: 4, queue: 64, speed: 1.0, cold, started: None, runs_on: false };
+        let spec = Spec {
+            number,
+            cores: 4,
+            queue: 64,
+            speed: 1.0,
+            cold,
+            started: None,
+            runs_on: false,
+            zone: "a",
+            cell: 0,
+        };
         let endpoint = local(&listener)?.to_string();
-        agent.change(Listed { uid: format!("w{number}"), endpoint, state: "up".into(), boot_ms: 0 });
+        agent.change(Listed {
+            uid: format!("w{number}"),
+            endpoint,
+            state: "up".into(),
+            boot_ms: 0,
+            zone: "a".into(),
+            cell: 0,
+        });
         Tokio.spawn(Worker::new(Tokio, spec, silent.clone()).run(listener));
     }
     let (discovery, counter) = (port(any()).await?, port(any()).await?);
     let (discovery_at, counter_at) = (local(&discovery)?, local(&counter)?);
     Tokio.spawn(agent.clone().run(discovery));
     Tokio.spawn(Counter::new(Tokio, Duration::from_micros(500)).run(counter));
-    let config = |listen| site::config(1, 0, listen, discovery_at, counter_at, 1, agent.list()).to_string();
+    let config = |listen| {
+        site::config(1, 0, listen, discovery_at, counter_at, 1, agent.list(), &site::Extras::default())
+            .to_string()
+    };
     let mut ratios = Vec::new();
     println!("{:>6}{:>22}{:>22}{:>9}", "round", "baseline, us", "candidate, us", "ratio");
     for round in 1..=args.rounds {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -92,7 +92,9 @@
     Tokio.spawn(counter.clone().run(counter_port));
 
     let listen = free(args.listen).await?;
-    let text = site::config(1, 0, listen, discovery_at, counter_at, 1, agent.list()).to_string();
+    let text =
+        site::config(1, 0, listen, discovery_at, counter_at, 1, agent.list(), &site::Extras::default())
+            .to_string();
     let config = Config::parse(&text, |_| None)?;
     let (stop, stopped) = oneshot::channel::<()>();
     let (_reload, reloads) = mpsc::channel(1);
@@ -199,10 +201,19 @@
             cold: site::COLD,
             started: cold.then(|| Tokio.now()),
             runs_on: false,
+            zone: "a",
+            cell: 0,
         };
         let boot_ms = if cold { Tokio.unix_time().as_millis() as u64 } else { 0 };
         let endpoint = local(&listener)?.to_string();
-        let listed = Listed { uid: format!("w{number}"), endpoint, state: "up".into(), boot_ms };
+        let listed = Listed {
+            uid: format!("w{number}"),
+            endpoint,
+            state: "up".into(),
+            boot_ms,
+            zone: "a".into(),
+            cell: 0,
+        };
         let worker = Worker::new(Tokio, spec, self.observer.clone());
         Tokio.spawn(worker.clone().run(listener));
         self.agent.change(listed.clone());
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -140,7 +140,7 @@
             table.take(&Seen::Asked { id: n.to_string(), conn: 0 });
             table.take(&Seen::Answered { id: n.to_string(), status, body: Vec::new(), retry_after: None });
         }
-        table.take(&Seen::Left { id: "x".into(), late: true });
+        table.take(&Seen::Left { id: "x".into(), late: true, accepted: true });
         let text = table.show(1, &[], 7);
         let numbers = |name: &str| -> Vec<String> {
             let line = text.lines().find(|line| line.contains(name)).unwrap();
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -317,6 +317,9 @@
         worker: WorkerId,
         /// Time the attempt may take.
         timeout: Micros,
+        /// Time within which it must have begun to be written, or not be written at all: a repeat whose
+        /// connection comes up late would reach workers that have forgotten its key.
+        begin_within: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -558,7 +558,7 @@
             (_, None) | (Effect::Idempotent, _) => true,
             (Effect::AtMostOnce, Some(_)) => false,
             (Effect::Deduplicated, Some(first)) => {
-                self.now + KEY_MARGIN < first.sent + r.class.key_window
+                first.sent + r.class.key_window > self.now + KEY_MARGIN
                     && ran.all(|a| match r.class.group {
                         DedupGroup::All => true,
                         DedupGroup::Zone => a.zone == w.info.zone,
@@ -609,8 +609,13 @@
         w.inflight += 1.0;
         (w.credit, w.credit_at) = (credit - 1.0, self.now);
         r.held = false;
+        let timeout = r.deadline - self.now;
+        let ran = r.attempts.iter().find(|a| a.may_have_run && r.class.effect == Effect::Deduplicated);
+        let begin_within = ran.map_or(timeout, |first| {
+            (first.sent + r.class.key_window).saturating_sub(self.now + KEY_MARGIN).min(timeout)
+        });
         r.attempts.push(Attempt::new(&w.info, self.now));
-        out.push(Action::Send { request: id.clone(), worker, timeout: r.deadline - self.now });
+        out.push(Action::Send { request: id.clone(), worker, timeout, begin_within });
         true
     }
 
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -279,7 +279,7 @@
     /// Gives what was just sent to the cores; `sent` of what is out then says when its answer is due.
     fn begin(&mut self, n: usize, known: usize, worked: &impl Fn(u64) -> Micros) {
         let s = &mut self.fleet[n];
-        for (at, id, worker) in s.sends[known..].to_vec() {
+        for (at, id, worker) in s.sends[known..].iter().cloned() {
             let core = self.cores[worker as usize].iter_mut().min().unwrap();
             *core = (*core).max(at) + worked(worker);
             let due = *core;
--- a/crates/sim/src/campaign.rs
+++ b/crates/sim/src/campaign.rs
@@ -3,12 +3,14 @@
 use crate::checker::{Violation, PHASES};
 use crate::scenario::scenario;
 use crate::script::kinds;
+use crate::service::Service;
 use crate::world::{play, Options};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
+use std::time::Instant;
 
 /// What came of many seeds.
 #[derive(Clone, Debug, Default)]
@@ -25,11 +27,23 @@
     pub reached: BTreeMap<(String, usize), u64>,
     /// Answers to usual clients, by status.
     pub answers: BTreeMap<u16, usize>,
+    /// What all of it was worth.
+    pub service: Service,
+    /// Runs of each family.
+    pub families: BTreeMap<&'static str, u64>,
 }
 
 /// Plays all seeds on so many threads; `progress` hears of each seed that is done. The result is the same
 /// for any number of threads.
-pub fn run(seeds: Range<u64>, jobs: usize, options: Options, mut progress: impl FnMut(u64)) -> Campaign {
+///
+/// With `until` no seed is begun after that; those begun by then are played to their end.
+pub fn run(
+    seeds: Range<u64>,
+    until: Option<Instant>,
+    jobs: usize,
+    options: Options,
+    mut progress: impl FnMut(u64),
+) -> Campaign {
     let next = AtomicU64::new(seeds.start);
     let mut digests = BTreeMap::new();
     let mut campaign = Campaign::default();
@@ -39,15 +53,21 @@
             let (tell, next, end) = (tell.clone(), &next, seeds.end);
             scope.spawn(move || loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= end || tell.send((seed, play(&scenario(seed), options))).is_err() {
+                if seed >= end || until.is_some_and(|until| Instant::now() >= until) {
+                    return;
+                }
+                let script = scenario(seed);
+                if tell.send((seed, script.site.family, play(&script, options))).is_err() {
                     return;
                 }
             });
         }
         drop(tell);
-        for (done, (seed, report)) in told.into_iter().enumerate() {
+        for (done, (seed, family, report)) in told.into_iter().enumerate() {
             digests.insert(seed, report.digest);
             campaign.steps += report.steps;
+            campaign.service += &report.service;
+            *campaign.families.entry(family).or_default() += 1;
             report.reached.into_iter().for_each(|cell| *campaign.reached.entry(cell).or_default() += 1);
             report.answers.iter().for_each(|(s, n)| *campaign.answers.entry(*s).or_default() += n);
             match report.broken {
--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -5,6 +5,8 @@
 //! `liveness` and `floor` beside them.
 
 use crate::executor::Nanos;
+use crate::script::Class;
+use crate::service::Service;
 use hingestage_standins::worker::{parameter, Spec};
 use hingestage_standins::{Message, Seen};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -29,6 +31,10 @@
     pub max_attempts: usize,
     /// By plan: rate, depth and slack of the ceiling, units a second and units; none without one.
     pub ceilings: Vec<Option<(f64, f64, f64)>>,
+    /// Which workers drop repeats of notes (`all`, `zone` or `cell`), and for how long.
+    pub keyed: Option<(&'static str, Nanos)>,
+    /// Whether the world is so lightly used that refusing a pull is wrong: see [`Checker::check_idle`].
+    pub light: bool,
 }
 
 /// A rule that was broken.
@@ -49,14 +55,16 @@
     pub gateway: usize,
     /// See `gateway`.
     pub life: u32,
-    /// Whether it must never run twice.
-    pub push: bool,
+    /// Its class: how often its effect may happen.
+    pub class: Class,
     /// The account.
     pub account: u64,
     /// The plan.
     pub plan: usize,
     /// Units, as guessed.
     pub units: f64,
+    /// Its number, which its id is in hexadecimal.
+    pub number: u64,
     /// Method and path as written.
     pub line: String,
     /// The body as written.
@@ -65,6 +73,9 @@
 
 struct Attempt {
     conn: u64,
+    /// When its first byte was written, and the zone and cell of its worker.
+    began: Nanos,
+    place: (&'static str, u64),
     /// Its connection has ended or its answer is written.
     over: bool,
     /// It was answered as never begun.
@@ -81,6 +92,11 @@
     attempts: Vec<Attempt>,
     runs: usize,
     made: Vec<Vec<u8>>,
+    asked_at: Nanos,
+    /// Another client has sent its id again, and whether that was taken in once this one had ended: what
+    /// comes of it then is no second effect of this one.
+    copied: bool,
+    reused: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -131,8 +147,20 @@
     pub answers: BTreeMap<u16, usize>,
     /// Whether requests are in the last stretch, where each must be served.
     pub must_serve: bool,
+    /// What the run was worth, for comparisons.
+    pub service: Service,
+    /// When something last went wrong or was mended.
+    troubled: Nanos,
+    /// When accounts and gateways were last asked by usual clients, in a lightly used world.
+    asked: BTreeMap<(bool, u64), VecDeque<Nanos>>,
 }
 
+/// Time without a fault after which a lightly used world must serve each pull: longer than discovery's news,
+/// a connect that hangs, and the avoidance of a worker that failed.
+const CALM: Nanos = 3_000 * MS;
+/// Pulls that a gateway or an account must be served within the calm time.
+const CALM_ASKS: usize = 2;
+
 impl Checker {
     /// One that has seen nothing.
     pub fn new(figures: Figures) -> Checker {
@@ -149,6 +177,9 @@
             broken: None,
             answers: BTreeMap::new(),
             must_serve: false,
+            service: Service::default(),
+            troubled: 0,
+            asked: BTreeMap::new(),
         }
     }
 
@@ -163,9 +194,19 @@
     }
 
     /// Notes what a client is about to ask.
-    pub fn ask(&mut self, id: &str, asked: Asked) {
+    pub fn ask(&mut self, now: Nanos, id: &str, asked: Asked) {
+        self.service.ask(now, &asked);
+        for key in [(false, asked.account), (true, asked.gateway as u64)] {
+            let times = self.asked.entry(key).or_default();
+            times.push_back(now);
+            while times.front().is_some_and(|at| at + CALM < now) {
+                times.pop_front();
+            }
+        }
         let (attempts, made) = (Vec::new(), Vec::new());
-        let request = Request { asked, state: Client::Begins, over_at: None, attempts, runs: 0, made };
+        let (state, over_at, runs) = (Client::Begins, None, 0);
+        let (copied, reused) = (false, false);
+        let request = Request { asked, state, over_at, attempts, runs, made, asked_at: now, copied, reused };
         self.requests.insert(id.to_owned(), request);
     }
 
@@ -214,7 +255,7 @@
             Seen::Asked { id, .. } => self.client(id, |r| r.state = Client::Waits),
             Seen::Answered { id, status, body, .. } => self.answered(now, id, *status, body),
             Seen::Unanswered { id, taken, .. } => self.unanswered(now, id, *taken),
-            Seen::Left { id, late } => self.left(now, id, *late),
+            Seen::Left { id, late, accepted } => self.left(now, id, *late && *accepted),
             Seen::Unasked { conn } => {
                 self.break_rule("lost", now, format!("a second answer on connection {conn}"))
             }
@@ -249,6 +290,26 @@
         self.ended.insert(conn);
     }
 
+    /// Notes that something goes wrong or is mended.
+    pub fn trouble(&mut self, now: Nanos) {
+        self.troubled = now;
+    }
+
+    /// A request that waits at a gateway and runs or is about to, if there is one: its id.
+    pub fn open_at(&self, gateway: usize) -> Option<String> {
+        let open = |r: &Request| {
+            r.asked.gateway == gateway
+                && r.state == Client::Waits
+                && r.attempts.last().is_some_and(|a| !a.over && !a.answering)
+        };
+        self.requests.iter().find(|(_, r)| open(r)).map(|(id, _)| id.clone())
+    }
+
+    /// Notes that a client is about to send the id of another's request again.
+    pub fn copies(&mut self, id: &str) {
+        self.client(id, |r| r.copied = true);
+    }
+
     /// Notes that a client is done with a request, however it ended.
     pub fn done(&mut self, id: &str) {
         self.client(id, |r| r.state = Client::Over);
@@ -277,24 +338,45 @@
         self.over(now, id);
         let Some(request) = self.requests.get(id) else { return };
         let may_have_run = request.attempts.iter().any(|a| !a.never);
-        let (push, attempts) = (request.asked.push, request.attempts.len());
+        let everywhere = self.figures.keyed.is_some_and(|(group, _)| group == "all");
+        let harmless = match request.asked.class {
+            Class::Pull => true,
+            Class::Push => !may_have_run,
+            Class::Note => !may_have_run || everywhere,
+        };
+        let (attempts, asked_at) = (request.attempts.len(), request.asked_at);
+        let asked = request.asked.clone();
         let made = request.made.iter().any(|made| made == body);
         match status {
             200 if !made => {
                 let body = String::from_utf8_lossy(body).into_owned();
                 self.break_rule("mixed-up", now, format!("{id} was served `{body}`, made for another"));
             }
-            429 | 503 if push && may_have_run => {
+            429 | 503 if !harmless => {
                 self.break_rule("twice", now, format!("{id} was refused after {attempts} attempts"))
             }
             200 | 429 | 503 | 502 | 504 => {}
             _ => self.break_rule("lost", now, format!("{id}, a proper request, was answered {status}")),
         }
+        self.service.answered(id, status);
+        self.check_idle(now, id, status, asked_at, &asked);
         if self.must_serve && status != 200 {
             self.break_rule("liveness", now, format!("{id} was answered {status} long after the faults"));
         }
     }
 
+    /// In a lightly used world with nothing wrong for a while, a pull of one that asks now and then is served.
+    fn check_idle(&mut self, now: Nanos, id: &str, status: u16, asked_at: Nanos, asked: &Asked) {
+        let calm = self.figures.light && asked_at > self.troubled + CALM;
+        if !calm || status != 429 || asked.class != Class::Pull {
+            return;
+        }
+        let often = |key| self.asked.get(&key).is_some_and(|times: &VecDeque<_>| times.len() > CALM_ASKS);
+        if !often((false, asked.account)) && !often((true, asked.gateway as u64)) {
+            self.break_rule("idle", now, format!("{id} was refused before an idle fleet"));
+        }
+    }
+
     fn alive_since(&self, asked: &Asked) -> bool {
         self.lives.get(&asked.gateway) == Some(&asked.life)
     }
@@ -330,7 +412,9 @@
 
     fn ran(&mut self, now: Nanos, id: &str) {
         self.client(id, |r| r.runs += 1);
-        if self.requests.get(id).is_some_and(|r| r.asked.push && r.runs > 1) {
+        // Of notes their sending tells: one that was long on its way may run again by nature.
+        let twice = |r: &Request| r.asked.class == Class::Push && r.runs > 1 && !r.reused;
+        if self.requests.get(id).is_some_and(twice) {
             self.break_rule("twice", now, format!("{id}, a push, ran twice"));
         }
     }
@@ -341,14 +425,35 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return self.break_rule("mixed-up", now, format!("request `{id}`, which no client sent"));
         };
+        if request.copied && message.first_line != request.asked.line {
+            request.reused = true;
+            // Whatever the gateway has ended, it has read its answer or closed its connection.
+            if request.attempts.iter().any(|a| !a.over && !a.answering) {
+                self.break_rule("twice", now, format!("{id} was taken in a second time while it was open"));
+            }
+            return;
+        }
         let asked = request.asked.clone();
+        let place = self.workers.get(&worker).map_or(("", 0), |w| (w.spec.zone, w.spec.cell));
+        let keyed = self.figures.keyed.unwrap_or(("all", Nanos::MAX));
+        let foreign = request.attempts.iter().filter(|a| !a.never).any(|a| match keyed.0 {
+            "all" => false,
+            "zone" => a.place.0 != place.0,
+            _ => a.place != place,
+        });
+        let first_began = request.attempts.iter().filter(|a| !a.never).map(|a| a.began).min();
+        let last = first_began.map(|first| first.saturating_add(keyed.1).saturating_add(LONGER));
+        // What is long on its way can't be held against the gateway.
+        let forgotten = last.is_some_and(|last| began.0 > last);
         let same = message.first_line == asked.line && message.body == asked.body;
         let (out, ran) =
             (request.attempts.iter().any(|a| !a.over), request.attempts.iter().any(|a| !a.never));
         let first = request.attempts.is_empty();
         let after = request.over_at.filter(|over| began.0 > over + LONGER);
         let over = self.ended.contains(&conn);
-        request.attempts.push(Attempt { conn, over, never: false, answering: false, wrote: false });
+        let began_at = began.0;
+        let (never, answering, wrote) = (false, false, false);
+        request.attempts.push(Attempt { conn, began: began_at, place, over, never, answering, wrote });
         let attempts = request.attempts.len();
         self.carries.insert(conn, id.clone());
         if !same {
@@ -358,9 +463,15 @@
         if out && !over {
             self.break_rule("twice", now, format!("{id} has two attempts out at once"));
         }
-        if asked.push && ran {
+        if asked.class == Class::Push && ran {
             self.break_rule("twice", now, format!("{id}, a push that may have run, was sent again"));
         }
+        if asked.class == Class::Note && foreign {
+            self.break_rule("twice", now, format!("{id}, a note, was sent to a worker that can't know it"));
+        }
+        if asked.class == Class::Note && forgotten {
+            self.break_rule("twice", now, format!("{id}, a note, was sent when its key was forgotten"));
+        }
         if attempts > self.figures.max_attempts {
             self.break_rule("lost", now, format!("{id} had {attempts} attempts"));
         }
@@ -370,6 +481,7 @@
         self.check_drain(now, &asked, worker, &id, began.0);
         self.check_cold(now, &asked, worker, message, began.1);
         if first {
+            self.service.sent(now, &asked);
             self.check_ceiling(now, &asked, &id);
         }
     }
--- a/crates/sim/src/executor.rs
+++ b/crates/sim/src/executor.rs
@@ -6,7 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::future::Future;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::Pin;
@@ -102,6 +102,10 @@
     rng: RefCell<fastrand::Rng>,
     panics: RefCell<Vec<(Host, String)>>,
     steps: Cell<u64>,
+    /// What each turn of a task costs a machine, and until when its turns are taken.
+    lags: RefCell<BTreeMap<Host, (Nanos, Nanos)>>,
+    /// Tasks that wait for their turn on a machine that is busy.
+    queued: RefCell<BTreeSet<usize>>,
 }
 
 thread_local! {
@@ -130,6 +134,8 @@
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             panics: RefCell::default(),
             steps: Cell::new(0),
+            lags: RefCell::default(),
+            queued: RefCell::default(),
         }));
         CURRENT.with(|c| *c.borrow_mut() = Some(executor.clone()));
         executor
@@ -203,6 +209,33 @@
         drop(entries);
     }
 
+    /// Makes each turn of a task on a machine take so long: one at a time, in the order of waking.
+    pub fn lag(&self, host: Host, cost: Nanos) {
+        self.0.lags.borrow_mut().insert(host, (cost, 0));
+    }
+
+    /// Whether a task must wait, its machine being busy; it is run when its turn comes.
+    fn waits(&self, id: usize) -> bool {
+        let mut lags = self.0.lags.borrow_mut();
+        if lags.is_empty() || self.0.queued.borrow().contains(&id) {
+            return !lags.is_empty();
+        }
+        let host = self.0.tasks.borrow().get(&id).map(|task| task.host);
+        let Some((cost, busy)) = host.and_then(|host| lags.get_mut(&host)) else { return false };
+        let turn = (*busy).max(self.nanos());
+        *busy = turn + *cost;
+        if turn == self.nanos() {
+            return false;
+        }
+        self.0.queued.borrow_mut().insert(id);
+        let executor = self.clone();
+        self.at(turn, move || {
+            executor.0.queued.borrow_mut().remove(&id);
+            executor.run(id);
+        });
+        true
+    }
+
     /// How many tasks a machine has.
     pub fn tasks_of(&self, host: Host) -> usize {
         self.0.tasks.borrow().values().filter(|t| t.host == host).count()
@@ -246,7 +279,9 @@
         loop {
             let next = self.0.ready.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
             let Some(id) = next else { return };
-            self.run(id);
+            if !self.waits(id) {
+                self.run(id);
+            }
         }
     }
 
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod net;
 pub mod scenario;
 pub mod script;
+pub mod service;
 pub mod shrink;
 pub use hingestage_standins::site;
 pub mod world;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -10,7 +10,7 @@
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Plays whole mornings of the gateway on a virtual clock, against faults drawn from seeds, and checks every
 /// rule after each step.
@@ -26,11 +26,16 @@
     /// Plays a range of seeds, or one; prints what was reached, a digest, and `N passed, N failed`.
     Run {
         /// Seeds from the first up to, and without, the last: `0..10000`.
-        #[arg(long, value_parser = range, required_unless_present = "seed", conflicts_with = "seed")]
+        #[arg(long, value_parser = range)]
+        #[arg(required_unless_present_any = ["seed", "for"], conflicts_with_all = ["seed", "for"])]
         seeds: Option<Range<u64>>,
         /// A single seed.
         #[arg(long)]
         seed: Option<u64>,
+        /// Fresh seeds for so long: `90s`, `10m`, `2h`. They begin at the present second, so that no two runs
+        /// play the same.
+        #[arg(long = "for", value_parser = span, conflicts_with = "seed")]
+        lasts: Option<Duration>,
         /// Threads; as many as there are cores where it is left out.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=256))]
         jobs: Option<u16>,
@@ -70,11 +75,31 @@
     }
 }
 
+fn span(text: &str) -> Result<Duration, String> {
+    let bad = || format!("`{text}` is no span such as 90s, 10m or 2h");
+    let (number, unit) = text.split_at(text.len() - usize::from(!text.is_empty()));
+    let unit = match unit {
+        "s" => 1,
+        "m" => 60,
+        "h" => 3_600,
+        _ => return Err(bad()),
+    };
+    let number: u64 = number.parse().ok().filter(|n| (1..=100_000).contains(n)).ok_or_else(bad)?;
+    Ok(Duration::from_secs(number * unit))
+}
+
+/// Seeds that no earlier run has played: a million for each second since 1970.
+fn fresh() -> Range<u64> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_secs() * 1_000_000..u64::MAX
+}
+
 fn main() -> ExitCode {
     // A gateway's panic is a finding, told with its seed; the usual message would only get lost among others.
     std::panic::set_hook(Box::new(|_| {}));
     let done = match Args::parse().command {
-        Command::Run { seeds: Some(seeds), jobs, .. } => Ok(run(seeds, jobs)),
+        Command::Run { seeds: Some(seeds), jobs, .. } => Ok(run(seeds, None, jobs)),
+        Command::Run { lasts: Some(lasts), jobs, .. } => Ok(run(fresh(), Some(lasts), jobs)),
         Command::Run { seed, trace, .. } => Ok(one(&scenario(seed.unwrap_or(0)), trace)),
         Command::Shrink { seed, file, output } => shorten(seed, file, &output),
         Command::Replay { file, trace } => read(&file).map(|script| one(&script, trace)),
@@ -93,17 +118,20 @@
     text.parse().map_err(|e| format!("{}: {e}", file.display()))
 }
 
-fn run(seeds: Range<u64>, jobs: Option<u16>) -> ExitCode {
+fn run(seeds: Range<u64>, lasts: Option<Duration>, jobs: Option<u16>) -> ExitCode {
     let jobs = jobs.map_or_else(|| std::thread::available_parallelism().map_or(1, usize::from), usize::from);
     let (all, began) = (seeds.end - seeds.start, Instant::now());
     let mut said = began;
-    let campaign = campaign::run(seeds, jobs, Options::default(), |done| {
+    let until = lasts.map(|lasts| began + lasts);
+    let campaign = campaign::run(seeds, until, jobs, Options::default(), |done| {
         if said.elapsed().as_secs() >= 2 {
             said = Instant::now();
-            eprintln!("{done} of {all} seeds, {:.0} a second", done as f64 / began.elapsed().as_secs_f64());
+            let of = if lasts.is_some() { String::new() } else { format!(" of {all}") };
+            eprintln!("{done}{of} seeds, {:.0} a second", done as f64 / began.elapsed().as_secs_f64());
         }
     });
-    print(&campaign, all as f64 / began.elapsed().as_secs_f64());
+    let played = campaign.passed + campaign.failed.len() as u64;
+    print(&campaign, played as f64 / began.elapsed().as_secs_f64());
     ExitCode::from(u8::from(!campaign.failed.is_empty()))
 }
 
@@ -115,6 +143,9 @@
     }
     let answers: Vec<String> = campaign.answers.iter().map(|(s, n)| format!("{n} times {s}")).collect();
     println!("answers to usual clients: {}", answers.join(", "));
+    println!("service: {}", campaign.service);
+    let families: Vec<String> = campaign.families.iter().map(|(f, n)| format!("{f} {n}")).collect();
+    println!("worlds: {}", families.join(", "));
     println!("{} events, {pace:.0} seeds a second", campaign.steps);
     println!("digest {:016x}", campaign.digest);
     for (seed, broken) in &campaign.failed {
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -85,6 +85,12 @@
     cut: RefCell<BTreeSet<Host>>,
     /// Bytes a second that a machine is held to.
     slow: RefCell<BTreeMap<Host, u64>>,
+    /// By how much later connections to a machine come up; none where they never do.
+    knocks: RefCell<BTreeMap<Host, Option<Nanos>>>,
+    /// Descriptors that a machine has.
+    limits: RefCell<BTreeMap<Host, usize>>,
+    /// By how much the clock of a machine is off, nanoseconds.
+    clocks: RefCell<BTreeMap<Host, i64>>,
     /// What waits for a machine to be back.
     parked: RefCell<Vec<([Host; 2], Job)>>,
     hook: RefCell<Option<Hook>>,
@@ -132,6 +138,7 @@
     hosts: [Host; 2],
     sides: RefCell<[Side; 2]>,
     ended: Cell<bool>,
+    accepted: Cell<Option<Instant>>,
 }
 
 /// The address of a machine, inside the loopback range.
@@ -151,6 +158,9 @@
             conns: RefCell::default(),
             cut: RefCell::default(),
             slow: RefCell::default(),
+            knocks: RefCell::default(),
+            limits: RefCell::default(),
+            clocks: RefCell::default(),
             parked: RefCell::default(),
             hook: RefCell::default(),
             log: RefCell::default(),
@@ -195,6 +205,34 @@
         };
     }
 
+    /// Lets connections to a machine come up so much later, or never; `None` lifts it.
+    pub fn delay_connects(&self, host: Host, late: Option<Option<Nanos>>) {
+        match late {
+            Some(late) => self.0.knocks.borrow_mut().insert(host, late),
+            None => self.0.knocks.borrow_mut().remove(&host),
+        };
+    }
+
+    /// Gives a machine so many descriptors; further ones are refused as a system refuses them.
+    pub fn limit_descriptors(&self, host: Host, most: usize) {
+        self.0.limits.borrow_mut().insert(host, most);
+    }
+
+    /// Puts a machine's clock off.
+    pub fn set_clock(&self, host: Host, off: i64) {
+        self.0.clocks.borrow_mut().insert(host, off);
+    }
+
+    /// Whether a machine has no descriptor left. What waits in a backlog has none yet.
+    fn exhausted(&self, host: Host) -> bool {
+        let most = self.0.limits.borrow().get(&host).copied();
+        most.is_some_and(|most| {
+            let waiting = |ear: &Rc<Ear>| if ear.host == host { ear.backlog.borrow().len() } else { 0 };
+            let waiting: usize = self.0.listeners.borrow().values().map(waiting).sum();
+            self.descriptors(host) - waiting >= most
+        })
+    }
+
     /// Ends a machine's process: its connections are reset, its listeners gone, its tasks dropped.
     pub fn kill(&self, host: Host) {
         let doomed: Vec<SocketAddr> = {
@@ -406,7 +444,12 @@
         let outcome: Rc<RefCell<Knocked>> = Rc::default();
         let (net, told) = (self.clone(), outcome.clone());
         let there = self.host_at(to);
-        self.deliver_at(self.0.executor.nanos() + self.one_way(), [from, there], move || {
+        if self.exhausted(from) {
+            return Err(io::Error::other("no descriptor left"));
+        }
+        let late = self.0.knocks.borrow().get(&there).copied().unwrap_or(Some(0));
+        let Some(late) = late else { return std::future::pending().await };
+        self.deliver_at(self.0.executor.nanos() + self.one_way() + late, [from, there], move || {
             let Some(reply) = net.knock(from, to) else { return };
             net.deliver_at(net.0.executor.nanos() + net.one_way(), [from, there], move || {
                 let mut told = told.borrow_mut();
@@ -446,8 +489,8 @@
         }
         self.0.next.set(self.0.next.get() + 1);
         let id = self.0.next.get();
-        let conn =
-            Rc::new(Conn { id, hosts: [from, ear.host], sides: RefCell::default(), ended: Cell::new(false) });
+        let (hosts, sides) = ([from, ear.host], RefCell::default());
+        let conn = Rc::new(Conn { id, hosts, sides, ended: Cell::new(false), accepted: Cell::new(None) });
         self.0.conns.borrow_mut().insert(id, conn.clone());
         let end = |side| End { net: self.clone(), conn: conn.clone(), side };
         ear.backlog.borrow_mut().push_back(end(1));
@@ -534,6 +577,10 @@
         self.conn.id
     }
 
+    fn accepted_at(&self) -> Option<Instant> {
+        self.conn.accepted.get()
+    }
+
     fn delivered(&self) -> Option<u64> {
         Some(self.conn.sides.borrow()[1 - self.side].arrived)
     }
@@ -574,11 +621,20 @@
     type Stream = End;
 
     async fn accept(&self) -> io::Result<End> {
-        poll_fn(|cx| match self.ear.backlog.borrow_mut().pop_front() {
-            Some(end) => Poll::Ready(Ok(end)),
-            None => {
-                *self.ear.waker.borrow_mut() = Some(cx.waker().clone());
-                Poll::Pending
+        poll_fn(|cx| {
+            // As the system has it: what can't be accepted for want of a descriptor stays in the backlog.
+            if !self.ear.backlog.borrow().is_empty() && self.net.exhausted(self.ear.host) {
+                return Poll::Ready(Err(io::Error::other("no descriptor left")));
+            }
+            match self.ear.backlog.borrow_mut().pop_front() {
+                Some(end) => {
+                    end.conn.accepted.set(Some(self.net.0.executor.instant()));
+                    Poll::Ready(Ok(end))
+                }
+                None => {
+                    *self.ear.waker.borrow_mut() = Some(cx.waker().clone());
+                    Poll::Pending
+                }
             }
         })
         .await
@@ -615,7 +671,7 @@
 }
 
 /// Unix time at which all worlds begin: any would do.
-const EPOCH: Duration = Duration::from_secs(1_790_000_000);
+pub const EPOCH: Duration = Duration::from_secs(1_790_000_000);
 
 impl Platform for Sim {
     type Stream = End;
@@ -629,7 +685,8 @@
     }
 
     fn unix_time(&self) -> Duration {
-        EPOCH + Duration::from_nanos(self.net.0.executor.nanos())
+        let off = self.net.0.clocks.borrow().get(&self.host).copied().unwrap_or(0);
+        EPOCH + Duration::from_nanos(self.net.0.executor.nanos().saturating_add_signed(off))
     }
 
     fn sleep_until(&self, at: Instant) -> Sleep {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -1,5 +1,9 @@
 //! A script drawn from a seed: a small site, its load, and what goes wrong.
+//!
+//! Each seed draws a family: a kind of world in which some limit binds. Each also draws which kinds of faults
+//! may happen at all, few or many (swarm testing): some seeds see much of little, others a little of much.
 
+use crate::net::EPOCH;
 use crate::script::*;
 use fastrand::Rng;
 use hingestage_standins::client::RUDE;
@@ -8,113 +12,418 @@
 const LOAD: Micros = 2_400_000;
 /// The latest that a fault is mended.
 const FAULTS: Micros = 3_200_000;
+/// The same in lightly used worlds, which must be calm for a while before they count.
+const LIGHT: Micros = 9_000_000;
+
+/// A script as it is drawn.
+struct Draft {
+    rng: Rng,
+    script: Script,
+    /// Kinds of faults that may happen.
+    kinds: Vec<String>,
+}
+
+/// How often each family is drawn, of all.
+const WEIGHTS: [u32; FAMILIES.len()] = [36, 9, 2, 3, 1, 10, 9, 6, 5, 6, 5, 5, 3];
+
+fn family(rng: &mut Rng) -> &'static str {
+    let mut at = rng.u32(..WEIGHTS.iter().sum::<u32>());
+    for (family, weight) in FAMILIES.into_iter().zip(WEIGHTS) {
+        if at < weight {
+            return family;
+        }
+        at -= weight;
+    }
+    FAMILIES[0]
+}
 
 /// The script of a seed.
 pub fn scenario(seed: u64) -> Script {
     let mut rng = Rng::with_seed(seed ^ 0x9e37_79b9_7f4a_7c15);
-    let gateways = 1 + rng.usize(..GATEWAYS_MAX);
-    // Now and then a release morning: much to do, and a fleet that has just started.
-    let morning = rng.u32(..6) == 0;
-    let fleet = if morning { 1 + rng.usize(..3) } else { 2 + rng.usize(..WORKERS_MAX - 1) };
-    let workers: Vec<WorkerLine> = (0..fleet)
-        .map(|number| WorkerLine {
-            number,
-            cores: 2,
-            speed: (9 + rng.u32(..9)) as f64 / 10.0,
-            queue: [2, 8, 64][rng.usize(..3)],
-            cold: rng.u32(..8) == 0 || (morning && rng.u32(..4) > 0),
-        })
-        .collect();
-    let mut acts = Vec::new();
-    asks(&mut rng, gateways, &workers, &mut acts);
-    if morning {
-        rush(&mut rng, gateways, &mut acts);
-    }
-    let asked: Vec<Micros> = acts.iter().map(|(at, _)| *at).collect();
-    for _ in 0..1 + rng.usize(..5) {
-        fault(&mut rng, gateways, workers.len(), &asked, &mut acts);
-    }
-    acts.sort_by_key(|(at, _)| *at);
-    Script { seed, gateways, runs_on: rng.bool(), exact: false, workers, acts }
+    let family = family(&mut rng);
+    let site = Site { family, ..Site::default() };
+    let (gateways, runs_on) = (1 + rng.usize(..4), rng.bool());
+    let script =
+        Script { seed, gateways, runs_on, exact: false, site, workers: Vec::new(), acts: Vec::new() };
+    let kinds = swarm(&mut rng, kinds());
+    let mut draft = Draft { rng, script, kinds };
+    match family {
+        "narrow" => draft.narrow(),
+        "crowd" => draft.crowd(),
+        "light" => draft.light(),
+        "wide" => draft.wide(),
+        "connect" => draft.connect(),
+        "keyed" => draft.keyed(),
+        "flood" => draft.flood(),
+        "ids" => draft.ids(),
+        "patience" => draft.patience(),
+        "clocks" => draft.clocks(),
+        "sockets" => draft.sockets(),
+        "lag" => draft.lag(),
+        _ => draft.mixed(),
+    }
+    draft.script.acts.sort_by_key(|(at, _)| *at);
+    draft.script
+}
+
+/// A random part of the kinds: now and then one or two, else a share of them, or all.
+fn swarm(rng: &mut Rng, mut kinds: Vec<String>) -> Vec<String> {
+    rng.shuffle(&mut kinds);
+    let keep = match rng.u32(..4) {
+        0 => 1 + rng.usize(..2),
+        1 => 3 + rng.usize(..6),
+        2 => kinds.len() / 2,
+        _ => kinds.len(),
+    };
+    kinds.truncate(keep);
+    kinds
 }
 
-fn asks(rng: &mut Rng, gateways: usize, workers: &[WorkerLine], acts: &mut Vec<(Micros, Act)>) {
-    // Part of what the fleet can do, now and then more than all of it.
-    let capacity: f64 = workers.iter().map(|w| w.cores as f64 * w.speed).sum();
-    let part = [0.15, 0.3, 0.5, 1.2][rng.usize(..4)];
-    let each = 0.05;
-    let count = ((capacity * part * LOAD as f64 / 1e6 / each) as usize).clamp(12, 150);
-    let accounts = 1 + rng.u64(..12);
-    for _ in 0..count {
-        let at = rng.u64(..LOAD);
-        let account = 1 + rng.u64(..accounts);
-        acts.push((at, Act::Ask(one_ask(rng, gateways, account))));
-    }
-    if rng.u32(..3) == 0 {
-        // One account floods, through all gateways.
-        let (from, account) = (rng.u64(..LOAD / 2), 50 + rng.u64(..2) * 3);
-        let (times, every) = (rng.u64(5..40), rng.u64(500..15_000));
-        for gateway in 0..gateways {
-            let ask = one_ask(rng, gateways, account);
-            acts.push((from, Act::Ask(AskLine { gateway, times: (times, every), ..ask })));
+impl Draft {
+    fn add(&mut self, at: Micros, mut act: Act) {
+        if let Act::Ask(AskLine { times: (1, every), .. }) = &mut act {
+            *every = 0;
         }
+        self.script.acts.push((at, act));
     }
-}
 
-/// Departments that fetch the same update through all gateways, inside their quotas.
-fn rush(rng: &mut Rng, gateways: usize, acts: &mut Vec<(Micros, Act)>) {
-    for gateway in 0..gateways {
-        for account in [100, 101, 103] {
-            let ask = AskLine { gateway, push: false, units: 1, work: 70, ..one_ask(rng, gateways, account) };
-            let every = 20_000 + rng.u64(..20_000);
-            acts.push((rng.u64(..200_000), Act::Ask(AskLine { times: (20 + rng.u64(..20), every), ..ask })));
+    fn workers(&mut self, count: usize, mut draw: impl FnMut(&mut Rng, &mut WorkerLine)) {
+        for number in 0..count {
+            let speed = (9 + self.rng.u32(..9)) as f64 / 10.0;
+            let (cores, queue) = (2, [2, 8, 64][self.rng.usize(..3)]);
+            let cold = self.rng.u32(..8) == 0;
+            let mut line = WorkerLine { number, cores, speed, queue, cold, place: (ZONES[0], 0) };
+            draw(&mut self.rng, &mut line);
+            self.script.workers.push(line);
         }
     }
-}
 
-fn one_ask(rng: &mut Rng, gateways: usize, account: u64) -> AskLine {
-    let push = rng.u32(..4) == 0;
-    let manner = match rng.u32(..16) {
-        0 => Manner::Slowly(2 + rng.u64(..20)),
-        1 => Manner::Leaves(rng.u64(..150_000)),
-        _ => Manner::Usual,
-    };
-    let whole = if push { 2_500 } else { 1_500 };
-    AskLine {
-        gateway: rng.usize(..gateways),
-        push,
-        account,
-        plan: (account % 3) as usize,
-        units: 1 + rng.u64(..6) / 2,
-        work: 20 + rng.u64(..60),
-        patience: whole / 2 + rng.u64(..=whole / 2),
-        body: if !push { 0 } else { [40, 1_000, 60_000][rng.usize(..3)] },
-        manner,
-        times: (1, 0),
+    /// Worlds with a little of everything, now and then a release morning: much to do, and a fleet that has
+    /// just started.
+    fn mixed(&mut self) {
+        let morning = self.rng.u32(..6) == 0;
+        let fleet = if morning { 1 + self.rng.usize(..3) } else { 2 + self.rng.usize(..13) };
+        self.workers(fleet, |rng, w| w.cold |= morning && rng.u32(..4) > 0);
+        self.asks();
+        if morning {
+            self.rush();
+        }
+        self.faults();
     }
-}
 
-/// A time at which something is likely to be under way: shortly after some request was asked.
-fn moment(rng: &mut Rng, asked: &[Micros]) -> Micros {
-    let Some(at) = asked.get(rng.usize(..asked.len().max(1))) else { return rng.u64(..LOAD) };
-    at + match rng.u32(..4) {
-        0 => rng.u64(..600),
-        1 => rng.u64(..3_000),
-        _ => rng.u64(..120_000),
+    /// Workers of one core with hardly a queue: they turn away at once, and the cold budget alone decides.
+    fn narrow(&mut self) {
+        let fleet = 1 + self.rng.usize(..4);
+        self.workers(fleet, |rng, w| {
+            (w.cores, w.queue) = (1, rng.usize(..3));
+            w.cold = rng.u32(..4) > 0;
+        });
+        self.asks();
+        self.rush();
+        self.faults();
+    }
+
+    /// Many gateways before few workers, cold ones among them, and a rush through all of them.
+    fn crowd(&mut self) {
+        self.script.gateways = [8, 8, 16, 16, 32, 64][self.rng.usize(..6)];
+        self.script.site.spread = 2 + self.rng.usize(..3);
+        let fleet = 1 + self.rng.usize(..3);
+        self.workers(fleet, |rng, w| w.cold = rng.bool());
+        let from = self.rng.u64(..LOAD);
+        for n in 0..self.script.gateways as u64 * 2 {
+            let ask = AskLine { units: 1, manner: Manner::Usual, ..self.one_ask(1 + n) };
+            let at = from + self.rng.u64(..300_000);
+            let every = 50_000 + self.rng.u64(..100_000);
+            let times = (1 + self.rng.u64(..6), every);
+            self.add(at, Act::Ask(AskLine { times, ..ask }));
+        }
+        self.faults();
+    }
+
+    /// Many gateways that ask now and then before a fleet that idles: each pull must be served.
+    fn light(&mut self) {
+        self.script.gateways = [4, 8, 16, 32, 64][self.rng.usize(..5)];
+        self.script.site.spread = 2;
+        let fleet = 2 + self.rng.usize(..2);
+        self.workers(fleet, |_, w| (w.cold, w.queue, w.speed) = (false, 64, w.speed.max(1.2)));
+        // At most half of what two workers can do, and each account and gateway not more than 0.6 a second.
+        let every = 3_200_000u64;
+        for n in 0..self.script.gateways as u64 {
+            let (at, account) = (self.rng.u64(..every), n);
+            let twice = self.rng.bool();
+            let ask = AskLine { gateway: 0, work: 20 + self.rng.u64(..30), ..AskLine::plain(0, account, 1) };
+            self.add(at, Act::Ask(AskLine { times: (LIGHT / every, every), ..ask.clone() }));
+            if twice {
+                let at = at + self.rng.u64(..100_000);
+                self.add(at, Act::Ask(AskLine { times: (LIGHT / every, every), ..ask }));
+            }
+        }
+        let (at, worker) = (self.rng.u64(..LOAD), self.rng.usize(..fleet));
+        let same_address = self.rng.bool();
+        match self.rng.u32(..3) {
+            0 => self.add(at, Act::Fault(Fault::Deploy(worker, same_address))),
+            1 => self.add(at, Act::Fault(Fault::Restart(worker))),
+            _ => {
+                self.add(at, Act::Fault(Fault::Worker(worker, "slower", 12)));
+                let until = at + self.rng.u64(20_000..400_000);
+                self.add(until, Act::Mend(Mend::Worker(worker)));
+            }
+        }
+        self.add(LIGHT + 300_000, Act::Fault(Fault::Nothing));
+    }
+
+    /// Two gateways before very many workers.
+    fn wide(&mut self) {
+        self.script.gateways = 2;
+        let fleet = [60, 150, 300, 500][self.rng.usize(..4)];
+        self.workers(fleet, |_, _| {});
+        self.asks();
+        self.faults();
+    }
+
+    /// Connections that come up late or never, while workers drain, go and start again.
+    fn connect(&mut self) {
+        let fleet = 2 + self.rng.usize(..4);
+        self.script.site.connect_timeout = [100, 250, 1_000, 2_000][self.rng.usize(..4)];
+        self.workers(fleet, |_, _| {});
+        self.asks();
+        for _ in 0..1 + self.rng.usize(..3) {
+            let (worker, at) = (self.rng.usize(..fleet), self.rng.u64(..LOAD));
+            let late = [0, 100, 300, 700, 1_200][self.rng.usize(..5)];
+            self.add(at, Act::Fault(Fault::Connect(worker, late)));
+            let then = at + self.rng.u64(..late.max(300) * 1_000);
+            let what = match self.rng.u32(..4) {
+                0 => Fault::Deploy(worker, true),
+                1 => Fault::Restart(worker),
+                _ => Fault::Deploy(worker, false),
+            };
+            self.add(then, Act::Fault(what));
+            self.add(FAULTS, Act::Mend(Mend::Worker(worker)));
+        }
+        self.faults();
+    }
+
+    /// Notes, whose repeats workers of a group drop for a time.
+    fn keyed(&mut self) {
+        let fleet = 2 + self.rng.usize(..6);
+        let window = [60, 150, 400, 1_500][self.rng.usize(..4)];
+        self.script.site.keyed = Some((GROUPS[self.rng.usize(..3)], window));
+        self.workers(fleet, |rng, w| w.place = (ZONES[rng.usize(..2)], rng.u64(..2)));
+        self.asks();
+        for (_, act) in &mut self.script.acts {
+            if let Act::Ask(ask) = act {
+                let note = self.rng.u32(..4) > 0;
+                ask.class = if note { Class::Note } else { ask.class };
+            }
+        }
+        if self.rng.bool() {
+            // A connection that comes up late carries a repeat whose key may be forgotten by then.
+            let (worker, late) = (self.rng.usize(..fleet), 50 + self.rng.u64(..400));
+            self.script.site.connect_timeout = 1_000;
+            self.add(0, Act::Fault(Fault::Connect(worker, late)));
+            self.add(FAULTS, Act::Mend(Mend::Worker(worker)));
+        }
+        // What makes further attempts of them.
+        for _ in 0..1 + self.rng.usize(..4) {
+            let (worker, at) = (self.rng.usize(..fleet), self.rng.u64(..LOAD));
+            let ways = ["error", "reset-answer", "reset-asked", "noise", "silent", "full", "wrong-length"];
+            let way = ways[self.rng.usize(..ways.len())];
+            let figure = if way.starts_with("reset") { 1 + self.rng.u64(..110) } else { 0 };
+            self.add(at, Act::Fault(Fault::Worker(worker, way, figure)));
+            let until = at + self.rng.u64(100_000..900_000);
+            self.add(until, Act::Mend(Mend::Worker(worker)));
+        }
+        self.faults();
+    }
+
+    /// A ceiling that is small, and a flood against it through all gateways, for many refills.
+    fn flood(&mut self) {
+        let fleet = 6 + self.rng.usize(..6);
+        self.workers(fleet, |_, w| (w.cold, w.queue) = (false, 64));
+        self.asks();
+        // In waves, with a pause in which all stores fill up, or without end.
+        let (waves, span) = if self.rng.bool() { (2, 300_000) } else { (1, 4_000_000) };
+        let (first, pause) = (2_300_000 + self.rng.u64(..800_000), 3_600_000 + self.rng.u64(..900_000));
+        for gateway in 0..self.script.gateways {
+            let units = if self.rng.bool() { 1 } else { 1 + self.rng.u64(..6) };
+            let ask = AskLine { gateway, units, work: 5, ..AskLine::plain(gateway, 3, 3) };
+            for wave in 0..waves {
+                let every = span / (40 + self.rng.u64(..160));
+                let at = if waves == 1 { 0 } else { first + wave * pause } + self.rng.u64(..100_000);
+                self.add(at, Act::Ask(AskLine { times: (span / every, every), ..ask.clone() }));
+            }
+        }
+        self.faults();
+    }
+
+    /// Clients that send an id which is open elsewhere.
+    fn ids(&mut self) {
+        let fleet = 2 + self.rng.usize(..6);
+        self.workers(fleet, |_, _| {});
+        self.asks();
+        for _ in 0..2 + self.rng.usize(..8) {
+            let (at, gateway) = (self.moment(), self.rng.usize(..self.script.gateways));
+            self.add(at + 3_000, Act::Fault(Fault::SameId(gateway)));
+        }
+        self.faults();
+    }
+
+    /// Clients that wait so briefly that the time kept back for the way decides.
+    fn patience(&mut self) {
+        let fleet = 2 + self.rng.usize(..6);
+        self.script.site.latency = [0, 1_000, 3_000, 5_000][self.rng.usize(..4)];
+        self.workers(fleet, |_, _| {});
+        self.asks();
+        for (_, act) in &mut self.script.acts {
+            if let Act::Ask(ask) = act {
+                ask.patience = 20 + self.rng.u64(..130);
+                ask.manner = Manner::Usual;
+            }
+        }
+        self.faults();
+    }
+
+    /// Clocks of gateways apart, and what is asked falls round the end of a slot of the counter.
+    fn clocks(&mut self) {
+        let fleet = 4 + self.rng.usize(..8);
+        self.workers(fleet, |_, _| {});
+        for gateway in 0..self.script.gateways {
+            let off = self.rng.i64(-400..=400);
+            self.script.site.clocks.push((gateway, off));
+        }
+        self.asks();
+        let account = 50 + self.rng.u64(..6);
+        let end = slot_end(account, 2_000_000);
+        for gateway in 0..self.script.gateways {
+            let ask = AskLine { gateway, manner: Manner::Usual, ..self.one_ask(account) };
+            let at = (end + self.rng.u64(..40_000)).saturating_sub(20_000);
+            let times = (4 + self.rng.u64(..20), 500 + self.rng.u64(..10_000));
+            self.add(at, Act::Ask(AskLine { times, ..ask }));
+        }
+        self.faults();
+    }
+
+    /// A machine with fewer descriptors than the gateway is told of: accepts and connects fail.
+    fn sockets(&mut self) {
+        let fleet = 2 + self.rng.usize(..8);
+        let told = [64, 96, 128][self.rng.usize(..3)];
+        let real = [0, told - 24, 16, 24][self.rng.usize(..4)];
+        self.script.site.sockets = (told, real);
+        self.workers(fleet, |_, _| {});
+        self.asks();
+        self.rush();
+        self.faults();
+    }
+
+    /// A loop that lags: each turn of a task takes its time.
+    fn lag(&mut self) {
+        let fleet = 2 + self.rng.usize(..6);
+        self.script.site.lag = 5 + self.rng.u64(..40);
+        self.workers(fleet, |_, _| {});
+        self.asks();
+        self.faults();
+    }
+
+    /// Part of what the fleet can do, now and then more than all of it.
+    fn asks(&mut self) {
+        let capacity: f64 = self.script.workers.iter().map(|w| w.cores as f64 * w.speed).sum();
+        let part = [0.15, 0.3, 0.5, 1.2][self.rng.usize(..4)];
+        let each = 0.05;
+        let count = ((capacity * part * LOAD as f64 / 1e6 / each) as usize).clamp(12, 150);
+        let accounts = 1 + self.rng.u64(..12);
+        for _ in 0..count {
+            let at = self.rng.u64(..LOAD);
+            let account = 1 + self.rng.u64(..accounts);
+            let ask = self.one_ask(account);
+            self.add(at, Act::Ask(ask));
+        }
+        if self.rng.u32(..3) == 0 {
+            // One account floods, through all gateways.
+            let (from, account) = (self.rng.u64(..LOAD / 2), 50 + self.rng.u64(..2) * 3);
+            let times = (self.rng.u64(5..40), self.rng.u64(500..15_000));
+            for gateway in 0..self.script.gateways {
+                let ask = self.one_ask(account);
+                self.add(from, Act::Ask(AskLine { gateway, times, ..ask }));
+            }
+        }
+    }
+
+    /// Departments that fetch the same update through all gateways, inside their quotas.
+    fn rush(&mut self) {
+        for gateway in 0..self.script.gateways {
+            for account in [100, 101, 103] {
+                let ask = self.one_ask(account);
+                let ask = AskLine { gateway, class: Class::Pull, units: 1, work: 70, ..ask };
+                let every = 20_000 + self.rng.u64(..20_000);
+                let (at, times) = (self.rng.u64(..200_000), 20 + self.rng.u64(..20));
+                self.add(at, Act::Ask(AskLine { times: (times, every), ..ask }));
+            }
+        }
+    }
+
+    fn one_ask(&mut self, account: u64) -> AskLine {
+        let rng = &mut self.rng;
+        let push = rng.u32(..4) == 0;
+        let manner = match rng.u32(..16) {
+            0 => Manner::Slowly(2 + rng.u64(..20)),
+            1 => Manner::Leaves(rng.u64(..150_000)),
+            _ => Manner::Usual,
+        };
+        let whole = if push { 2_500 } else { 1_500 };
+        AskLine {
+            gateway: rng.usize(..self.script.gateways),
+            class: if push { Class::Push } else { Class::Pull },
+            account,
+            plan: (account % 3) as usize,
+            units: 1 + rng.u64(..6) / 2,
+            work: 20 + rng.u64(..60),
+            patience: whole / 2 + rng.u64(..=whole / 2),
+            body: if !push { 0 } else { [40, 1_000, 60_000][rng.usize(..3)] },
+            manner,
+            times: (1, 0),
+        }
+    }
+
+    /// A time at which something is likely to be under way: shortly after some request was asked.
+    fn moment(&mut self) -> Micros {
+        let asks = self.script.acts.iter().filter(|(_, act)| matches!(act, Act::Ask(_)));
+        let asked: Vec<Micros> = asks.map(|(at, _)| *at).collect();
+        let rng = &mut self.rng;
+        let Some(at) = asked.get(rng.usize(..asked.len().max(1))) else { return rng.u64(..LOAD) };
+        at + match rng.u32(..4) {
+            0 => rng.u64(..600),
+            1 => rng.u64(..3_000),
+            _ => rng.u64(..120_000),
+        }
+    }
+
+    /// Few faults of many kinds, or many of few.
+    fn faults(&mut self) {
+        let most = if self.kinds.len() <= 2 { 9 } else { 5 };
+        for _ in 0..1 + self.rng.usize(..most) {
+            self.fault();
+        }
+    }
+
+    fn fault(&mut self) {
+        let at = self.moment().min(LOAD);
+        let rng = &mut self.rng;
+        let until = at + rng.u64(20_000..(FAULTS - at).max(20_001));
+        let (worker, gateway) = (rng.usize(..self.script.workers.len()), rng.usize(..self.script.gateways));
+        let kind = &self.kinds[rng.usize(..self.kinds.len())];
+        let (fault, mend) = drawn(rng, kind, worker, gateway);
+        self.add(at, Act::Fault(fault));
+        if let Some(mend) = mend {
+            self.add(until, Act::Mend(mend));
+        }
     }
 }
 
-fn fault(rng: &mut Rng, gateways: usize, workers: usize, asked: &[Micros], acts: &mut Vec<(Micros, Act)>) {
-    let at = moment(rng, asked).min(LOAD);
-    let until = at + rng.u64(20_000..(FAULTS - at).max(20_001));
-    let (worker, gateway) = (rng.usize(..workers), rng.usize(..gateways));
-    let mut add = |fault: Fault, mend: Option<Mend>| {
-        acts.push((at, Act::Fault(fault)));
-        acts.extend(mend.map(|mend| (until, Act::Mend(mend))));
-    };
-    let kinds = kinds();
-    match kinds[rng.usize(..kinds.len())].split_once(' ') {
-        Some(("worker", way)) => {
+/// A fault of a kind, and what mends it.
+fn drawn(rng: &mut Rng, kind: &str, worker: usize, gateway: usize) -> (Fault, Option<Mend>) {
+    let (mends, tells) = (Some(Mend::Worker(worker)), Some(Mend::Discovery(gateway)));
+    match kind.split_once(' ').unwrap_or((kind, "")) {
+        ("worker", way) => {
             let way = WORKER_WAYS.iter().find(|w| **w == way).copied().unwrap_or("silent");
             let figure = match way {
                 "reset-answer" => 1 + rng.u64(..110),
@@ -123,39 +432,60 @@
                 "slower" => 2 + rng.u64(..6),
                 _ => 0,
             };
-            add(Fault::Worker(worker, way, figure), Some(Mend::Worker(worker)));
+            (Fault::Worker(worker, way, figure), mends)
         }
-        Some(("counter", way)) => {
+        ("counter", way) => {
             let way = COUNTER_WAYS.iter().find(|w| **w == way).copied().unwrap_or("busy");
             let figure = if way == "late" { 1 + rng.u64(..120) } else { 0 };
-            add(Fault::Counter(way, figure), Some(Mend::Counter));
+            (Fault::Counter(way, figure), Some(Mend::Counter))
         }
-        Some(("discovery", "babble")) => add(Fault::Babble(gateway), None),
-        Some(("discovery", "late")) => {
-            add(Fault::Late(gateway, 50 + rng.u64(..1_500)), Some(Mend::Discovery(gateway)))
-        }
-        Some(("discovery", _)) => add(Fault::Dead(gateway), Some(Mend::Discovery(gateway))),
-        Some(("rude", what)) => {
+        ("connect", "hangs") => (Fault::Connect(worker, 0), mends),
+        ("connect", _) => (Fault::Connect(worker, 20 + rng.u64(..600)), mends),
+        ("discovery", "babble") => (Fault::Babble(gateway), None),
+        ("discovery", "late") => (Fault::Late(gateway, 50 + rng.u64(..1_500)), tells),
+        ("discovery", _) => (Fault::Dead(gateway), tells),
+        ("rude", what) => {
             let what = RUDE.iter().find(|w| **w == what).copied().unwrap_or("noise");
-            add(Fault::Rude(gateway, what), None);
-        }
-        None | Some(_) => match kinds_alone(rng) {
-            "deploy" => add(Fault::Deploy(worker, false), None),
-            "take-over" => add(Fault::Deploy(worker, true), None),
-            "restart" => add(Fault::Restart(worker), None),
-            "cut" => add(Fault::CutWorker(worker), Some(Mend::Worker(worker))),
-            "throttle" => {
-                add(Fault::Throttle(worker, 20_000 + rng.u64(..400_000)), Some(Mend::Worker(worker)))
-            }
-            "kill" => add(Fault::Kill(gateway, 50 + rng.u64(..600)), None),
-            "term" => add(Fault::Term(gateway), None),
-            word => add(Fault::Reload(gateway, word == "reload"), None),
-        },
+            (Fault::Rude(gateway, what), None)
+        }
+        ("deploy", _) => (Fault::Deploy(worker, false), None),
+        ("take-over", _) => (Fault::Deploy(worker, true), None),
+        ("restart", _) => (Fault::Restart(worker), None),
+        ("cut", _) => (Fault::CutWorker(worker), mends),
+        ("throttle", _) => (Fault::Throttle(worker, 20_000 + rng.u64(..400_000)), mends),
+        ("same-id", _) => (Fault::SameId(gateway), None),
+        ("kill", _) => (Fault::Kill(gateway, 50 + rng.u64(..600)), None),
+        ("term", _) => (Fault::Term(gateway), None),
+        (word, _) => (Fault::Reload(gateway, word == "reload"), None),
     }
 }
 
-/// One of the kinds that are a word of their own.
-fn kinds_alone(rng: &mut Rng) -> &'static str {
-    let words = ["deploy", "take-over", "restart", "cut", "throttle", "kill", "term", "reload", "reload-bad"];
-    words[rng.usize(..words.len())]
+/// The end of a slot of the counter for an account's name, in a script's time: slots of all accounts are
+/// moved by a hash of their names. What is asked there matters most; nothing hangs on hitting it.
+fn slot_end(account: u64, window: u64) -> Micros {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    let shift = format!("{account:x}").bytes().fold(0xcbf2_9ce4_8422_2325, mix) % 30_000_000;
+    let served = EPOCH.as_micros() as u64 + 1_200_000;
+    window - (served + shift) % window
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn every_family_and_kind_of_fault_is_drawn() {
+        let scripts: Vec<Script> = (0..2_000).map(scenario).collect();
+        let families: BTreeSet<&str> = scripts.iter().map(|s| s.site.family).collect();
+        assert_eq!(families.len(), FAMILIES.len(), "{families:?}");
+        let drawn = scripts.iter().flat_map(|s| &s.acts).filter_map(|(_, act)| match act {
+            Act::Fault(fault) => Some(fault.kind()),
+            _ => None,
+        });
+        let drawn: BTreeSet<String> = drawn.collect();
+        kinds().iter().for_each(|kind| assert!(drawn.contains(kind), "{kind} is never drawn"));
+        assert!(scripts.iter().any(|s| s.gateways >= 64), "no crowd of gateways");
+        assert!(scripts.iter().any(|s| s.workers.len() >= 500), "no wide fleet");
+    }
 }
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -12,6 +12,9 @@
 //! at 900 mend worker 0
 //! ```
 //!
+//! Lines between `exact` and the workers say what the world has otherwise than the usual one: `family`,
+//! `spread`, `connect-timeout`, `sockets`, `lag`, `latency`, `keyed` and `clock`; see [`Site`].
+//!
 //! Times are milliseconds from the moment at which the gateways serve. `seed` orders what happens at the same
 //! instant and draws the network's delays; `exact yes` makes each way take 0.5 ms, without a draw. Lines that
 //! begin with `#` are comments.
@@ -25,9 +28,80 @@
 /// The first line of every script.
 const HEAD: &str = "hingestage-sim 1";
 /// Most gateways of a world.
-pub const GATEWAYS_MAX: usize = 4;
+pub const GATEWAYS_MAX: usize = 100;
 /// Most workers of a world.
-pub const WORKERS_MAX: usize = 14;
+pub const WORKERS_MAX: usize = 500;
+
+/// The families of worlds that a seed may draw, each with other limits that bind.
+pub const FAMILIES: [&str; 13] = [
+    "mixed", "narrow", "crowd", "light", "wide", "connect", "keyed", "flood", "ids", "patience", "clocks",
+    "sockets", "lag",
+];
+/// The zones that workers may be in.
+pub const ZONES: [&str; 2] = ["a", "b"];
+/// Which workers may drop each other's repeats.
+pub const GROUPS: [&str; 3] = ["all", "zone", "cell"];
+
+/// What a world has otherwise than the usual one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// What the seed wanted to see bind.
+    pub family: &'static str,
+    /// Through how many gateways each account comes, from number `account % gateways` on; 0 means all.
+    pub spread: usize,
+    /// How long gateways wait for a connection to a worker, milliseconds.
+    pub connect_timeout: u64,
+    /// Descriptors that a gateway is told it may have, and those that its machine has; 0 means no end of them.
+    pub sockets: (usize, usize),
+    /// What each turn of a task costs a gateway, microseconds: one task at a time, in the order of waking.
+    pub lag: u64,
+    /// The least time one way through the network, microseconds; 0 means the usual.
+    pub latency: u64,
+    /// Class `note`, whose repeats workers drop: of which group, and for how long, milliseconds.
+    pub keyed: Option<(&'static str, u64)>,
+    /// By how much the clocks of gateways are off, milliseconds.
+    pub clocks: Vec<(usize, i64)>,
+}
+
+impl Default for Site {
+    fn default() -> Self {
+        Site {
+            family: FAMILIES[0],
+            spread: 0,
+            connect_timeout: 250,
+            sockets: (256, 0),
+            lag: 0,
+            latency: 0,
+            keyed: None,
+            clocks: Vec::new(),
+        }
+    }
+}
+
+/// How often the effect of a request may happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// It may be repeated freely.
+    Pull,
+    /// It must never run twice.
+    Push,
+    /// Workers of a group drop its repeats for a time.
+    Note,
+}
+
+impl Class {
+    /// All of them.
+    pub const ALL: [Class; 3] = [Class::Pull, Class::Push, Class::Note];
+
+    /// Its name in scripts and requests.
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::Pull => "pull",
+            Class::Push => "push",
+            Class::Note => crate::site::KEYED,
+        }
+    }
+}
 /// Most lines of a script.
 const LINES_MAX: usize = 20_000;
 /// Most requests of one line.
@@ -48,6 +122,8 @@
     pub queue: usize,
     /// Whether it starts cold, just before the gateways serve.
     pub cold: bool,
+    /// Its zone, and its cell in that; told only where they are not `a` and 0.
+    pub place: (&'static str, u64),
 }
 
 /// How a client behaves.
@@ -66,8 +142,8 @@
 pub struct AskLine {
     /// Through which gateway; the front goes to another where that is not up.
     pub gateway: usize,
-    /// Whether it is a push, which must never run twice, or a pull.
-    pub push: bool,
+    /// Its class.
+    pub class: Class,
     /// The account.
     pub account: u64,
     /// The plan, a place in [`PLANS`].
@@ -90,13 +166,13 @@
     /// A small pull, asked once.
     pub fn plain(gateway: usize, account: u64, plan: usize) -> AskLine {
         let (manner, times) = (Manner::Usual, (1, 0));
-        let (push, units, work, patience, body) = (false, 1, 20, 1_500, 0);
-        AskLine { gateway, push, account, plan, units, work, patience, body, manner, times }
+        let (class, units, work, patience, body) = (Class::Pull, 1, 20, 1_500, 0);
+        AskLine { gateway, class, account, plan, units, work, patience, body, manner, times }
     }
 }
 
 /// The plans of the site.
-pub const PLANS: [&str; 3] = ["base", "ufficio", "ente"];
+pub const PLANS: [&str; 4] = ["base", "ufficio", "ente", "scuola"];
 
 /// Something that goes wrong, or is changed on purpose.
 #[derive(Clone, Debug, PartialEq)]
@@ -112,6 +188,10 @@
     CutWorker(usize),
     /// A worker's machine passes only so many bytes a second.
     Throttle(usize, u64),
+    /// Connections to a worker's machine come up so much later, milliseconds; 0 means never.
+    Connect(usize, u64),
+    /// A client sends the id of a request that is open at the same gateway.
+    SameId(usize),
     /// The agent of a gateway falls silent.
     Dead(usize),
     /// The agent of a gateway writes a line of nonsense.
@@ -165,6 +245,9 @@
         "restart",
         "cut",
         "throttle",
+        "connect slow",
+        "connect hangs",
+        "same-id",
         "discovery dead",
         "discovery babble",
         "discovery late",
@@ -187,6 +270,9 @@
             Fault::Restart(_) => "restart".into(),
             Fault::CutWorker(_) => "cut".into(),
             Fault::Throttle(..) => "throttle".into(),
+            Fault::Connect(_, 0) => "connect hangs".into(),
+            Fault::Connect(..) => "connect slow".into(),
+            Fault::SameId(_) => "same-id".into(),
             Fault::Dead(_) => "discovery dead".into(),
             Fault::Babble(_) => "discovery babble".into(),
             Fault::Late(..) => "discovery late".into(),
@@ -234,6 +320,8 @@
     pub runs_on: bool,
     /// Whether each way through the network takes 0.5 ms to the nanosecond, whole, and news 1 ms.
     pub exact: bool,
+    /// What is otherwise than usual.
+    pub site: Site,
     /// The workers at the start.
     pub workers: Vec<WorkerLine>,
     /// What happens and when, in order of time.
@@ -243,7 +331,7 @@
 impl Script {
     /// Lines that say something.
     pub fn lines(&self) -> usize {
-        5 + self.workers.len() + self.acts.len()
+        5 + self.site.to_string().lines().count() + self.workers.len() + self.acts.len()
     }
 }
 
@@ -260,7 +348,7 @@
             f,
             "ask gateway={} class={} account={} plan={} units={} work={} patience={} body={} ",
             self.gateway,
-            if self.push { "push" } else { "pull" },
+            self.class.name(),
             self.account,
             PLANS[self.plan],
             self.units,
@@ -290,6 +378,8 @@
             Fault::Restart(n) => write!(f, "restart {n}"),
             Fault::CutWorker(n) => write!(f, "cut {n}"),
             Fault::Throttle(n, rate) => write!(f, "throttle {n} {rate}"),
+            Fault::Connect(n, ms) => write!(f, "connect {n} {ms}"),
+            Fault::SameId(g) => write!(f, "same-id {g}"),
             Fault::Dead(g) => write!(f, "discovery {g} dead"),
             Fault::Babble(g) => write!(f, "discovery {g} babble"),
             Fault::Late(g, by) => write!(f, "discovery {g} late {by}"),
@@ -305,15 +395,46 @@
     }
 }
 
+impl fmt::Display for Site {
+    /// A line for each value that is not the usual one.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let usual = Site::default();
+        let numbers = [
+            ("spread", self.spread as u64, usual.spread as u64),
+            ("connect-timeout", self.connect_timeout, usual.connect_timeout),
+            ("lag", self.lag, usual.lag),
+            ("latency", self.latency, usual.latency),
+        ];
+        if self.family != usual.family {
+            writeln!(f, "family {}", self.family)?;
+        }
+        for (name, value, _) in numbers.iter().filter(|(_, value, usual)| value != usual) {
+            writeln!(f, "{name} {value}")?;
+        }
+        if self.sockets != usual.sockets {
+            writeln!(f, "sockets {} {}", self.sockets.0, self.sockets.1)?;
+        }
+        if let Some((group, window)) = self.keyed {
+            writeln!(f, "keyed {group} {window}")?;
+        }
+        self.clocks.iter().try_for_each(|(gateway, off)| writeln!(f, "clock {gateway} {off}"))
+    }
+}
+
 impl fmt::Display for Script {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let word = |yes| if yes { "yes" } else { "no" };
         writeln!(f, "{HEAD}\nseed {}\ngateways {}", self.seed, self.gateways)?;
         writeln!(f, "runs-on {}\nexact {}", word(self.runs_on), word(self.exact))?;
+        write!(f, "{}", self.site)?;
         for w in &self.workers {
             let (cold, speed) = (word(w.cold), w.speed);
             let (number, cores, queue) = (w.number, w.cores, w.queue);
-            writeln!(f, "worker {number} cores={cores} speed={speed} queue={queue} cold={cold}")?;
+            write!(f, "worker {number} cores={cores} speed={speed} queue={queue} cold={cold}")?;
+            match w.place {
+                ("a", 0) => writeln!(f)?,
+                (zone, cell) => writeln!(f, " zone={zone} cell={cell}")?,
+            }
         }
         for (at, act) in &self.acts {
             let at = millis(*at);
@@ -389,6 +510,8 @@
             ["restart", n] => Fault::Restart(worker(n)?),
             ["cut", n] => Fault::CutWorker(worker(n)?),
             ["throttle", n, rate] => Fault::Throttle(worker(n)?, figure(rate)?),
+            ["connect", n, ms] => Fault::Connect(worker(n)?, figure(ms)?),
+            ["same-id", g] => Fault::SameId(gateway(g)?),
             ["discovery", g, "dead"] => Fault::Dead(gateway(g)?),
             ["discovery", g, "babble"] => Fault::Babble(gateway(g)?),
             ["discovery", g, "late", by] => Fault::Late(gateway(g)?, figure(by)?),
@@ -431,7 +554,7 @@
     let plan = PLANS.iter().position(|name| *name == plan);
     Ok(AskLine {
         gateway: below(gateway, "gateway", GATEWAYS_MAX)?,
-        push: one_of(class, &["pull", "push"], "class")? == "push",
+        class: Class::ALL.into_iter().find(|c| c.name() == class).ok_or(format!("`{class}` is no class"))?,
         account: number(account, "account")?,
         plan: plan.ok_or("no such plan")?,
         units: number(units, "number of units")?,
@@ -443,6 +566,17 @@
     })
 }
 
+/// Zone and cell, where a worker's line ends with them.
+fn place<'a, 'b>(words: &'a [&'b str]) -> Result<(&'a [&'b str], (&'static str, u64)), String> {
+    match words {
+        [rest @ .., zone, cell] if zone.starts_with("zone=") => {
+            let [zone, cell] = values(&[zone, cell], ["zone", "cell"])?;
+            Ok((rest, (one_of(zone, &ZONES, "zone")?, number(cell, "cell")?)))
+        }
+        _ => Ok((words, (ZONES[0], 0))),
+    }
+}
+
 fn act(words: &[&str]) -> Result<Act, String> {
     Ok(match words {
         ["ask", rest @ ..] => Act::Ask(ask(rest)?),
@@ -471,6 +605,7 @@
             gateways: 1,
             runs_on: false,
             exact: false,
+            site: Site::default(),
             workers: Vec::new(),
             acts: Vec::new(),
         };
@@ -496,7 +631,27 @@
             }
             ["runs-on", word] => self.runs_on = yes(word)?,
             ["exact", word] => self.exact = yes(word)?,
+            ["family", name] => self.site.family = one_of(name, &FAMILIES, "family")?,
+            ["spread", n] => self.site.spread = below(n, "spread", GATEWAYS_MAX + 1)?,
+            ["connect-timeout", ms] => {
+                self.site.connect_timeout = below(ms, "connect time-out", 60_001)?.max(1) as u64;
+            }
+            ["lag", us] => self.site.lag = below(us, "lag", 100_001)? as u64,
+            ["latency", us] => self.site.latency = below(us, "latency", 100_001)? as u64,
+            ["sockets", told, real] => {
+                let told = below(told, "number of sockets", 65_537)?.max(64);
+                self.site.sockets = (told, below(real, "number of sockets", 65_537)?);
+            }
+            ["keyed", group, ms] => {
+                let window = below(ms, "key window", 60_001)? as u64;
+                self.site.keyed = Some((one_of(group, &GROUPS, "group of workers")?, window));
+            }
+            ["clock", g, off] => {
+                let off = number::<i64>(off, "time in milliseconds")?.clamp(-60_000, 60_000);
+                self.site.clocks.push((below(g, "gateway", GATEWAYS_MAX)?, off));
+            }
             ["worker", n, rest @ ..] => {
+                let (rest, place) = place(rest)?;
                 let [cores, speed, queue, cold] = values(rest, ["cores", "speed", "queue", "cold"])?;
                 let speed: f64 = number(speed, "speed")?;
                 if !(0.01..=100.0).contains(&speed) {
@@ -508,6 +663,7 @@
                     speed,
                     queue: below(queue, "length of a queue", 10_000)?,
                     cold: yes(cold)?,
+                    place,
                 });
             }
             ["at", at, rest @ ..] => self.acts.push((time(at)?, act(rest)?)),
@@ -537,7 +693,7 @@
             ("", "empty script"),
             ("hingestage-sim 2\n", "line 1: `hingestage-sim 1` expected"),
             ("hingestage-sim 1\n\nseed x", "line 3: `x` is no proper seed"),
-            ("hingestage-sim 1\ngateways 9", "line 2: number of gateways"),
+            ("hingestage-sim 1\ngateways 999", "line 2: number of gateways"),
             ("hingestage-sim 1\n# ok\nworker 0 cores=2 speed=NaN queue=1 cold=no", "line 3: speed"),
             ("hingestage-sim 1\nworker 0 cores=2 speed=1", "field `queue` is missing"),
             ("hingestage-sim 1\nat soon fault nothing", "no time in milliseconds"),
@@ -545,6 +701,9 @@
             ("hingestage-sim 1\nat 999999 fault nothing", "past the latest time"),
             ("hingestage-sim 1\nat 1 fault worker 0 dancing", "`dancing` is no way of a worker"),
             ("hingestage-sim 1\nat 1 ask gateway=0", "field `class` is missing"),
+            ("hingestage-sim 1\nfamily odd", "`odd` is no family"),
+            ("hingestage-sim 1\nkeyed some 5", "`some` is no group of workers"),
+            ("hingestage-sim 1\nclock 0 soon", "`soon` is no proper time"),
             ("hingestage-sim 1\nhello", "`hello` says nothing known"),
         ] {
             let said = text.parse::<Script>().unwrap_err();
--- a/crates/sim/src/shrink.rs
+++ b/crates/sim/src/shrink.rs
@@ -5,7 +5,7 @@
 //! for each candidate before it is given up, and the script carries the one that fails.
 
 use crate::checker::Violation;
-use crate::script::{Act, AskLine, Manner, Micros, Script};
+use crate::script::{Act, AskLine, Class, Manner, Micros, Script, Site};
 use crate::world::{play, Options};
 
 /// Seeds tried for each candidate.
@@ -114,6 +114,19 @@
     /// Takes the plainest value for whatever may have it.
     fn plainer(&mut self) {
         self.change(|script| script.runs_on = false);
+        let usual = Site::default();
+        let site: [fn(&mut Site, &Site); 7] = [
+            |site, usual| *site = usual.clone(),
+            |site, usual| site.spread = usual.spread,
+            |site, usual| site.connect_timeout = usual.connect_timeout,
+            |site, usual| site.sockets = usual.sockets,
+            |site, usual| site.lag = usual.lag,
+            |site, usual| site.latency = usual.latency,
+            |site, usual| site.clocks = usual.clocks.clone(),
+        ];
+        for change in site {
+            self.change(|script| change(&mut script.site, &usual));
+        }
         for i in 0..self.best.workers.len() {
             self.change(|script| script.workers[i].cold = false);
             self.change(|script| script.workers[i].speed = 1.0);
@@ -124,7 +137,7 @@
             |ask| ask.gateway = 0,
             |ask| ask.body = 0,
             |ask| ask.units = 1,
-            |ask| ask.push = false,
+            |ask| ask.class = Class::Pull,
             |ask| ask.account = 1,
             |ask| ask.plan = 1,
             |ask| ask.work = 50,
--- a/crates/sim/tests/planted.rs
+++ b/crates/sim/tests/planted.rs
@@ -211,6 +211,84 @@
     caught("cold workers are taken for warm", &["cold"], start);
 }
 
+/// A gateway whose settings are bent before its decisions read them.
+macro_rules! settings {
+    ($bend:expr) => {
+        decisions!(|mut settings: Settings, seed, now| {
+            let bend: fn(&mut Settings) = $bend;
+            bend(&mut settings);
+            gatekeeper(settings, seed, now)
+        })
+    };
+}
+
+#[test]
+fn a_cold_budget_is_four_times_as_large() {
+    let start = settings!(|settings| settings.rules.fall_multiple *= 4.0);
+    caught("a cold budget is four times as large", &["cold"], start);
+}
+
+#[test]
+fn a_cold_budget_is_doubled() {
+    let start = settings!(|settings| settings.rules.fall_multiple *= 2.0);
+    caught("a cold budget is doubled", &["cold"], start);
+}
+
+#[test]
+fn a_ceilings_slack_is_used_twice_by_each_gateway() {
+    let start = settings!(|settings| settings.plans.iter_mut().for_each(|plan| plan.ceiling_slack *= 2.0));
+    caught("a ceiling's slack is used twice", &["ceilings"], start);
+}
+
+#[test]
+fn the_whole_slack_is_used_by_each_gateway() {
+    let start = decisions!(|mut settings: Settings, seed, now| {
+        let n = f64::from(settings.instances.max(1));
+        settings.plans.iter_mut().for_each(|plan| plan.ceiling_slack *= n);
+        gatekeeper(settings, seed, now)
+    });
+    caught("each gateway uses the whole slack", &["ceilings"], start);
+}
+
+#[test]
+fn nothing_is_kept_back_for_the_way_of_an_answer() {
+    let start = handling!(|inner, now, event, out| {
+        let event = match event {
+            Event::Request(r) => Event::Request(Request { time_left: r.time_left + 15_000, ..r }),
+            event => event,
+        };
+        inner.handle(now, event, out);
+    });
+    caught("nothing is kept back for the way of an answer", &["lost"], start);
+}
+
+#[test]
+fn groups_of_workers_are_taken_for_one() {
+    let start =
+        settings!(|settings| settings.classes.iter_mut().for_each(|class| class.group = DedupGroup::All));
+    caught("groups of workers are taken for one", &["twice"], start);
+}
+
+#[test]
+fn a_key_is_believed_to_be_remembered_for_ever() {
+    let start =
+        settings!(|settings| settings.classes.iter_mut().for_each(|class| class.key_window = 60_000_000));
+    caught("a key is believed to be remembered for ever", &["twice"], start);
+}
+
+#[test]
+fn a_repeat_is_written_however_late_its_connection_is() {
+    let start = handling!(|inner, now, event, out| {
+        inner.handle(now, event, out);
+        for action in out.iter_mut() {
+            if let Action::Send { timeout, begin_within, .. } = action {
+                *begin_within = *timeout;
+            }
+        }
+    });
+    caught("a repeat is written however late its connection is", &["twice"], start);
+}
+
 // ---- defects of the platform ----
 
 /// How a platform is bent.
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -74,6 +74,9 @@
     }
 }
 
+/// How soon after the first byte of a request its connection must be taken in to count as taken in at once.
+const AT_ONCE: Duration = Duration::from_millis(10);
+
 struct Line<S> {
     reader: Reader<S>,
     written: u64,
@@ -163,6 +166,7 @@
         let id = ask.id.clone();
         let text = ask.text();
         let end = line.written + text.len() as u64;
+        let asked = self.platform.now();
         (self.observer)(Seen::Asking { id: id.clone() });
         let written = write(&self.platform, &mut line.reader, &text, ask.manner).await;
         line.written = end;
@@ -191,12 +195,15 @@
                 (Ended::Answer(message), true)
             }
             Heard::Message(Err(_)) => {
-                let taken = line.reader.stream.delivered().map(|n| n >= end && written);
+                // What was never accepted nobody has taken in, though the machine may have all of it.
+                let accepted = line.reader.stream.accepted_at().is_some();
+                let taken = line.reader.stream.delivered().map(|n| n >= end && written && accepted);
                 (self.observer)(Seen::Unanswered { id, taken, first: !line.used });
                 (Ended::Broken, taken.unwrap_or(false))
             }
             Heard::Late | Heard::Gone => {
-                (self.observer)(Seen::Left { id, late: matches!(heard, Heard::Late) });
+                let accepted = line.reader.stream.accepted_at().is_some_and(|at| at <= asked + AT_ONCE);
+                (self.observer)(Seen::Left { id, late: matches!(heard, Heard::Late), accepted });
                 (Ended::Left, true)
             }
         }
@@ -254,6 +261,7 @@
 {
     let Ok(Ok(stream)) = platform.timeout(OWED, platform.connect(to)).await else { return };
     let mut reader = Reader::new(stream);
+    let begun = platform.now();
     let owed = if what == "huge-body" { OWED_LONG } else { OWED };
     let until = platform.now() + owed;
     let text = rude_text(what, &usual);
@@ -274,7 +282,9 @@
             }
         })
         .await;
-    observer(Seen::Rebuked { what, status, late: ended.is_err() });
+    // What stood in line for a descriptor is owed nothing by the time of its connect.
+    let accepted = reader.stream.accepted_at().is_some_and(|at| at <= begun + AT_ONCE);
+    observer(Seen::Rebuked { what, status, late: ended.is_err() && accepted });
 }
 
 fn rude_text(what: &str, usual: &Ask) -> Vec<u8> {
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -23,12 +23,16 @@
     pub state: String,
     /// When it last started, Unix time in milliseconds; 0 for long ago.
     pub boot_ms: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Workers of one cell share which keys they have seen.
+    pub cell: u64,
 }
 
 impl Listed {
     /// In the form of the protocol.
     pub fn json(&self) -> Value {
-        json!({"uid": self.uid, "endpoint": self.endpoint, "az": "a", "model": "m", "pod_group": 0,
+        json!({"uid": self.uid, "endpoint": self.endpoint, "az": self.zone, "model": "m", "pod_group": self.cell,
                "state": self.state, "capacity_hint": 1.0, "boot_ms": self.boot_ms})
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -61,6 +61,9 @@
         id: String,
         /// Whether its time was up.
         late: bool,
+        /// Whether the gateway took its connection in at once: nobody can tell it how long one has stood in
+        /// line before that.
+        accepted: bool,
     },
     /// Bytes came to a client that it did not wait for.
     Unasked {
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -13,6 +13,10 @@
     /// A number that tells it from others.
     fn id(&self) -> u64;
 
+    /// When the program on the other side took the connection in; none while it has not, and the start of the
+    /// connection where nobody can tell.
+    fn accepted_at(&self) -> Option<Instant>;
+
     /// How many bytes written here reached the other machine before that ended the connection; none where
     /// nobody can tell.
     fn delivered(&self) -> Option<u64>;
@@ -32,6 +36,11 @@
         port(self.local_addr()) << 16 | port(self.peer_addr())
     }
 
+    fn accepted_at(&self) -> Option<Instant> {
+        // Long ago: a real listener's backlog tells nothing.
+        Some(Instant::now() - Duration::from_secs(1))
+    }
+
     fn delivered(&self) -> Option<u64> {
         None
     }
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -40,11 +40,21 @@
     pub ceiling_depth: f64,
     /// How far below nothing it may go.
     pub ceiling_slack: f64,
+    /// Whether the quota is soft: what goes beyond it earns more than it costs, so that the ceiling alone binds.
+    pub soft: bool,
 }
 
 /// The plans.
-pub const PLANS: [Plan; 3] = [
-    Plan { name: "base", rate: 8.0, burst: 16.0, ceiling_rate: 0.0, ceiling_depth: 0.0, ceiling_slack: 0.0 },
+pub const PLANS: [Plan; 4] = [
+    Plan {
+        name: "base",
+        rate: 8.0,
+        burst: 16.0,
+        ceiling_rate: 0.0,
+        ceiling_depth: 0.0,
+        ceiling_slack: 0.0,
+        soft: false,
+    },
     Plan {
         name: "ufficio",
         rate: 10.0,
@@ -52,6 +62,7 @@
         ceiling_rate: 0.0,
         ceiling_depth: 0.0,
         ceiling_slack: 0.0,
+        soft: false,
     },
     Plan {
         name: "ente",
@@ -60,10 +71,42 @@
         ceiling_rate: 36.0,
         ceiling_depth: 44.0,
         ceiling_slack: 6.0,
+        soft: false,
+    },
+    // A ceiling that is small against its slack, under a quota that turns nothing away.
+    Plan {
+        name: "scuola",
+        rate: 6.0,
+        burst: 12.0,
+        ceiling_rate: 9.0,
+        ceiling_depth: 24.0,
+        ceiling_slack: 6.0,
+        soft: true,
     },
 ];
 
+/// The name of the class whose repeats workers drop, where there is one.
+pub const KEYED: &str = "note";
+
+/// What a site may have otherwise than the usual one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Extras {
+    /// How long a gateway waits for a connection to a worker.
+    pub connect_timeout: Duration,
+    /// Descriptors that a gateway is told it may have.
+    pub sockets: usize,
+    /// A class more, [`KEYED`]: which workers drop its repeats (`all`, `zone` or `cell`), and for how long.
+    pub keyed: Option<(&'static str, Duration)>,
+}
+
+impl Default for Extras {
+    fn default() -> Self {
+        Extras { connect_timeout: Duration::from_millis(250), sockets: 256, keyed: None }
+    }
+}
+
 /// The configuration of one gateway.
+#[allow(clippy::too_many_arguments)]
 pub fn config(
     instances: usize,
     me: usize,
@@ -72,27 +115,34 @@
     counter: SocketAddr,
     seed: u64,
     known: Value,
+    extras: &Extras,
 ) -> Value {
     let plans: Vec<Value> = PLANS.iter().map(plan).collect();
     let micros = |span: Duration| span.as_micros() as u64;
+    let mut classes = vec![
+        json!({"name": "pull", "aimUs": 600_000, "giveUpUs": 1_500_000, "effect": "idempotent",
+               "group": "all"}),
+        json!({"name": "push", "aimUs": 750_000, "giveUpUs": 2_500_000, "effect": "at_most_once",
+               "group": "all"}),
+    ];
+    classes.extend(extras.keyed.map(|(group, window)| {
+        json!({"name": KEYED, "aimUs": 750_000, "giveUpUs": 2_500_000, "effect": "deduplicated",
+               "group": group, "keyTtlUs": micros(window)})
+    }));
     json!({
         "name": format!("n{me}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
         "counter": counter.to_string(), "seed": format!("{seed:016x}"),
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": extras.sockets},
         "known": known,
         "settings": {
             "instances": instances, "me": me, "resolutionUs": 1000, "zone": "a", "registryMode": "pushed",
             "familyInfo": {"mayCount": true, "countWaitUs": 50_000, "mostUnits": MOST_UNITS, "costAfter": true},
             "limits": {"maxAttempts": MAX_ATTEMPTS, "mayCancel": true, "mayDuplicate": false,
                        "retryAfter": true, "maxRetryAfterUs": 500_000, "connIdleUs": 4_000_000,
-                       "connectTimeoutUs": 250_000},
+                       "connectTimeoutUs": micros(extras.connect_timeout)},
             "rules": {"coldFrom": COLD.0, "coldUs": micros(COLD.1), "fallMultiple": FALL_MULTIPLE,
                       "tipAfterUs": micros(FALL_AFTER)},
-            "services": [
-                {"name": "pull", "aimUs": 600_000, "giveUpUs": 1_500_000, "effect": "idempotent",
-                 "group": "all"},
-                {"name": "push", "aimUs": 750_000, "giveUpUs": 2_500_000, "effect": "at_most_once",
-                 "group": "all"}],
+            "services": classes,
             "tiersOfService": plans
         }
     })
@@ -100,6 +150,6 @@
 
 fn plan(plan: &Plan) -> Value {
     json!({"name": plan.name, "rate": plan.rate, "storeSize": plan.burst, "hardRate": plan.ceiling_rate,
-           "capDepth": plan.ceiling_depth, "ceilingSlack": plan.ceiling_slack, "beyondEarns": 0.0,
-           "overCost": 1.0})
+           "capDepth": plan.ceiling_depth, "ceilingSlack": plan.ceiling_slack,
+           "beyondEarns": if plan.soft { 1.0 } else { 0.0 }, "overCost": if plan.soft { 0.0 } else { 1.0 }})
 }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,8 +1,10 @@
 //! A worker: cores, a queue, a cold start, answers good and spoilt.
 
+use crate::site::KEYED;
 use crate::{End, Observer, Peer, Reader, Seen};
 use hingestage_platform::{Listener, Platform};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
@@ -24,8 +26,15 @@
     pub started: Option<Instant>,
     /// Whether it runs on what its caller has given up.
     pub runs_on: bool,
+    /// Its zone.
+    pub zone: &'static str,
+    /// Its cell, of those in its zone.
+    pub cell: u64,
 }
 
+/// The keys that a group of workers has seen, each until when it is remembered.
+pub type Keys = Rc<RefCell<BTreeMap<String, Instant>>>;
+
 impl Spec {
     /// The share of its capacity that it has at an instant.
     pub fn share(&self, now: Instant) -> f64 {
@@ -88,6 +97,8 @@
     waiting: Cell<usize>,
     answers: Cell<u64>,
     served: Cell<u64>,
+    /// Whose repeats it drops, and for how long a key is remembered.
+    keys: RefCell<Option<(Keys, Duration)>>,
     observer: Observer,
 }
 
@@ -107,6 +118,7 @@
             waiting: Cell::new(0),
             answers: Cell::new(0),
             served: Cell::new(0),
+            keys: RefCell::default(),
             observer,
         })
     }
@@ -126,6 +138,25 @@
         self.mood.get()
     }
 
+    /// Lets it drop repeats of keyed requests together with all that share `keys`.
+    pub fn remember(&self, keys: Keys, window: Duration) {
+        *self.keys.borrow_mut() = Some((keys, window));
+    }
+
+    /// Whether its group has seen this keyed request before; if it `runs` now, it has from now on.
+    fn repeated(&self, id: &str, query: &str, runs: bool) -> bool {
+        let class = query.split('/').nth(1);
+        let keys = self.keys.borrow();
+        let Some((keys, window)) = keys.as_ref().filter(|_| class == Some(KEYED)) else { return false };
+        let (now, mut keys) = (self.platform.now(), keys.borrow_mut());
+        keys.retain(|_, until| *until > now);
+        let known = keys.contains_key(id);
+        if runs {
+            keys.entry(id.to_owned()).or_insert(now + *window);
+        }
+        known
+    }
+
     /// Turns new requests away from now on, and finishes what it has.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -195,6 +226,8 @@
             }
             _ => {}
         }
+        // A repeat is known by its coming, however long it waits then.
+        let repeated = self.repeated(id, query, false);
         let _core = {
             let _waits = Waits::new(&self.waiting);
             tokio::select! {
@@ -204,6 +237,9 @@
                 () = reader.ended() => return Err(End::Closed),
             }
         };
+        if repeated || self.repeated(id, query, true) {
+            return self.answer(reader, id, query).await;
+        }
         (self.observer)(Seen::Ran { worker: self.spec.number, id: id.to_owned() });
         let slower = if let Mood::Slower(factor) = self.mood.get() { factor } else { 1.0 };
         let work = parameter(query, "work").unwrap_or(10.0) / 1e3 * slower;
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/src/bin/hingestage-adapter/wire.rs
@@ -115,7 +115,7 @@
 /// Prints one action as a line of the reply.
 pub fn print(reply: &mut String, instance: u32, action: &Action) {
     let line = match action {
-        Action::Send { request, worker, timeout } => {
+        Action::Send { request, worker, timeout, .. } => {
             format!(
                 "TRY\tgatekeeper={instance}\tticket={}\ttimeoutUs={timeout}\tworker={}",
                 request.0, worker.0
