--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -89,7 +89,7 @@
 const KEY_MARGIN: Micros = 50_000;
 
 /// The decisions of one gateway.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Gatekeeper {
     set: Settings,
     rng: fastrand::Rng,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -2,7 +2,7 @@
 use crate::api::*;
 
 /// One customer's own and others' units in one slot, as the counter has them.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Slot {
     pub mine: f64,
     pub others: f64,
@@ -14,7 +14,7 @@
 
 pub type Key = (usize, CustomerId);
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Customer {
     pub gateways: f64,
     /// Moves this customer's slots, so that not all customers start one at the same time.
@@ -51,7 +51,7 @@
 }
 
 /// What one class of requests met at one worker.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Health {
     pub answered: Micros,
     pub avoid_until: Micros,
@@ -60,7 +60,7 @@
     pub fails: u32,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Worker {
     pub info: WorkerInfo,
     pub inflight: f64,
@@ -73,6 +73,7 @@
     pub credit_at: Micros,
 }
 
+#[derive(Clone, Debug)]
 pub struct Attempt {
     pub worker: WorkerId,
     pub zone: Zone,
@@ -92,7 +93,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Open {
     pub key: Key,
     pub class: Class,
@@ -115,6 +116,7 @@
     Answered,
 }
 
+#[derive(Clone, Debug)]
 pub struct Call {
     pub key: Key,
     pub slot: u64,
--- a/crates/sim/src/campaign.rs
+++ b/crates/sim/src/campaign.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::Range;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::time::Instant;
 
@@ -36,28 +36,35 @@
 /// Plays all seeds on so many threads; `progress` hears of each seed that is done. The result is the same
 /// for any number of threads.
 ///
-/// With `until` no seed is begun after that; those begun by then are played to their end.
+/// With `until` no seed is begun after that, with `until_broken` none after one has broken a rule; those begun
+/// by then are played to their end.
 pub fn run(
     seeds: Range<u64>,
     until: Option<Instant>,
+    until_broken: bool,
     jobs: usize,
     options: Options,
     mut progress: impl FnMut(u64),
 ) -> Campaign {
-    let next = AtomicU64::new(seeds.start);
+    let (next, enough) = (AtomicU64::new(seeds.start), AtomicBool::new(false));
     let mut digests = BTreeMap::new();
     let mut campaign = Campaign::default();
     std::thread::scope(|scope| {
         let (tell, told) = mpsc::sync_channel(1_024);
         for _ in 0..jobs.max(1) {
-            let (tell, next, end) = (tell.clone(), &next, seeds.end);
+            let (tell, next, enough, end) = (tell.clone(), &next, &enough, seeds.end);
             scope.spawn(move || loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= end || until.is_some_and(|until| Instant::now() >= until) {
+                let over = until.is_some_and(|until| Instant::now() >= until);
+                if seed >= end || over || enough.load(Ordering::Relaxed) {
                     return;
                 }
                 let script = scenario(seed);
-                if tell.send((seed, script.site.family, play(&script, options))).is_err() {
+                let report = play(&script, options);
+                if until_broken && report.broken.is_some() {
+                    enough.store(true, Ordering::Relaxed);
+                }
+                if tell.send((seed, script.site.family, report)).is_err() {
                     return;
                 }
             });
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -39,8 +39,11 @@
         /// Threads; as many as there are cores where it is left out.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=256))]
         jobs: Option<u16>,
+        /// Begins no further seed once one has broken a rule.
+        #[arg(long, conflicts_with = "seed")]
+        until_broken: bool,
         /// Prints the script and everything that is seen. With --seed only.
-        #[arg(long, conflicts_with = "seeds")]
+        #[arg(long, conflicts_with_all = ["seeds", "for"])]
         trace: bool,
     },
     /// Shortens the script of a seed, or of a file, that breaks a rule.
@@ -98,8 +101,12 @@
     // A gateway's panic is a finding, told with its seed; the usual message would only get lost among others.
     std::panic::set_hook(Box::new(|_| {}));
     let done = match Args::parse().command {
-        Command::Run { seeds: Some(seeds), jobs, .. } => Ok(run(seeds, None, jobs)),
-        Command::Run { lasts: Some(lasts), jobs, .. } => Ok(run(fresh(), Some(lasts), jobs)),
+        Command::Run { seeds: Some(seeds), jobs, until_broken, .. } => {
+            Ok(run(seeds, None, until_broken, jobs))
+        }
+        Command::Run { lasts: Some(lasts), jobs, until_broken, .. } => {
+            Ok(run(fresh(), Some(lasts), until_broken, jobs))
+        }
         Command::Run { seed, trace, .. } => Ok(one(&scenario(seed.unwrap_or(0)), trace)),
         Command::Shrink { seed, file, output } => shorten(seed, file, &output),
         Command::Replay { file, trace } => read(&file).map(|script| one(&script, trace)),
@@ -118,12 +125,12 @@
     text.parse().map_err(|e| format!("{}: {e}", file.display()))
 }
 
-fn run(seeds: Range<u64>, lasts: Option<Duration>, jobs: Option<u16>) -> ExitCode {
+fn run(seeds: Range<u64>, lasts: Option<Duration>, until_broken: bool, jobs: Option<u16>) -> ExitCode {
     let jobs = jobs.map_or_else(|| std::thread::available_parallelism().map_or(1, usize::from), usize::from);
     let (all, began) = (seeds.end - seeds.start, Instant::now());
     let mut said = began;
     let until = lasts.map(|lasts| began + lasts);
-    let campaign = campaign::run(seeds, until, jobs, Options::default(), |done| {
+    let campaign = campaign::run(seeds, until, until_broken, jobs, Options::default(), |done| {
         if said.elapsed().as_secs() >= 2 {
             said = Instant::now();
             let of = if lasts.is_some() { String::new() } else { format!(" of {all}") };
