--- a/crates/mutants/src/judge.rs
+++ b/crates/mutants/src/judge.rs
@@ -32,6 +32,8 @@
     SmallWorlds,
     /// The sums of service over the seeds.
     Service,
+    /// The property tests on bytes.
+    Bytes,
     /// A test.
     Tests,
     /// It never came to an end.
@@ -175,6 +177,8 @@
         }
         for (found, packages) in [
             (Found::SmallWorlds, &["-p", "hingestage-small-worlds"][..]),
+            (Found::Bytes, &["-p", "hingestage-sim", "--test", "bytes"][..]),
+            (Found::Tests, &["-p", "hingestage-sim", "--test", "hard_cases", "--test", "scripts"][..]),
             (Found::Tests, &["-p", "hingestage-policy", "-p", "hingestage-gateway", "-p", "hingestage"][..]),
         ] {
             let mut words = vec!["test", "--profile", "seeds", "-q"];
--- a/crates/mutants/src/main.rs
+++ b/crates/mutants/src/main.rs
@@ -7,7 +7,7 @@
 mod table;
 
 use clap::{Parser, Subcommand};
-use judge::{Bench, Found, Service, Verdict};
+use judge::{Bench, Found, Verdict};
 use mutant::{Family, Mutant};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::HashSet;
@@ -230,6 +230,6 @@
 
     #[test]
     fn service_of_nothing_is_no_worse() {
-        assert_eq!(Service::default().worse_than(&Service::default()), None);
+        assert_eq!(judge::Service::default().worse_than(&judge::Service::default()), None);
     }
 }
--- a/crates/mutants/src/table.rs
+++ b/crates/mutants/src/table.rs
@@ -6,10 +6,11 @@
 use std::fmt::Write;
 
 /// The words of each kind of verdict, in the order of the table's columns.
-const COLUMNS: [(Found, &str); 6] = [
+const COLUMNS: [(Found, &str); 7] = [
     (Found::Seeds, "seeds"),
     (Found::SmallWorlds, "small worlds"),
     (Found::Service, "service"),
+    (Found::Bytes, "bytes"),
     (Found::Tests, "tests"),
     (Found::Hangs, "no end"),
     (Found::Survived, "survived"),
@@ -61,7 +62,7 @@
             verdict("b", Family::Guard, Found::Survived),
             verdict("c", Family::Tuned, Found::Unbuildable),
         ]);
-        assert!(said.contains("| guards | 2 | 1 | 0 | 0 | 0 | 0 | 1 |"), "{said}");
+        assert!(said.contains("| guards | 2 | 1 | 0 | 0 | 0 | 0 | 0 | 1 |"), "{said}");
         assert!(said.contains("| tuned values | 0 |"), "{said}");
         assert!(said.contains("- b: no reason known"), "{said}");
     }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -87,6 +87,9 @@
 /// Most that a worker sends of an answer without an end, bytes.
 const ENDLESS: usize = 512 * 1024;
 
+/// Most work of a request, seconds, whatever it says of itself.
+const LONGEST_WORK: f64 = 3_600.0;
+
 /// A worker process.
 pub struct Worker<P> {
     platform: P,
@@ -242,7 +245,7 @@
         }
         (self.observer)(Seen::Ran { worker: self.spec.number, id: id.to_owned() });
         let slower = if let Mood::Slower(factor) = self.mood.get() { factor } else { 1.0 };
-        let work = parameter(query, "work").unwrap_or(10.0) / 1e3 * slower;
+        let work = (parameter(query, "work").unwrap_or(10.0) / 1e3 * slower).clamp(0.0, LONGEST_WORK);
         let time = work / self.spec.speed.max(1e-3) / self.spec.share(self.platform.now());
         let mut done = std::pin::pin!(self.platform.sleep(Duration::from_secs_f64(time)));
         let gone = tokio::select! {
