Test of the old counter's answers: go on once the new one is connected, not before

It waits for the new counter's connection now, and for the old one's before the first client is asked.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -251,6 +251,8 @@
 pub struct Counter {
     pub addr: SocketAddr,
     pub calls: Receiver<(usize, String)>,
+    /// Told of each connection as it comes in.
+    pub connected: Receiver<usize>,
 }
 
 impl Counter {
@@ -258,9 +260,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let (tell, calls) = channel();
+        let (greet, connected) = channel();
         thread::spawn(move || {
             let mut number = 0;
             for (conn, stream) in listener.incoming().flatten().enumerate() {
+                let _ = greet.send(conn);
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 while let Some(words) = Counter::read(&mut reader) {
                     let text = if words[0] == "PING" {
@@ -278,7 +282,7 @@
                 let _ = stream.shutdown(Shutdown::Both);
             }
         });
-        Counter { addr, calls }
+        Counter { addr, calls, connected }
     }
 
     fn read(from: &mut impl BufRead) -> Option<Vec<String>> {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -629,7 +629,10 @@
     discovery.list(2, true, &[worker.listed("w0", "up")]);
     let (release, released) = std::sync::mpsc::channel::<()>();
     let released = std::sync::Mutex::new(released);
-    let old = Counter::start(move |_, _| {
+    let old = Counter::start(move |name, _| {
+        if !name.starts_with("1.") {
+            return Some(total(1.0));
+        }
         let _ = released.lock().unwrap().recv_timeout(PATIENCE);
         Some(total(1e6))
     });
@@ -644,18 +647,28 @@
         let terms = "units=15,spread=2,first=0".into();
         Ask { tier: "small", client: format!("{n:016x}"), terms, ..pull() }.text()
     };
+    let until_called = |counter: &Counter, first: u32| {
+        for n in first.. {
+            gateway.ask(&ask(n));
+            if counter.calls.try_iter().count() > 0 {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    // Asked before the counter is connected, the client would be judged without any total.
+    until_called(&old, 1_000);
+    // So it would be within the pace of calls, some ms: a longer pause changes nothing.
+    std::thread::sleep(Duration::from_millis(250));
     let mut client = gateway.connect();
     client.send(&ask(1));
-    old.calls.recv_timeout(PATIENCE).expect("no call");
+    while !old.calls.recv_timeout(PATIENCE).expect("no call").1.starts_with("1.") {}
     config["counter"] = new.addr.to_string().into();
     gateway.reconfigure(&config.to_string());
-    for n in 2.. {
-        gateway.ask(&ask(n));
-        if new.calls.try_iter().count() > 0 {
-            break;
-        }
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    // What is asked before that goes to the old counter, which answers none until it is released, and is given up
+    // for silent with all that it owes.
+    new.connected.recv_timeout(PATIENCE).expect("no connection to the new counter");
+    until_called(&new, 2);
     release.send(()).unwrap();
     // By the old counter's total it is far beyond its quota.
     assert_eq!(client.answer().map(|answer| answer.status()), Some(429));
