Judge a key's window in one place; draw families from one table; take out what nothing calls

Whether a keyed repeat may still begin was worked out twice, for the choice of a worker and for the send: both ask `begin_by` now, and the gateway no longer takes the lesser of two times of which one never is the greater. A family's weight and what draws it stand in one table, where a family that was forgotten fell to `mixed` unseen. Two sums of service that nothing called are gone; figures of the small worlds have names.

--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -53,7 +53,7 @@
 /// By when an attempt must have come how far.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    /// Not written at all after this.
+    /// Not written at all after this, which is no later than the deadline.
     pub begin_by: Instant,
     /// Given up then.
     pub deadline: Instant,
@@ -225,7 +225,7 @@
     ) -> Attempted<P::Stream> {
         let deadline = times.deadline;
         loop {
-            let mut conn = match self.connection(worker, times.begin_by.min(deadline)).await {
+            let mut conn = match self.connection(worker, times.begin_by).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome.into(),
             };
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -88,6 +88,13 @@
 /// Safety kept at the end of a key window, µs.
 const KEY_MARGIN: Micros = 50_000;
 
+/// Until when an attempt of a request may begin: a keyed one that may have run, only while its key is known.
+fn begin_by(r: &Open) -> Micros {
+    let ran = r.attempts.iter().find(|a| a.may_have_run && r.class.effect == Effect::Deduplicated);
+    let known = ran.map(|first| (first.sent + r.class.key_window).saturating_sub(KEY_MARGIN));
+    known.map_or(r.deadline, |known| known.min(r.deadline))
+}
+
 /// The decisions of one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Gatekeeper {
@@ -557,8 +564,8 @@
         let effect_ok = match (r.class.effect, ran.peek()) {
             (_, None) | (Effect::Idempotent, _) => true,
             (Effect::AtMostOnce, Some(_)) => false,
-            (Effect::Deduplicated, Some(first)) => {
-                first.sent + r.class.key_window > self.now + KEY_MARGIN
+            (Effect::Deduplicated, Some(_)) => {
+                self.now < begin_by(r)
                     && ran.all(|a| match r.class.group {
                         DedupGroup::All => true,
                         DedupGroup::Zone => a.zone == w.info.zone,
@@ -610,10 +617,7 @@
         (w.credit, w.credit_at) = (credit - 1.0, self.now);
         r.held = false;
         let timeout = r.deadline - self.now;
-        let ran = r.attempts.iter().find(|a| a.may_have_run && r.class.effect == Effect::Deduplicated);
-        let begin_within = ran.map_or(timeout, |first| {
-            (first.sent + r.class.key_window).saturating_sub(self.now + KEY_MARGIN).min(timeout)
-        });
+        let begin_within = begin_by(r).saturating_sub(self.now);
         r.attempts.push(Attempt::new(&w.info, self.now));
         out.push(Action::Send { request: id.clone(), worker, timeout, begin_within });
         true
--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -451,9 +451,8 @@
         let first = request.attempts.is_empty();
         let after = request.over_at.filter(|over| began.0 > over + LONGER);
         let over = self.ended.contains(&conn);
-        let began_at = began.0;
         let (never, answering, wrote) = (false, false, false);
-        request.attempts.push(Attempt { conn, began: began_at, place, over, never, answering, wrote });
+        request.attempts.push(Attempt { conn, began: began.0, place, over, never, answering, wrote });
         let attempts = request.attempts.len();
         self.carries.insert(conn, id.clone());
         if !same {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -23,45 +23,49 @@
     kinds: Vec<String>,
 }
 
-/// How often each family is drawn, of all.
-const WEIGHTS: [u32; FAMILIES.len()] = [36, 9, 2, 3, 1, 10, 9, 6, 5, 6, 5, 5, 3];
-
-fn family(rng: &mut Rng) -> &'static str {
-    let mut at = rng.u32(..WEIGHTS.iter().sum::<u32>());
-    for (family, weight) in FAMILIES.into_iter().zip(WEIGHTS) {
-        if at < weight {
-            return family;
+/// How often a family is drawn, and what draws it.
+type Family = (u32, fn(&mut Draft));
+
+/// How often each family is drawn, of all, and what draws it, in the order of [`FAMILIES`].
+const DRAWN: [Family; FAMILIES.len()] = [
+    (36, Draft::mixed),
+    (9, Draft::narrow),
+    (2, Draft::crowd),
+    (3, Draft::light),
+    (1, Draft::wide),
+    (10, Draft::connect),
+    (9, Draft::keyed),
+    (6, Draft::flood),
+    (5, Draft::ids),
+    (6, Draft::patience),
+    (5, Draft::clocks),
+    (5, Draft::sockets),
+    (3, Draft::lag),
+];
+
+/// A family's place in [`FAMILIES`].
+fn family(rng: &mut Rng) -> usize {
+    let mut at = rng.u32(..DRAWN.iter().map(|(weight, _)| weight).sum::<u32>());
+    for (place, (weight, _)) in DRAWN.iter().enumerate() {
+        if at < *weight {
+            return place;
         }
         at -= weight;
     }
-    FAMILIES[0]
+    0
 }
 
 /// The script of a seed.
 pub fn scenario(seed: u64) -> Script {
     let mut rng = Rng::with_seed(seed ^ 0x9e37_79b9_7f4a_7c15);
     let family = family(&mut rng);
-    let site = Site { family, ..Site::default() };
+    let site = Site { family: FAMILIES[family], ..Site::default() };
     let (gateways, runs_on) = (1 + rng.usize(..4), rng.bool());
     let script =
         Script { seed, gateways, runs_on, exact: false, site, workers: Vec::new(), acts: Vec::new() };
     let kinds = swarm(&mut rng, kinds());
     let mut draft = Draft { rng, script, kinds };
-    match family {
-        "narrow" => draft.narrow(),
-        "crowd" => draft.crowd(),
-        "light" => draft.light(),
-        "wide" => draft.wide(),
-        "connect" => draft.connect(),
-        "keyed" => draft.keyed(),
-        "flood" => draft.flood(),
-        "ids" => draft.ids(),
-        "patience" => draft.patience(),
-        "clocks" => draft.clocks(),
-        "sockets" => draft.sockets(),
-        "lag" => draft.lag(),
-        _ => draft.mixed(),
-    }
+    DRAWN[family].1(&mut draft);
     draft.script.acts.sort_by_key(|(at, _)| *at);
     draft.script
 }
--- a/crates/sim/src/service.rs
+++ b/crates/sim/src/service.rs
@@ -65,16 +65,6 @@
             self.beyond_units += asked.units;
         }
     }
-
-    /// Part of what was asked inside quotas that was not served.
-    pub fn unserved_share(&self) -> f64 {
-        1.0 - self.served as f64 / self.asked.max(1) as f64
-    }
-
-    /// Part of the units sent on that went beyond quotas.
-    pub fn beyond_share(&self) -> f64 {
-        self.beyond_units / self.sent_units.max(1.0)
-    }
 }
 
 impl AddAssign<&Service> for Service {
--- a/crates/small-worlds/src/decisions.rs
+++ b/crates/small-worlds/src/decisions.rs
@@ -12,6 +12,13 @@
 const PATIENCE: Micros = 400 * MS;
 /// A jump of time: some go past a key's window, more of them past all deadlines.
 const JUMP: Micros = 130 * MS;
+/// Workers remember keys for so long, and a request has so many attempts at most.
+const KEY_WINDOW: Micros = 200 * MS;
+const MAX_ATTEMPTS: usize = 3;
+/// A cold worker falls over by what it is sent in this time.
+const FALL_AFTER: Micros = 1_000 * MS;
+/// The ceiling: units a second, and units that its store holds.
+const CEILING: (f64, f64) = (0.01, 3.0);
 /// How many workers there are.
 const WORKERS: u64 = 2;
 
@@ -61,8 +68,8 @@
     pub fn settings(&self) -> Settings {
         let mut plan = Plan { over_cost: 1.0, ..Plan::default() };
         if self.quota {
-            plan.ceiling_rate = 0.01;
-            (plan.ceiling_burst, plan.rate, plan.burst) = (3.0, 1.0, 3.0);
+            (plan.ceiling_rate, plan.ceiling_burst) = CEILING;
+            (plan.rate, plan.burst) = (1.0, 3.0);
         }
         Settings {
             instances: 1,
@@ -75,15 +82,20 @@
                 deadline: PATIENCE,
                 effect: self.effect,
                 group: self.group,
-                key_window: 200 * MS,
+                key_window: KEY_WINDOW,
             }],
             plans: vec![plan],
-            limits: Limits { max_attempts: 3, second_copies: self.copies, cancel: true, max_retry_after: MS },
+            limits: Limits {
+                max_attempts: MAX_ATTEMPTS,
+                second_copies: self.copies,
+                cancel: true,
+                max_retry_after: MS,
+            },
             rules: RuleFigures {
                 cold_from: 0.2,
                 cold_for: 10_000 * MS,
                 fall_multiple: 2.0,
-                fall_after: 1_000 * MS,
+                fall_after: FALL_AFTER,
             },
             ..Settings::default()
         }
@@ -235,7 +247,7 @@
         };
         rule(asked.answered || asked.gone, "lost: sent after its end")?;
         rule(self.now >= asked.until, "lost: sent after its time")?;
-        rule(asked.attempts.len() >= 3, "lost: too many attempts")?;
+        rule(asked.attempts.len() >= MAX_ATTEMPTS, "lost: too many attempts")?;
         rule(!kind.copies && asked.attempts.iter().any(|a| a.out), "twice: two attempts out at once")?;
         rule(
             kind.effect == Effect::AtMostOnce && !ran.is_empty(),
@@ -244,19 +256,19 @@
         if kind.effect == Effect::Deduplicated {
             let foreign = ran.iter().any(|a| kind.place(a.worker) != kind.place(worker));
             rule(foreign, "twice: sent to a worker that can't know its key")?;
-            let forgotten = ran.first().is_some_and(|a| self.now > a.sent + 200 * MS);
+            let forgotten = ran.first().is_some_and(|a| self.now > a.sent + KEY_WINDOW);
             rule(forgotten, "twice: sent when its key was forgotten")?;
         }
         rule(self.told.get(&worker) != Some(&Availability::Ready), "drains: sent to one that takes no work")?;
         if asked.attempts.is_empty() {
             self.units += 2.0;
-            let spare = 3.0 + 0.01 * (self.now - START) as f64 / 1e6 + 1e-6;
+            let spare = CEILING.1 + CEILING.0 * (self.now - START) as f64 / 1e6 + 1e-6;
             if kind.quota && self.units > spare {
                 return Err(format!("ceilings: {} units sent on, {spare} allowed", self.units));
             }
         }
         if kind.cold && worker == 2 {
-            self.cold_sends.retain(|at| self.now - at < 1_000 * MS);
+            self.cold_sends.retain(|at| self.now - at < FALL_AFTER);
             self.cold_sends.push(self.now);
             // A core that does one of the usual requests in 75 ms has a fifth of that now, and may be sent
             // twice as much over a second; the first may come at once.
