Long answers begin at once; a head's time counts from its first byte; latency ends with an answer's start

Change: an answer said to be longer than 64 KiB is passed on from its head; each connection has one timer of the server's own; attempts tell the decisions how long their answer took to begin.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -287,7 +287,10 @@
         }
         // More units than any request has are no figure to charge a customer with.
         let true_units = attempted.true_units.filter(|n| self.most_units <= 0.0 || *n <= self.most_units);
-        self.tell_end(id, n, attempted.outcome, running.sent, true_units);
+        // What a worker takes to write its answer tells nothing of how long the work took it.
+        let until = attempted.heard.unwrap_or_else(|| self.platform.now());
+        let took = until.saturating_duration_since(running.sent);
+        self.tell_end(id, n, attempted.outcome, took, true_units);
     }
 
     /// Calls an attempt off: its connection ends before the decisions hear of it, so that no further attempt
@@ -297,7 +300,7 @@
         let Some(running) = slot else { return };
         let outcome = if running.progress.give_up() { Outcome::Cancelled } else { Outcome::NotSent };
         running.task.abort();
-        self.tell_end(id, n, outcome, running.sent, None);
+        self.tell_end(id, n, outcome, self.platform.since(running.sent), None);
     }
 
     /// Calls off what waits for a connection to a worker that takes no more work: once told of a drain,
@@ -320,7 +323,7 @@
         id: &RequestId,
         attempt: usize,
         outcome: Outcome,
-        sent: Instant,
+        took: Duration,
         true_units: Option<f64>,
     ) {
         if !matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent) {
@@ -328,7 +331,7 @@
         }
         let closed = self.open.borrow().get(id).is_none_or(|open| open.reply.is_none());
         self.forget_if_over(id);
-        let latency = self.platform.since(sent).as_micros() as Micros;
+        let latency = took.as_micros() as Micros;
         let request = id.clone();
         self.feed(Event::AttemptDone(AttemptDone { request, attempt, outcome, latency, closed, true_units }));
     }
--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -3,12 +3,13 @@
 //! The HTTP library drops a `Content-Length` that stands beside a `Transfer-Encoding` (RFC 9112, 6.3), and then
 //! nothing tells whether a second request hides in the body. So heads are kept until their request is answered.
 
-use hingestage_platform::Stream;
+use hingestage_platform::Platform;
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The head being read, bounded by what the library takes for one.
@@ -16,6 +17,7 @@
 pub struct Head {
     bytes: Vec<u8>,
     whole: bool,
+    began: Option<Instant>,
 }
 
 impl Head {
@@ -25,7 +27,10 @@
     const KEPT: usize = 1024;
 
     /// Takes in what has come: of a head, up to its empty line.
-    pub fn saw(&mut self, bytes: &[u8]) {
+    pub fn saw(&mut self, now: Instant, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.began.get_or_insert(now);
+        }
         for byte in bytes {
             if self.whole || self.bytes.len() >= Self::MAX {
                 return;
@@ -39,7 +44,17 @@
     pub fn next(&mut self) {
         self.bytes.clear();
         self.bytes.shrink_to(Self::KEPT);
-        self.whole = false;
+        (self.whole, self.began) = (false, None);
+    }
+
+    /// Since when a head is being read: none between two requests, and once it is whole.
+    pub fn reading_since(&self) -> Option<Instant> {
+        self.began.filter(|_| !self.whole)
+    }
+
+    /// Whether it has come whole.
+    pub fn is_whole(&self) -> bool {
+        self.whole
     }
 
     /// Whether this is the head of a request with that id, and names no length. A head that came together with
@@ -59,28 +74,33 @@
 }
 
 /// A connection whose heads are kept.
-pub struct Headed<S> {
-    stream: S,
+pub struct Headed<P: Platform> {
+    platform: P,
+    stream: P::Stream,
     head: Rc<RefCell<Head>>,
 }
 
-impl<S> Headed<S> {
+impl<P: Platform> Headed<P> {
     /// Keeps the heads that come on a connection.
-    pub fn new(stream: S, head: Rc<RefCell<Head>>) -> Self {
-        Headed { stream, head }
+    pub fn new(platform: P, stream: P::Stream, head: Rc<RefCell<Head>>) -> Self {
+        Headed { platform, stream, head }
     }
 }
 
-impl<S: Stream> AsyncRead for Headed<S> {
+impl<P: Platform> AsyncRead for Headed<P> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.head.borrow_mut().saw(&buf.filled()[before..]);
+        let now = self.platform.now();
+        self.head.borrow_mut().saw(now, &buf.filled()[before..]);
         polled
     }
 }
 
-impl<S: Stream> AsyncWrite for Headed<S> {
+// Nothing in it is pinned in place.
+impl<P: Platform> Unpin for Headed<P> {}
+
+impl<P: Platform> AsyncWrite for Headed<P> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
@@ -113,7 +133,7 @@
     fn knows(text: &str) -> bool {
         let mut head = Head::default();
         // Piece by piece or at once is the same.
-        text.as_bytes().chunks(3).for_each(|piece| head.saw(piece));
+        text.as_bytes().chunks(3).for_each(|piece| head.saw(Instant::now(), piece));
         head.names_no_length(b"r-1")
     }
 
@@ -134,7 +154,7 @@
     #[test]
     fn a_head_without_end_takes_no_more_than_its_bound() {
         let mut head = Head::default();
-        (0..100).for_each(|_| head.saw(&[b'x'; 1000]));
+        (0..100).for_each(|_| head.saw(Instant::now(), &[b'x'; 1000]));
         assert_eq!(head.bytes.len(), Head::MAX);
         head.next();
         assert!(head.bytes.capacity() <= Head::KEPT);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,9 +27,12 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// How long a client may take over a request's head, or be silent between two requests. Less than the 3 s in
-/// which one that never asks properly is owed an end.
+/// How long a client may take over a request's head, from its first byte on, or be silent between two requests.
+/// Less than the 3 s in which one that never asks properly is owed an end, more than the 2 s of a slow one.
+/// The library's own time would count from the last answer on, and cut off who was silent a while first.
 const HEAD_TIME: Duration = Duration::from_millis(2_200);
+/// How long a client may take from connecting to the end of its first head.
+const FIRST_TIME: Duration = Duration::from_millis(2_600);
 /// How long a client may leave its answer unread: longer than `HEAD_TIME`, which ends those that merely idle.
 const UNREAD_TIME: Duration = Duration::from_secs(4);
 /// How long a long answer may stand still, because of either side, before both are let go.
@@ -67,6 +70,8 @@
     drop: Cell<bool>,
     /// Whether a long answer passes through.
     flows: Cell<bool>,
+    /// Whether the rest of a request that has been answered still comes in.
+    wastes: Cell<bool>,
     close: Notify,
     head: Rc<RefCell<Head>>,
 }
@@ -74,8 +79,21 @@
 impl Client {
     fn new(now: Instant) -> Rc<Client> {
         let (busy, served, drop) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        let (since, flows, head) = (Cell::new(now), Cell::new(false), Rc::default());
-        Rc::new(Client { busy, served, since, drop, flows, close: Notify::new(), head })
+        let (since, flows, wastes) = (Cell::new(now), Cell::new(false), Cell::new(false));
+        let (close, head) = (Notify::new(), Rc::default());
+        Rc::new(Client { busy, served, since, drop, flows, wastes, close, head })
+    }
+
+    /// When it has taken too long over a head, or has been silent too long; none while it has a request.
+    fn overdue_at(&self) -> Option<Instant> {
+        let head = self.head.borrow();
+        let asks = self.busy.get() || self.flows.get() || self.wastes.get() || head.is_whole();
+        let since = self.since.get();
+        let due = match self.served.get() {
+            true => head.reading_since().unwrap_or(since) + HEAD_TIME,
+            false => since + FIRST_TIME,
+        };
+        (!asks).then_some(due)
     }
 
     /// Something of a long answer has passed.
@@ -254,18 +272,26 @@
                 Ok::<_, Infallible>(answer)
             }
         });
-        let conn = hyper::server::conn::http1::Builder::new()
-            .timer(self.platform.timer())
-            .header_read_timeout(HEAD_TIME)
-            .max_buf_size(HEAD_MAX)
-            .serve_connection(TokioIo::new(Headed::new(stream, client.head.clone())), service);
+        let conn = hyper::server::conn::http1::Builder::new().max_buf_size(HEAD_MAX).serve_connection(
+            TokioIo::new(Headed::new(self.platform.clone(), stream, client.head.clone())),
+            service,
+        );
         let mut conn = std::pin::pin!(conn);
-        // A client that misbehaves or leaves ends its own connection and nothing else.
-        tokio::select! {
-            biased;
-            ended = conn.as_mut() => return drop(ended),
-            () = client.close.notified() => conn.as_mut().graceful_shutdown(),
+        loop {
+            let now = self.platform.now();
+            let due = client.overdue_at().unwrap_or(now + HEAD_TIME);
+            if due <= now {
+                return;
+            }
+            // A client that misbehaves or leaves ends its own connection and nothing else.
+            tokio::select! {
+                biased;
+                ended = conn.as_mut() => return drop(ended),
+                () = client.close.notified() => break,
+                () = self.platform.sleep_until(due) => {}
+            }
         }
+        conn.as_mut().graceful_shutdown();
         // Half a head, or an answer that nobody reads, would hold its place for as long as it pleases.
         let linger = if client.drop.get() { Duration::ZERO } else { LINGER };
         let stuck = client.flows.get() && client.drop.get();
@@ -310,7 +336,14 @@
         };
         let answer = answer.await;
         if let Some(flow) = flow {
-            self.platform.spawn(flow.waste(self.platform.clone()));
+            let (client, platform) = (client.clone(), self.platform.clone());
+            client.wastes.set(true);
+            self.platform.spawn(async move {
+                flow.waste(platform.clone()).await;
+                client.wastes.set(false);
+                client.since.set(platform.now());
+                client.head.borrow_mut().next();
+            });
         }
         match answer {
             Ok(answer) => self.respond(answer, class, ticket, client),
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -28,6 +28,9 @@
 const IDLE_MAX: usize = 32;
 /// The largest head of an answer, bytes.
 const HEAD_MAX: usize = 16 * 1024;
+/// Bytes of an answer without a length that are held before it is taken for a long one: it may be spoilt, and
+/// then another attempt can still be made, but the first bytes of a long one are waited for.
+const HELD_CHUNKED: usize = 8 * 1024;
 /// How long an answer that has begun may pause: the machines share a room, and a slow one still writes on.
 const REST: Duration = Duration::from_millis(300);
 /// How long a connection rests after an answer before it carries another request. A worker that sends an
@@ -102,6 +105,8 @@
     pub outcome: Outcome,
     /// The true units, if told.
     pub true_units: Option<f64>,
+    /// When the answer's first bytes came, where it did not come in one piece.
+    pub heard: Option<Instant>,
     /// The answer, if good.
     pub served: Option<Served<S>>,
     /// The connection, where it can serve again.
@@ -110,7 +115,7 @@
 
 impl<S: Stream> From<Outcome> for Attempted<S> {
     fn from(outcome: Outcome) -> Self {
-        Attempted { outcome, true_units: None, served: None, conn: None }
+        Attempted { outcome, true_units: None, heard: None, served: None, conn: None }
     }
 }
 
@@ -285,13 +290,14 @@
             let Some(body) = parts.body.open() else { return Outcome::NotSent.into() };
             progress.begin(&conn.wire, conn.used, parts);
             let limit = self.limit(parts, times.deadline);
+            let heard = Cell::new(None);
             let ended = tokio::select! {
                 biased;
-                ended = exchange(&self.platform, &mut conn, parts, body, times.deadline) => Ok(ended),
+                ended = exchange(&self.platform, &mut conn, parts, body, times.deadline, &heard) => Ok(ended),
                 () = limit => Err(Elapsed),
             };
             if let Ok(Ok(answer)) = ended {
-                return judge(worker, answer, conn);
+                return Attempted { heard: heard.get(), ..judge(worker, answer, conn) };
             }
             let (used, whole) = (conn.used, progress.give_up());
             drop(conn);
@@ -412,7 +418,7 @@
     let body = body.filter(|_| good);
     let served = body.map(|body| Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
     let true_units = headers.get("x-cost-units").filter(|_| good).and_then(|v| decimal(v.to_str().ok()?));
-    Attempted { outcome, true_units, served, conn }
+    Attempted { outcome, true_units, heard: None, served, conn }
 }
 
 type Answer = (StatusCode, HeaderMap, AnswerBody);
@@ -439,6 +445,7 @@
     parts: &Parts,
     body: Passing,
     deadline: Instant,
+    heard: &Cell<Option<Instant>>,
 ) -> Result<Answer, Broken> {
     let skipped = Arc::new(AtomicUsize::new(0));
     let left = match &parts.body {
@@ -450,7 +457,7 @@
     tokio::select! {
         biased;
         answer = read_answer(&mut conn.sender, request) => answer,
-        () = stalled(platform, &wire, mark, &skipped) => Err(Broken::Spoilt("an answer without an end")),
+        () = stalled(platform, &wire, mark, &skipped, heard) => Err(Broken::Spoilt("an answer without an end")),
     }
 }
 
@@ -499,6 +506,11 @@
 /// Reads a body whole, or so far that it turns out to be a long one.
 async fn read_body(mut body: Incoming) -> Result<AnswerBody, Broken> {
     let length = body.size_hint().exact();
+    // A client waits for the first bytes of a long one, so nothing of it is held back.
+    if length.is_some_and(|length| length > HELD as u64) {
+        return Ok(AnswerBody::Flow(Bytes::new(), body, length));
+    }
+    let held = if length.is_some() { HELD } else { HELD_CHUNKED };
     let (mut first, mut more) = (Bytes::new(), BytesMut::new());
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| match bad_framing(&e) {
@@ -515,7 +527,7 @@
             }
             more.extend_from_slice(&data);
         }
-        if first.len().max(more.len()) > HELD && !body.is_end_stream() {
+        if first.len().max(more.len()) > held && !body.is_end_stream() {
             let begun = if more.is_empty() { first } else { more.freeze() };
             return Ok(AnswerBody::Flow(begun, body, length));
         }
@@ -531,10 +543,17 @@
 
 /// Ends when an answer has begun, past `mark` bytes, and does not go on. Interim answers are no beginning: the
 /// final one comes when it is ready.
-async fn stalled<P: Platform>(platform: &P, wire: &Wire<P::Stream>, mut mark: u64, skipped: &AtomicUsize) {
+async fn stalled<P: Platform>(
+    platform: &P,
+    wire: &Wire<P::Stream>,
+    mut mark: u64,
+    skipped: &AtomicUsize,
+    heard: &Cell<Option<Instant>>,
+) {
     let mut passed_over = 0;
     loop {
         wire.read_past(mark).await;
+        heard.set(Some(platform.now()));
         let mut seen = 0;
         while wire.read() > seen {
             seen = wire.read();
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -673,7 +673,9 @@
         a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
         let (worker, sent) = (a.worker, a.sent);
         let (class_ix, key, units, aim) = (r.class_ix, r.key.clone(), r.units, r.class.aim);
-        self.learn(worker, class_ix, aim, outcome, sent);
+        // Until its answer began: neither a body on its way there nor an answer written slowly is its work.
+        let latency = done.latency.min(self.now - sent) as f64;
+        self.learn(worker, class_ix, aim, outcome, latency);
         if let (Some(n), Outcome::Ok) = (done.true_units.filter(|n| n.is_finite()), outcome) {
             self.advance(&key);
             self.charge(&key, n - units, n - units);
@@ -833,9 +835,9 @@
         1.0 + (w.slow - 1.0) * self.samples(w) / (self.samples(w) + TRUST.0)
     }
 
-    fn learn(&mut self, id: WorkerId, class_ix: usize, aim: Micros, outcome: Outcome, sent: Micros) {
+    fn learn(&mut self, id: WorkerId, class_ix: usize, aim: Micros, outcome: Outcome, latency: f64) {
         self.out = (self.out - 1.0).max(0.0);
-        let (now, latency, room) = (self.now, (self.now - sent) as f64, self.room());
+        let (now, room) = (self.now, self.room());
         let Some(w) = self.workers.get(&id) else { return };
         let (cold, slow) = (self.coldness(w, now), self.slow_of(w));
         let samples = self.samples(w);
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -321,3 +321,32 @@
     // Thirty of 5 MB would be 150.
     assert!(gateway.memory() < 40 << 20, "{} bytes", gateway.memory());
 }
+
+/// A worker that begins a long answer and goes on slowly: the client has its first bytes at once.
+#[test]
+fn a_long_answer_begins_when_the_worker_begins_it() {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\nfirst");
+    let worker = Worker::start(Reply::Raw(head));
+    let discovery = list(&[&worker]);
+    let gateway = Gateway::ready(&config(discovery.addr, &[]));
+    let mut client = gateway.connect();
+    client.send(&pull().text());
+    // The rest never comes: only an answer passed on at once gives this line.
+    assert!(client.line().starts_with("HTTP/1.1 200"));
+}
+
+/// Silent for a while and then slow over a head: neither alone is too long.
+#[test]
+fn a_client_that_pauses_and_then_writes_slowly_is_served() {
+    let worker = Worker::start(ok("served"));
+    let discovery = list(&[&worker]);
+    let gateway = Gateway::ready(&config(discovery.addr, &[]));
+    let mut client = gateway.connect();
+    client.ask(&pull().text());
+    std::thread::sleep(Duration::from_millis(1_300));
+    let text = pull().text();
+    let (begin, end) = text.split_at(text.len() / 2);
+    client.send(begin);
+    std::thread::sleep(Duration::from_millis(1_300));
+    assert_eq!(client.ask(end).status(), 200);
+}
