A connection whose client has not taken its answer does not idle

Ruled out: the time for stuck answers (8 s, then none had stood so long), the worker's side (it was still giving).

Change: a write that finds no room marks the connection until it goes on; the system takes at most 512 KiB ahead of a client, so that one that reads at 64 kB a second is seen to read.

--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -4,7 +4,7 @@
 //! nothing tells whether a second request hides in the body. So heads are kept until their request is answered.
 
 use hingestage_platform::Platform;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -73,17 +73,35 @@
     line.iter().position(|b| *b == b':').unwrap_or(line.len())
 }
 
+/// What is kept of a client's connection.
+#[derive(Default)]
+pub struct Kept {
+    /// The head being read.
+    pub head: RefCell<Head>,
+    /// Since when the client has had no room for what is written to it; none where it takes all. Until that has
+    /// gone the connection does not idle, though its answer has left our hands: closing would cut off the end.
+    pub blocked: Cell<Option<Instant>>,
+}
+
+impl Kept {
+    fn wrote<T>(&self, now: impl FnOnce() -> Instant, polled: Poll<T>) -> Poll<T> {
+        let since = self.blocked.get();
+        self.blocked.set(if polled.is_pending() { since.or_else(|| Some(now())) } else { None });
+        polled
+    }
+}
+
 /// A connection whose heads are kept.
 pub struct Headed<P: Platform> {
     platform: P,
     stream: P::Stream,
-    head: Rc<RefCell<Head>>,
+    kept: Rc<Kept>,
 }
 
 impl<P: Platform> Headed<P> {
     /// Keeps the heads that come on a connection.
-    pub fn new(platform: P, stream: P::Stream, head: Rc<RefCell<Head>>) -> Self {
-        Headed { platform, stream, head }
+    pub fn new(platform: P, stream: P::Stream, kept: Rc<Kept>) -> Self {
+        Headed { platform, stream, kept }
     }
 }
 
@@ -92,7 +110,7 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let now = self.platform.now();
-        self.head.borrow_mut().saw(now, &buf.filled()[before..]);
+        self.kept.head.borrow_mut().saw(now, &buf.filled()[before..]);
         polled
     }
 }
@@ -102,7 +120,8 @@
 
 impl<P: Platform> AsyncWrite for Headed<P> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.kept.wrote(|| self.platform.now(), polled)
     }
 
     fn poll_write_vectored(
@@ -110,7 +129,8 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.kept.wrote(|| self.platform.now(), polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,7 +3,7 @@
 use crate::body::{Flow, RequestBody, HELD, LONGEST, PIECE_TIME, SLOWEST};
 use crate::config::Config;
 use crate::driver::{Answer, Driver, Taken, Ticket};
-use crate::heads::{Head, Headed};
+use crate::heads::{Headed, Kept};
 use crate::passing::{Passed, Written};
 use crate::workers::{Parts, Served, ServedBody};
 use crate::{decimal, note};
@@ -33,10 +33,9 @@
 const HEAD_TIME: Duration = Duration::from_millis(2_200);
 /// How long a client may take from connecting to the end of its first head.
 const FIRST_TIME: Duration = Duration::from_millis(2_600);
-/// How long a client may leave its answer unread: longer than `HEAD_TIME`, which ends those that merely idle.
-const UNREAD_TIME: Duration = Duration::from_secs(4);
-/// How long a long answer may stand still, because of either side, before both are let go.
-const STUCK_TIME: Duration = Duration::from_secs(8);
+/// How long an answer may stand still, because of either side, before both are let go. The system takes up to
+/// half a megabyte ahead of a client, which a slow one reads in eight seconds.
+const STUCK_TIME: Duration = Duration::from_secs(20);
 /// Part of the memory limit that bodies of up to `COLLECTED` may take together while they come in.
 const COLLECT_SHARE: u64 = 8;
 /// The longest body that is collected where there is memory for it, bytes: a request that is sent on when its
@@ -73,20 +72,29 @@
     /// Whether the rest of a request that has been answered still comes in.
     wastes: Cell<bool>,
     close: Notify,
-    head: Rc<RefCell<Head>>,
+    kept: Rc<Kept>,
 }
 
 impl Client {
     fn new(now: Instant) -> Rc<Client> {
         let (busy, served, drop) = (Cell::new(false), Cell::new(false), Cell::new(false));
         let (since, flows, wastes) = (Cell::new(now), Cell::new(false), Cell::new(false));
-        let (close, head) = (Notify::new(), Rc::default());
-        Rc::new(Client { busy, served, since, drop, flows, wastes, close, head })
+        let (close, kept) = (Notify::new(), Rc::default());
+        Rc::new(Client { busy, served, since, drop, flows, wastes, close, kept })
     }
 
-    /// When it has taken too long over a head, or has been silent too long; none while it has a request.
+    /// Whether nothing is under way on it in either direction, as far as it is known.
+    fn idles(&self) -> bool {
+        !self.busy.get() && self.kept.blocked.get().is_none()
+    }
+
+    /// When it has taken too long over a head, has been silent too long, or leaves its answer unread; none while
+    /// it has a request.
     fn overdue_at(&self) -> Option<Instant> {
-        let head = self.head.borrow();
+        let head = self.kept.head.borrow();
+        if let Some(blocked) = self.kept.blocked.get() {
+            return Some(blocked + STUCK_TIME);
+        }
         let asks = self.busy.get() || self.flows.get() || self.wastes.get() || head.is_whole();
         let since = self.since.get();
         let due = match self.served.get() {
@@ -187,13 +195,10 @@
         }
     }
 
-    /// Ends connections whose clients do not read what they asked for.
+    /// Ends connections on which a long answer stands still.
     pub fn close_stuck(&self) {
-        let stuck = |client: &&Rc<Client>| {
-            let still = self.platform.since(client.since.get());
-            still > if client.flows.get() { STUCK_TIME } else { UNREAD_TIME }
-                && (client.flows.get() || !client.busy.get())
-        };
+        let stuck =
+            |client: &&Rc<Client>| client.flows.get() && self.platform.since(client.since.get()) > STUCK_TIME;
         self.clients.borrow().values().filter(stuck).for_each(|client| client.end(true));
     }
 
@@ -224,7 +229,7 @@
 
     fn close_idle(&self, which: impl Fn(&Client) -> bool) {
         let clients = self.clients.borrow();
-        clients.values().filter(|c| !c.busy.get() && which(c)).for_each(|c| c.end(false));
+        clients.values().filter(|c| c.idles() && which(c)).for_each(|c| c.end(false));
     }
 
     /// Closes the connection that is least worth keeping. Those come first that have asked nothing in a while:
@@ -233,7 +238,7 @@
     fn close_an_idle_one(&self) {
         let clients = self.clients.borrow();
         let silent = |c: &Client| !c.served.get() && self.platform.since(c.since.get()) > SAY_SOMETHING;
-        let idle = clients.values().filter(|c| !c.busy.get() && (c.served.get() || silent(c)));
+        let idle = clients.values().filter(|c| c.idles() && (c.served.get() || silent(c)));
         if let Some(least) = idle.min_by_key(|c| (c.served.get(), c.since.get())) {
             least.end(true);
         }
@@ -273,7 +278,7 @@
             }
         });
         let conn = hyper::server::conn::http1::Builder::new().max_buf_size(HEAD_MAX).serve_connection(
-            TokioIo::new(Headed::new(self.platform.clone(), stream, client.head.clone())),
+            TokioIo::new(Headed::new(self.platform.clone(), stream, client.kept.clone())),
             service,
         );
         let mut conn = std::pin::pin!(conn);
@@ -295,7 +300,7 @@
         // Half a head, or an answer that nobody reads, would hold its place for as long as it pleases.
         let linger = if client.drop.get() { Duration::ZERO } else { LINGER };
         let stuck = client.flows.get() && client.drop.get();
-        if self.platform.timeout(linger, conn.as_mut()).await.is_err() && client.busy.get() && !stuck {
+        if self.platform.timeout(linger, conn.as_mut()).await.is_err() && !client.idles() && !stuck {
             let _ = conn.await;
         }
     }
@@ -306,7 +311,7 @@
         client.flows.set(false);
         client.served.set(true);
         client.since.set(self.platform.now());
-        client.head.borrow_mut().next();
+        client.kept.head.borrow_mut().next();
         // At the limit `accept` may have found none that idles: now there is one.
         self.left.notify_one();
     }
@@ -342,7 +347,7 @@
                 flow.waste(platform.clone()).await;
                 client.wastes.set(false);
                 client.since.set(platform.now());
-                client.head.borrow_mut().next();
+                client.kept.head.borrow_mut().next();
             });
         }
         match answer {
@@ -358,7 +363,7 @@
         // The library hides a `Content-Length` beside it, so that the two can't be told to agree: a second
         // request may be hidden in the body.
         if head.headers.contains_key(TRANSFER_ENCODING) {
-            let known = id.is_some_and(|id| client.head.borrow().names_no_length(id.as_bytes()));
+            let known = id.is_some_and(|id| client.kept.head.borrow().names_no_length(id.as_bytes()));
             if !known {
                 return Err((StatusCode::LENGTH_REQUIRED, "a body needs one length and nothing else"));
             }
@@ -598,3 +603,36 @@
         Answer::Failed { late: false } | Answer::Served(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The end of a long answer may lie in the library's hands while its client reads slowly: it is neither idle
+    /// nor silent then, and closing on it would cut the answer off.
+    #[test]
+    fn a_client_that_has_not_taken_its_answer_does_not_idle() {
+        let now = Instant::now();
+        let client = Client::new(now);
+        client.served.set(true);
+        assert_eq!((client.idles(), client.overdue_at()), (true, Some(now + HEAD_TIME)));
+        client.kept.blocked.set(Some(now));
+        assert_eq!((client.idles(), client.overdue_at()), (false, Some(now + STUCK_TIME)));
+        client.kept.blocked.set(None);
+        client.busy.set(true);
+        assert_eq!((client.idles(), client.overdue_at()), (false, None));
+    }
+
+    /// Silent and then slow over a head is not too long; from the connecting on it is.
+    #[test]
+    fn a_heads_time_counts_from_its_first_byte_once_a_client_has_been_served() {
+        let (now, pause) = (Instant::now(), Duration::from_secs(2));
+        let client = Client::new(now);
+        client.kept.head.borrow_mut().saw(now + pause, b"GET ");
+        assert_eq!(client.overdue_at(), Some(now + FIRST_TIME));
+        client.served.set(true);
+        assert_eq!(client.overdue_at(), Some(now + pause + HEAD_TIME));
+        client.kept.head.borrow_mut().saw(now + pause, b"/ HTTP/1.1\r\n\r\n");
+        assert_eq!(client.overdue_at(), None);
+    }
+}
--- a/crates/platform/src/real.rs
+++ b/crates/platform/src/real.rs
@@ -56,6 +56,9 @@
     }
 }
 
+/// Bytes that the system may take for a peer that connected, ahead of its reading; it doubles the figure.
+const SEND_AHEAD: usize = 256 * 1024;
+
 /// Small messages both ways: none may wait for the other side's acknowledgement.
 fn without_delay(stream: TcpStream) -> io::Result<TcpStream> {
     let _ = stream.set_nodelay(true);
@@ -78,6 +81,8 @@
 
     async fn accept(&self) -> io::Result<TcpStream> {
         let (stream, _) = TcpListener::accept(self).await?;
+        // What the system takes ahead of a slow peer is memory, and hides whether the peer still reads.
+        let _ = SockRef::from(&stream).set_send_buffer_size(SEND_AHEAD);
         without_delay(stream)
     }
 
