--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -81,6 +81,8 @@
     /// Since when the client has had no room for what is written to it; none where it takes all. Until that has
     /// gone the connection does not idle, though its answer has left our hands: closing would cut off the end.
     pub blocked: Cell<Option<Instant>>,
+    /// When anything last came from the client.
+    pub heard: Cell<Option<Instant>>,
 }
 
 impl Kept {
@@ -109,8 +111,11 @@
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let now = self.platform.now();
-        self.kept.head.borrow_mut().saw(now, &buf.filled()[before..]);
+        if buf.filled().len() > before {
+            let now = self.platform.now();
+            self.kept.heard.set(Some(now));
+            self.kept.head.borrow_mut().saw(now, &buf.filled()[before..]);
+        }
         polled
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -41,7 +41,8 @@
 /// The longest body that is collected where there is memory for it, bytes: a request that is sent on when its
 /// body is whole holds no worker up, and can be sent again.
 const COLLECTED: usize = 2 << 20;
-/// Age at which a connection that has asked nothing makes room for others first.
+/// How long a connection on which a request is awaited or has begun to come may be quiet before it makes room for
+/// others. One that is slow but goes on stays.
 const SAY_SOMETHING: Duration = Duration::from_millis(250);
 /// How long a connection may take to end by itself once it has been told to.
 const LINGER: Duration = Duration::from_millis(100);
@@ -88,6 +89,17 @@
         !self.busy.get() && self.kept.blocked.get().is_none()
     }
 
+    /// Whether it has been served and has not begun to ask again.
+    fn waits(&self) -> bool {
+        let head = self.kept.head.borrow();
+        self.served.get() && head.reading_since().is_none() && !head.is_whole()
+    }
+
+    /// Since when nothing has come from it, or gone to it.
+    fn quiet_since(&self) -> Instant {
+        self.kept.heard.get().map_or(self.since.get(), |heard| heard.max(self.since.get()))
+    }
+
     /// When it has taken too long over a head, has been silent too long, or leaves its answer unread; none while
     /// it has a request.
     fn overdue_at(&self) -> Option<Instant> {
@@ -232,14 +244,14 @@
         clients.values().filter(|c| c.idles() && which(c)).for_each(|c| c.end(false));
     }
 
-    /// Closes the connection that is least worth keeping. Those come first that have asked nothing in a while:
-    /// hundreds of silent ones must not push out clients that come back. One that has just connected stays:
-    /// its request may be on the way.
+    /// Closes the connection that is least worth keeping. Those come first that owe the rest of a request and have
+    /// sent nothing in a while: hundreds of silent ones must not push out clients that come back. One that has just
+    /// connected stays, its request may be on the way; so does one that writes slowly, but goes on.
     fn close_an_idle_one(&self) {
         let clients = self.clients.borrow();
-        let silent = |c: &Client| !c.served.get() && self.platform.since(c.since.get()) > SAY_SOMETHING;
-        let idle = clients.values().filter(|c| c.idles() && (c.served.get() || silent(c)));
-        if let Some(least) = idle.min_by_key(|c| (c.served.get(), c.since.get())) {
+        let silent = |c: &Client| self.platform.since(c.quiet_since()) > SAY_SOMETHING;
+        let idle = clients.values().filter(|c| c.idles() && (c.waits() || silent(c)));
+        if let Some(least) = idle.min_by_key(|c| (c.waits(), c.quiet_since())) {
             least.end(true);
         }
     }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -350,3 +350,30 @@
     std::thread::sleep(Duration::from_millis(1_300));
     assert_eq!(client.ask(end).status(), 200);
 }
+
+/// Hundreds connect and finish no request, and each true request comes on a new connection, some slowly: those that
+/// go on are let finish, those that are quiet make room.
+#[test]
+fn a_slow_client_among_many_that_say_nothing_is_served() {
+    let worker = Worker::start(ok("served"));
+    let discovery = list(&[&worker]);
+    let mut config = config(discovery.addr, &[]);
+    config["limits"]["sockets"] = 70.into();
+    let gateway = Gateway::ready(&config);
+    let served = (0..3).any(|_| {
+        let mut crowd: Vec<Client> = Vec::new();
+        let mut slow = gateway.connect();
+        let text = pull().text();
+        for piece in text.as_bytes().chunks(text.len() / 15) {
+            slow.try_send(std::str::from_utf8(piece).unwrap());
+            for _ in 0..8 {
+                let mut one = gateway.connect();
+                one.try_send("GET /pull/x HTTP/1.1\r\nHost:");
+                crowd.push(one);
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        slow.answer().is_some_and(|answer| answer.status() == 200)
+    });
+    assert!(served, "cut off among silent ones");
+}
