--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies: short ones are held whole, long ones pass through piece by piece, so that a gateway's memory does not
 //! go by what its clients and workers send.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hingestage_platform::Platform;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -23,6 +23,46 @@
 /// How long the rest of a body is read for nothing, so that its client can read why it was turned away.
 const WASTED: Duration = Duration::from_secs(5);
 
+/// Pieces of a body, joined. Most bodies come in one, which is not copied.
+#[derive(Default)]
+pub struct Joined {
+    first: Bytes,
+    more: BytesMut,
+}
+
+impl Joined {
+    /// Takes the next piece in.
+    pub fn push(&mut self, piece: Bytes) {
+        if self.first.is_empty() {
+            self.first = piece;
+            return;
+        }
+        if self.more.is_empty() {
+            self.more.extend_from_slice(&self.first);
+        }
+        self.more.extend_from_slice(&piece);
+    }
+
+    /// Bytes so far.
+    pub fn len(&self) -> usize {
+        self.first.len().max(self.more.len())
+    }
+
+    /// Whether nothing has come.
+    pub fn is_empty(&self) -> bool {
+        self.first.is_empty()
+    }
+
+    /// All that has come.
+    pub fn whole(self) -> Bytes {
+        if self.more.is_empty() {
+            self.first
+        } else {
+            self.more.freeze()
+        }
+    }
+}
+
 /// A request's body.
 pub enum RequestBody {
     /// Held whole.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,13 +1,13 @@
 //! The clients' side: connections and their number, requests read and checked, answers written.
 
-use crate::body::{Flow, RequestBody, HELD, LONGEST, PIECE_TIME, SLOWEST};
+use crate::body::{Flow, Joined, RequestBody, HELD, LONGEST, PIECE_TIME, SLOWEST};
 use crate::config::Config;
 use crate::driver::{Answer, Driver, Taken, Ticket};
 use crate::heads::{Headed, Kept};
 use crate::passing::{Passed, Written};
 use crate::workers::{Parts, Served, ServedBody};
 use crate::{decimal, note};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hingestage_operate::{Life, Told};
 use hingestage_platform::{Listener, Platform};
 use hingestage_policy::settings::Names;
@@ -439,14 +439,13 @@
         }
         let length = body.size_hint().exact();
         let mut place = Collected { server: self, bytes: 0 };
-        let (mut first, mut more) = (Bytes::new(), BytesMut::new());
+        let mut joined = Joined::default();
         let begun = self.platform.now();
         loop {
-            let so_far = first.len().max(more.len());
+            let so_far = joined.len();
             if so_far > HELD && !place.grow(so_far, length) {
-                let begun = if more.is_empty() { first } else { more.freeze() };
                 let patience = patience.saturating_sub(crate::driver::ANSWER_MARGIN);
-                return Ok(RequestBody::Flow(Flow::new(begun, body, length, patience)));
+                return Ok(RequestBody::Flow(Flow::new(joined.whole(), body, length, patience)));
             }
             // At the pace of the slowest it would have come so far by now.
             let due = begun + PIECE_TIME + Duration::from_secs_f64(so_far as f64 / SLOWEST);
@@ -455,16 +454,9 @@
             let frame = frame.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body takes too long"))?;
             let Some(frame) = frame else { break };
             let Ok(data) = frame.map_err(|_| bad("bad framing"))?.into_data() else { continue };
-            if first.is_empty() {
-                first = data;
-                continue;
-            }
-            if more.is_empty() {
-                more.extend_from_slice(&first);
-            }
-            more.extend_from_slice(&data);
+            joined.push(data);
         }
-        Ok(RequestBody::Whole(if more.is_empty() { first } else { more.freeze() }))
+        Ok(RequestBody::Whole(joined.whole()))
     }
 
     fn respond(
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -1,9 +1,9 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
-use crate::body::{Passing, RequestBody, HELD, LONGEST};
+use crate::body::{Joined, Passing, RequestBody, HELD, LONGEST};
 use crate::wire::{Place, Wire, WireIo};
 use crate::{decimal, note};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hingestage_platform::{Elapsed, Platform, Stream};
 use hingestage_policy::{Outcome, WorkerId};
 use http_body_util::BodyExt;
@@ -511,28 +511,19 @@
         return Ok(AnswerBody::Flow(Bytes::new(), body, length));
     }
     let held = if length.is_some() { HELD } else { HELD_CHUNKED };
-    let (mut first, mut more) = (Bytes::new(), BytesMut::new());
+    let mut joined = Joined::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| match bad_framing(&e) {
             true => Broken::Spoilt("an answer that can't be read"),
             false => Broken::Connection,
         })?;
         let Ok(data) = frame.into_data() else { continue };
-        // Most come in one piece, and are not copied.
-        if first.is_empty() {
-            first = data;
-        } else {
-            if more.is_empty() {
-                more.extend_from_slice(&first);
-            }
-            more.extend_from_slice(&data);
-        }
-        if first.len().max(more.len()) > held && !body.is_end_stream() {
-            let begun = if more.is_empty() { first } else { more.freeze() };
-            return Ok(AnswerBody::Flow(begun, body, length));
+        joined.push(data);
+        if joined.len() > held && !body.is_end_stream() {
+            return Ok(AnswerBody::Flow(joined.whole(), body, length));
         }
     }
-    Ok(AnswerBody::Whole(if more.is_empty() { first } else { more.freeze() }))
+    Ok(AnswerBody::Whole(joined.whole()))
 }
 
 /// Whether a body's chunks made no sense, as against a connection that ended.
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -133,3 +133,57 @@
         _ => Err(io::ErrorKind::WriteZero.into()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+
+    fn place_of(name: &str) -> PathBuf {
+        std::env::temp_dir().join(format!("hingestage-handover-{}-{name}", std::process::id()))
+    }
+
+    /// What a peer that says this and then closes gives.
+    fn taken_from(name: &str, says: &'static [u8]) -> io::Result<Option<Taken>> {
+        let place = place_of(name);
+        let offers = std::os::unix::net::UnixListener::bind(&place)?;
+        let peer = std::thread::spawn(move || offers.accept().and_then(|(mut to, _)| to.write_all(says)));
+        let taken = take(&place, SocketAddr::from(([127, 0, 0, 1], 9)));
+        std::fs::remove_file(&place)?;
+        peer.join().expect("the peer does not panic")?;
+        taken
+    }
+
+    #[test]
+    fn only_a_socket_with_the_greeting_of_this_version_is_taken() {
+        assert!(matches!(take(&place_of("nobody"), SocketAddr::from(([127, 0, 0, 1], 9))), Ok(None)));
+        assert!(matches!(taken_from("ending", b""), Ok(None)));
+        for (name, says) in [("other", &b"hingestage 2\n"[..]), ("bare", GREETING)] {
+            assert!(taken_from(name, says).is_err(), "{name}");
+        }
+    }
+
+    /// A socket passes with its queue, and its address is looked at.
+    #[tokio::test]
+    async fn a_socket_passes_and_the_successors_end_is_told() -> io::Result<()> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let (at, place) = (listener.local_addr()?, place_of("passes"));
+        let offer = Offer::new(&place, listener)?;
+        let (tell, mut told) = tokio::sync::mpsc::unbounded_channel();
+        let serving = tokio::spawn(offer.serve(move |serves| {
+            let _ = tell.send(serves);
+        }));
+        for (wanted, passes) in [(at, true), (SocketAddr::from(([127, 0, 0, 1], 9)), false)] {
+            let from = place.clone();
+            let taken = tokio::task::spawn_blocking(move || take(&from, wanted)).await?;
+            assert_eq!(told.recv().await, Some(true));
+            assert_eq!(taken.is_ok(), passes);
+            if let Ok(Some(taken)) = taken {
+                assert_eq!(taken.listener.local_addr()?, at);
+            }
+            assert_eq!(told.recv().await, Some(false), "its end goes unnoticed");
+        }
+        serving.abort();
+        std::fs::remove_file(&place)
+    }
+}
