One piece of code hands a long body on, either way; whole bodies are the library's own

Cause: requests' and answers' bodies each spelled out what had begun, then the rest, and counted what had passed; whole ones were written by hand where the library has Full.

Change: Source (body.rs) gives the next piece and whether it is the last; Passing and Written call it. Behaviour as it was: no test, bound or check is touched.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -3,12 +3,12 @@
 
 use bytes::{Bytes, BytesMut};
 use hingestage_platform::Platform;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -91,7 +91,7 @@
     /// The side that the HTTP library reads; none where a long body has gone to an earlier attempt.
     pub fn open(&self) -> Option<Passing> {
         match self {
-            RequestBody::Whole(bytes) => Some(Passing::Whole(Some(bytes.clone()))),
+            RequestBody::Whole(bytes) => Some(Passing::Whole(Full::new(bytes.clone()))),
             RequestBody::Flow(flow) => {
                 let source = flow.source.borrow_mut().take().filter(|_| flow.passed.get() == 0);
                 source.map(|source| Passing::Flow { source: Some(source), flow: flow.clone() })
@@ -100,16 +100,55 @@
     }
 }
 
+/// The next piece of a body; none after the last.
+pub type Piece = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// What has been read of a long body and not handed on, and where the rest comes from.
-struct Source {
+pub struct Source {
     begun: Bytes,
     rest: Incoming,
+    /// All of its bytes, where that has been said, and those handed on.
+    length: Option<u64>,
+    passed: u64,
+}
+
+impl Source {
+    /// A body of which `begun` has been read.
+    pub fn new(begun: Bytes, rest: Incoming, length: Option<u64>) -> Self {
+        Source { begun, rest, length, passed: 0 }
+    }
+
+    /// What is to come, as far as it has been said.
+    pub fn size_hint(&self) -> SizeHint {
+        self.length.map_or_else(SizeHint::default, |n| SizeHint::with_exact(n.saturating_sub(self.passed)))
+    }
+
+    /// The next piece, and whether it is the last.
+    pub fn poll(&mut self, cx: &mut Context) -> Poll<(Piece, bool)> {
+        let frame = match self.begun.is_empty() {
+            true => ready!(Pin::new(&mut self.rest).poll_frame(cx)),
+            false => Some(Ok(Frame::data(std::mem::take(&mut self.begun)))),
+        };
+        let data = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref());
+        self.passed += data.map_or(0, Bytes::len) as u64;
+        let over = match &frame {
+            None => true,
+            Some(frame) => frame.is_ok() && self.rest.is_end_stream(),
+        };
+        Poll::Ready((frame, over))
+    }
+}
+
+/// A whole body, whose pieces can't fail, where a long one's can.
+pub fn poll_whole(whole: &mut Full<Bytes>, cx: &mut Context) -> Poll<Piece> {
+    Pin::new(whole).poll_frame(cx).map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
 }
 
 /// A long body that passes through once.
 pub struct Flow {
     source: RefCell<Option<Source>>,
     length: Option<u64>,
+    /// Bytes handed on, also while the source is.
     passed: Cell<u64>,
     over: Cell<bool>,
     /// Told when it is over, and when what remains of it has been given back.
@@ -121,7 +160,7 @@
 impl Flow {
     /// A body of which `begun` has been read.
     pub fn new(begun: Bytes, rest: Incoming, length: Option<u64>, patience: Duration) -> Rc<Self> {
-        let source = RefCell::new(Some(Source { begun, rest }));
+        let source = RefCell::new(Some(Source::new(begun, rest, length)));
         let (passed, over) = (Cell::new(0), Cell::new(false));
         Rc::new(Flow { source, length, passed, over, changed: Notify::new(), patience })
     }
@@ -170,12 +209,11 @@
 
 /// A request's body as it goes on to a worker.
 pub enum Passing {
-    /// Held whole; none once it has been read.
-    Whole(Option<Bytes>),
+    /// Held whole.
+    Whole(Full<Bytes>),
     /// What passes through.
     Flow {
         /// Where it comes from.
-        #[allow(private_interfaces)]
         source: Option<Source>,
         /// What is known of it.
         flow: Rc<Flow>,
@@ -186,30 +224,14 @@
     type Data = Bytes;
     type Error = hyper::Error;
 
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Piece> {
         match self.get_mut() {
-            Passing::Whole(bytes) => {
-                Poll::Ready(bytes.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b))))
-            }
+            Passing::Whole(whole) => poll_whole(whole, cx),
             Passing::Flow { source: None, .. } => Poll::Ready(None),
             Passing::Flow { source: Some(source), flow } => {
-                let frame = if source.begun.is_empty() {
-                    std::task::ready!(Pin::new(&mut source.rest).poll_frame(cx))
-                } else {
-                    Some(Ok(Frame::data(std::mem::take(&mut source.begun))))
-                };
-                match &frame {
-                    Some(Ok(frame)) => {
-                        let more = frame.data_ref().map_or(0, Bytes::len) as u64;
-                        flow.passed.set(flow.passed.get() + more);
-                        flow.over.set(source.rest.is_end_stream());
-                    }
-                    None => flow.over.set(true),
-                    Some(Err(_)) => {}
-                }
+                let (frame, over) = ready!(source.poll(cx));
+                flow.passed.set(source.passed);
+                flow.over.set(over);
                 flow.changed.notify_waiters();
                 Poll::Ready(frame)
             }
@@ -218,18 +240,15 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Passing::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Passing::Whole(whole) => whole.is_end_stream(),
             Passing::Flow { flow, source } => source.is_none() || flow.over.get(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Passing::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Passing::Flow { flow, .. } => match flow.length {
-                Some(length) => SizeHint::with_exact(length.saturating_sub(flow.passed.get())),
-                None => SizeHint::default(),
-            },
+            Passing::Whole(whole) => whole.size_hint(),
+            Passing::Flow { source, .. } => source.as_ref().map_or_else(SizeHint::default, Source::size_hint),
         }
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,7 +12,7 @@
 use hingestage_platform::{Listener, Platform};
 use hingestage_policy::settings::Names;
 use hingestage_policy::{ClassId, CustomerId, Effect, PlanId};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, RETRY_AFTER, TRANSFER_ENCODING,
@@ -468,7 +468,7 @@
     ) -> Response<Written<P>> {
         let Answer::Served(Served { body, content_type }) = answer else { return turned_away(answer) };
         let body = match body {
-            ServedBody::Whole(bytes) => Written::Whole(Some(bytes)),
+            ServedBody::Whole(bytes) => Written::Whole(Full::new(bytes)),
             ServedBody::Flow(rest) => {
                 client.flows.set(true);
                 client.moves(self.platform.now());
@@ -588,7 +588,7 @@
 }
 
 fn plain<P: Platform>(status: StatusCode, what: &'static str) -> Response<Written<P>> {
-    let mut response = Response::new(Written::Whole(Some(Bytes::from_static(what.as_bytes()))));
+    let mut response = Response::new(Written::Whole(Full::new(Bytes::from_static(what.as_bytes()))));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -1,6 +1,6 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
-use crate::body::{Joined, Passing, RequestBody, HELD, LONGEST};
+use crate::body::{Joined, Passing, RequestBody, Source, HELD, LONGEST};
 use crate::wire::{Place, Wire, WireIo};
 use crate::{decimal, note};
 use bytes::Bytes;
@@ -81,12 +81,8 @@
 
 /// The rest of a long answer.
 pub struct Rest<S: Stream> {
-    /// What has come so far.
-    pub begun: Bytes,
-    /// What is to come.
-    pub body: Incoming,
-    /// All of its bytes, where that has been said.
-    pub length: Option<u64>,
+    /// What has come so far and what is to come.
+    pub source: Source,
     /// The worker that it comes from.
     pub worker: WorkerId,
     conn: Conn<S>,
@@ -410,9 +406,7 @@
     let good = outcome == Outcome::Ok;
     let (body, conn) = match body {
         AnswerBody::Whole(bytes) => (Some(ServedBody::Whole(bytes)), Some(conn)),
-        AnswerBody::Flow(begun, body, length) => {
-            (Some(ServedBody::Flow(Box::new(Rest { begun, body, length, worker, conn }))), None)
-        }
+        AnswerBody::Flow(source) => (Some(ServedBody::Flow(Box::new(Rest { source, worker, conn }))), None),
         AnswerBody::Endless => (None, None),
     };
     let body = body.filter(|_| good);
@@ -425,8 +419,8 @@
 
 enum AnswerBody {
     Whole(Bytes),
-    /// What has come of a long one, the rest, and the length of both.
-    Flow(Bytes, Incoming, Option<u64>),
+    /// A long one.
+    Flow(Source),
     /// One that is read no further.
     Endless,
 }
@@ -508,7 +502,7 @@
     let length = body.size_hint().exact();
     // A client waits for the first bytes of a long one, so nothing of it is held back.
     if length.is_some_and(|length| length > HELD as u64) {
-        return Ok(AnswerBody::Flow(Bytes::new(), body, length));
+        return Ok(AnswerBody::Flow(Source::new(Bytes::new(), body, length)));
     }
     let held = if length.is_some() { HELD } else { HELD_CHUNKED };
     let mut joined = Joined::default();
@@ -520,7 +514,7 @@
         let Ok(data) = frame.into_data() else { continue };
         joined.push(data);
         if joined.len() > held && !body.is_end_stream() {
-            return Ok(AnswerBody::Flow(joined.whole(), body, length));
+            return Ok(AnswerBody::Flow(Source::new(joined.whole(), body, length)));
         }
     }
     Ok(AnswerBody::Whole(joined.whole()))
