Few gateways for each worker: near subsets and cold shares by rendezvous hashing

Each gateway draws, for each worker, the order of all gateways before it (rendezvous hashing of the worker's name; `place`). Warm workers are near to the first so many, such that a gateway has twelve near ones on the mean, and are chosen among those while one fits; a cold worker is shared by the first twelve. A worker that goes moves no other. With twelve gateways or fewer nothing changes.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,7 +6,7 @@
 use crate::{note, Backoff};
 use bytes::{Bytes, BytesMut};
 use hingestage_platform::{Platform, Stream, Task};
-use hingestage_policy::{Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
+use hingestage_policy::{fnv, Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -88,6 +88,7 @@
             availability,
             zone: Zone(target.az.clone()),
             cell: target.pod_group,
+            mark: fnv(target.uid.as_bytes()),
             size: target.capacity_hint.filter(|n| n.is_finite() && *n > 0.0).unwrap_or(1.0),
             // The gateway's clock counts Unix time too, so that all gateways agree on a start.
             started: (target.boot_ms > 0).then(|| target.boot_ms.saturating_mul(1_000)),
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -126,6 +126,8 @@
 pub struct Settings {
     /// How many gatekeepers there are.
     pub instances: u32,
+    /// This one's number among them, from 0.
+    pub me: u32,
     /// Shortest time between two calls of `handle`.
     pub resolution: Micros,
     /// The zone this gatekeeper is in.
@@ -173,6 +175,8 @@
     pub zone: Zone,
     /// The group of workers that share which keys they have seen.
     pub cell: u64,
+    /// A number made of its name alone, so that all gatekeepers draw alike for it.
+    pub mark: u64,
     /// Its size, for comparison with others.
     pub size: f64,
     /// When it last started; `None` means long ago.
@@ -183,7 +187,8 @@
     /// A warm worker that takes work, of size 1, in the nameless zone.
     pub fn ready(id: WorkerId) -> Self {
         let availability = Availability::Ready;
-        WorkerInfo { id, availability, zone: Zone::default(), cell: 0, size: 1.0, started: None }
+        let zone = Zone::default();
+        WorkerInfo { id, availability, zone, cell: 0, mark: id.0, size: 1.0, started: None }
     }
 }
 
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -83,6 +83,12 @@
 const CROSS_ZONE: f64 = 1.1;
 /// Part of what a one-core worker could be sent without falling over that a cold one is sent.
 const COLD_PART: f64 = 1.0;
+/// Gateways that a cold worker's sends are shared among. With a share for each of a hundred, none would come
+/// to one whole send before the worker is warm, and all that save one up may send it together.
+const COLD_GATEWAYS: u32 = 12;
+/// Workers that a gateway keeps to at the least while they have room, on the mean: few enough to meet each
+/// often and on kept connections, enough to spread its work and to lose some.
+const NEAR: u32 = 12;
 /// Random draws of a worker before all are looked through.
 const DRAWS: usize = 8;
 /// Safety kept at the end of a key window, µs.
@@ -115,6 +121,8 @@
     uncounted: f64,
     workers: BTreeMap<WorkerId, Worker>,
     ready: Vec<WorkerId>,
+    /// Those of the ready that this gateway keeps to while they have room; all, where gateways are few.
+    near: Vec<WorkerId>,
     requests: BTreeMap<RequestId, Open>,
     held: VecDeque<RequestId>,
     timers: BTreeMap<u64, RequestId>,
@@ -796,7 +804,9 @@
             // Hundreds of gateways hear of a start together; a random first credit keeps them out of step.
             let (credit, credit_at) = (self.rng.f64(), self.now);
             let health = health.clone();
-            let fresh = |info| Worker { info, slow: 1.0, health, credit, credit_at, ..Worker::default() };
+            let place = place(info.mark, self.set.me, self.set.instances);
+            let fresh =
+                |info| Worker { info, slow: 1.0, health, credit, credit_at, place, ..Worker::default() };
             match self.workers.get_mut(&info.id) {
                 Some(w) if w.info.started == info.started => w.info = info,
                 Some(w) => *w = Worker { inflight: w.inflight, ..fresh(info) },
@@ -806,6 +816,11 @@
         self.workers.retain(|_, w| w.info.availability != Availability::Gone || w.inflight > 0.0);
         let ready = self.workers.values().filter(|w| w.info.availability == Availability::Ready);
         self.ready = ready.map(|w| w.info.id).collect();
+        // Each worker is near to so many gateways that each gateway has its number of near ones on the mean.
+        let (workers, gateways) = (self.ready.len().max(1) as u32, self.set.instances.max(1));
+        let wide = (NEAR * gateways).div_ceil(workers).max(COLD_GATEWAYS);
+        let near = |id: &&WorkerId| self.workers.get(id).is_some_and(|w| w.place < wide);
+        self.near = self.ready.iter().filter(near).copied().collect();
         self.release_held(out);
     }
 
@@ -816,11 +831,15 @@
         (from + (1.0 - from) * age / warm).min(1.0)
     }
 
-    /// Sends that a cold worker may have had from us and did not: at a rate that all gateways together may
+    /// Sends that a cold worker may have had from us and did not: at a rate that its few gateways together may
     /// send even if it has one core and the least capacity of its age, whatever the traffic or the fleet.
     fn credit(&self, w: &Worker) -> f64 {
+        let few = self.set.instances.clamp(1, COLD_GATEWAYS);
+        if w.place >= few {
+            return 0.0;
+        }
         let typical = self.typical.iter().sum::<f64>() / self.typical.len() as f64 / 1e6;
-        let rate = COLD_PART * self.set.rules.fall_multiple / typical / self.instances();
+        let rate = COLD_PART * self.set.rules.fall_multiple / typical / f64::from(few);
         let span = self.now.saturating_sub(w.credit_at);
         (w.credit + rate * self.coldness(w, self.now - span / 2) * secs(span)).min(1.0)
     }
@@ -923,21 +942,22 @@
         if n == 0 {
             return None;
         }
-        let draws: [usize; DRAWS] = std::array::from_fn(|_| self.rng.usize(..n));
+        let from = if self.near.is_empty() { n } else { self.near.len() };
+        let draws: [usize; DRAWS] = std::array::from_fn(|_| self.rng.usize(..from));
         let r = self.requests.get(id)?;
         let tried = |w: &&Worker| r.attempts.iter().any(|a| a.worker == w.info.id);
         let fit = |w: &&Worker| {
             w.inflight < (self.limit / self.slow_of(w) / self.instances()).max(1.0) && self.may_send(r, w)
         };
-        let worker = |i: usize| self.workers.get(&self.ready[i]);
+        let near = |i: &usize| self.near.get(*i).and_then(|id| self.workers.get(id));
         let better = |a: &&Worker, b: &&Worker| self.expected(a).total_cmp(&self.expected(b));
-        let drawn =
-            draws.iter().filter_map(|i| worker(*i)).filter(|w| !tried(w) && self.healthy(r, w) && fit(w));
+        let drawn = draws.iter().filter_map(near).filter(|w| !tried(w) && self.healthy(r, w) && fit(w));
         if let Some(w) = drawn.take(2).min_by(better) {
             return Some(w.info.id);
         }
         // At most half the fleet is avoided on our own evidence: past that the trouble is not theirs.
-        let all: Vec<&Worker> = (0..n).filter_map(|i| worker((draws[0] + i) % n)).collect();
+        let worker = |i: usize| self.workers.get(&self.ready[i]);
+        let all: Vec<&Worker> = (0..n).filter_map(|i| worker((draws[0] * n / from + i) % n)).collect();
         let most = all.iter().filter(|w| !self.healthy(r, w)).count() * 2 > n;
         let fits = || all.iter().copied().filter(|w| (most || self.healthy(r, w)) && fit(w));
         let new = fits().filter(|w| !tried(w)).take(2).min_by(better);
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -153,6 +153,7 @@
     }
     let settings = Settings {
         instances: f.number("instances")?,
+        me: f.optional("me")?.unwrap_or(0),
         resolution: f.span_or_zero("resolutionUs")?,
         zone: Zone(f.text_or_empty("zone").into()),
         counter: f.flag("familyInfo.mayCount")?,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -71,6 +71,8 @@
     pub health: Vec<Health>,
     pub credit: f64,
     pub credit_at: Micros,
+    /// This gateway's place among all before it; see [`place`].
+    pub place: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -142,6 +144,26 @@
 
 /// FNV, the same at every gateway.
 pub fn hash(customer: &CustomerId) -> u64 {
-    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100000001b3);
-    customer.0.bytes().fold(0xcbf29ce484222325, mix)
+    fnv(customer.0.as_bytes())
+}
+
+/// FNV-1a of some bytes.
+pub fn fnv(bytes: &[u8]) -> u64 {
+    let mix = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x100000001b3);
+    bytes.iter().fold(0xcbf29ce484222325, mix)
+}
+
+/// A number for one gateway before one worker, the same wherever it is drawn (the finalizer of `splitmix64`).
+fn draw(mark: u64, gateway: u32) -> u64 {
+    let mut x = mark ^ u64::from(gateway).wrapping_add(1).wrapping_mul(0x9e3779b97f4a7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
+    x ^ (x >> 31)
+}
+
+/// This gateway's place among all before one worker, by rendezvous hashing: all gateways agree on the order
+/// without a word between them, and a worker that comes or goes changes nothing for the others.
+pub fn place(mark: u64, me: u32, gateways: u32) -> u32 {
+    let mine = (draw(mark, me), me);
+    (0..gateways).filter(|other| (draw(mark, *other), *other) < mine).count() as u32
 }
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/src/bin/hingestage-adapter/wire.rs
@@ -107,6 +107,8 @@
         availability: f.choice("availability", &[("0", Gone), ("1", Ready), ("2", Draining)])?,
         zone: Zone(f.text_or_empty("zone").into()),
         cell: f.span_or_zero("block")?,
+        // A number the same at every gateway already.
+        mark: f.int("worker")?,
         size: f.checked("powerHint")?.unwrap_or(1.0),
         started: f.optional("lastStartUs")?.filter(|at| *at > 0),
     })
