--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -831,8 +831,8 @@
         (from + (1.0 - from) * age / warm).min(1.0)
     }
 
-    /// Sends that a cold worker may have had from us and did not: at a rate that its few gateways together may
-    /// send even if it has one core and the least capacity of its age, whatever the traffic or the fleet.
+    /// Sends that a cold worker may have had from us and did not: at a rate that its few gateways together
+    /// may send even if it has one core and the least capacity of its age, whatever the traffic or the fleet.
     fn credit(&self, w: &Worker) -> f64 {
         let few = self.set.instances.clamp(1, COLD_GATEWAYS);
         if w.place >= few {
