The counter gives out a common part of a ceiling where gateways are many

It was split evenly over the customer's 6 to 13 gateways: 5 units a second and a depth of 10 at each, where the busiest needs several times that, and a request may have 6.

Where a customer comes through five gateways or more and there is a counter, 0.6 of depth and rate is given out by the counter, in slots of half the time in which the ceiling fills; a grant is valid only by a total within the slot's part, and late, lost or refused answers grant nothing. The bound, with room for a counter that forgets once, is derived beside `Gatekeeper::pool`. Ruled out: no split at all (a lost counter would stop the plan), and asking ahead (units granted in one slot and spent in the next break the bound).

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -43,6 +43,8 @@
 const STANDS_FOR: f64 = 4.0;
 /// Part of a ceiling's slack that is used; the rest covers rounding.
 const SLACK_USED: f64 = 0.9;
+/// Part of a ceiling that is not split evenly but given out by the counter, and the gateways from which on.
+const POOL: (f64, f64) = (0.6, 5.0);
 /// Largest part of a rate granted to the others by habit is 1 less this share of an even part.
 const OWN_LEAST: f64 = 0.5;
 /// Part of the aim a request may be held for want of a worker before it is refused.
@@ -306,9 +308,10 @@
         c.predicted = (c.predicted + others * dt).min(others * window / 1e6);
         c.level = (c.level + (p.rate - others) * dt).min(p.burst);
         c.at = now;
-        let depth = (p.ceiling_burst + p.ceiling_slack * SLACK_USED) / c.gateways;
+        let split = if self.set.counter && c.gateways >= POOL.1 { 1.0 - POOL.0 } else { 1.0 };
+        let depth = (p.ceiling_burst * split + p.ceiling_slack * SLACK_USED) / c.gateways;
         let fills = self.succeeded.unwrap_or(now).saturating_sub(c.ceiling_at);
-        c.ceiling = (c.ceiling + p.ceiling_rate / c.gateways * secs(fills)).min(depth);
+        c.ceiling = (c.ceiling + p.ceiling_rate * split / c.gateways * secs(fills)).min(depth);
         c.ceiling_at = now;
     }
 
@@ -408,12 +411,61 @@
         (c.flying, c.pending, c.calls_out) = (c.flying + amount, 0.0, c.calls_out + 1);
         self.unpushed.remove(key);
         out.push(Action::Count { name: name.clone(), amount, keep: (2.0 * window) as Micros });
-        self.calls.insert(name, Call { key: key.clone(), slot, amount, units, sent: self.now });
+        self.calls.insert(name, Call { key: key.clone(), slot, amount, units, sent: self.now, grant: None });
         let saved = self.now as f64 - CALL_SAVED.0 * self.call_gap;
         self.call_after = self.call_after.max(saved) + self.call_gap;
         stands_for
     }
 
+    /// The length of a slot of a ceiling's common part, µs, and the units that are given out in each.
+    ///
+    /// Any span `t` touches fewer than `t / slot + 2` slots. With `D` the ceiling's depth, `R` its rate and
+    /// `a` the part of both that is common, slots of `D / 2R` with `a * D / 3` units each give out less than
+    /// `a * (2/3 R t + 2/3 D)` in it, and one slot's units once more where a counter that forgot is met: never
+    /// more than the common part's own `a * (R t + D)`.
+    fn pool(&self, plan: usize) -> (u64, f64) {
+        let p = &self.set.plans[plan];
+        let slot = p.ceiling_burst / p.ceiling_rate.max(1e-9) / 2.0 * 1e6;
+        (slot.clamp(1e4, WINDOW_MAX) as u64, POOL.0 * p.ceiling_burst / 3.0)
+    }
+
+    /// Asks the counter for a request's units from the common part of its ceiling where this gateway's own
+    /// part is short: of many, an even part is less than what the busiest need, or than one request.
+    fn ask_ceiling(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(id).filter(|r| r.attempts.is_empty() && !r.granted) else { return };
+        let (Some(c), (len, _)) = (self.customers.get(&r.key), self.pool(r.key.0)) else { return };
+        let rate = self.plan(&r.key).ceiling_rate;
+        let slot = (self.now + c.shift) / len;
+        let short = rate > 0.0 && c.ceiling < r.units && c.pool_empty != slot && !r.key.1 .0.is_empty();
+        let name = CounterName(format!("^{}", counter_name(&r.key, slot).0));
+        let free = self.may_call(r.units) && !self.calls.contains_key(&name);
+        if !short || !free || !self.set.counter || c.gateways < POOL.1 {
+            return;
+        }
+        let (key, amount, units) = (r.key.clone(), r.units, r.units);
+        out.push(Action::Count { name: name.clone(), amount, keep: 2 * len });
+        self.calls.insert(name, Call { key, slot, amount, units, sent: self.now, grant: Some(id.clone()) });
+        let saved = self.now as f64 - CALL_SAVED.0 * self.call_gap;
+        self.call_after = self.call_after.max(saved) + self.call_gap;
+    }
+
+    /// Granted only where the total says that the slot's units are not given out. A late or lost answer
+    /// grants nothing, nor does one to a request that has gone on or ended: units once added stay taken.
+    fn on_grant(&mut self, id: &RequestId, slot: u64, outcome: CounterOutcome, out: &mut Vec<Action>) {
+        let Some(key) = self.requests.get(id).map(|r| r.key.clone()) else { return };
+        let (len, most) = self.pool(key.0);
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        let current = (self.now + c.shift) / len == slot;
+        match outcome {
+            CounterOutcome::Total(total) if total <= most && current => {
+                self.requests.entry(id.clone()).and_modify(|r| r.granted = r.attempts.is_empty());
+            }
+            CounterOutcome::Total(_) => c.pool_empty = slot,
+            _ => {}
+        }
+        self.release_held(out);
+    }
+
     /// The pace of calls is what all gateways together find to succeed: slower after each failure or late
     /// answer, quickly back to the pace that was good before an outage, faster while answers are quick.
     fn pace(&mut self, ok: bool, took: Micros) {
@@ -435,6 +487,10 @@
 
     fn on_counter(&mut self, name: CounterName, outcome: CounterOutcome, out: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&name) else { return };
+        if let Some(id) = call.grant {
+            self.pace(matches!(outcome, CounterOutcome::Total(_)), self.now - call.sent);
+            return self.on_grant(&id, call.slot, outcome, out);
+        }
         let (key, ok) = (call.key, matches!(outcome, CounterOutcome::Total(n) if n.is_finite()));
         self.pace(ok, self.now - call.sent);
         self.advance(&key);
@@ -599,6 +655,7 @@
         let p = self.plan(&r.key);
         let ceiling_ok = p.ceiling_rate <= 0.0
             || !r.attempts.is_empty()
+            || r.granted
             || self.customers.get(&r.key).is_some_and(|c| c.ceiling >= r.units);
         effect_ok && ceiling_ok
     }
@@ -624,14 +681,18 @@
             return false;
         }
         self.advance(&key);
-        let Some(worker) = self.pick(id) else { return false };
+        let Some(worker) = self.pick(id) else {
+            self.ask_ceiling(id, out);
+            return false;
+        };
         let credit = self.workers.get(&worker).map_or(0.0, |w| self.credit(w));
         let (Some(r), Some(w)) = (self.requests.get_mut(id), self.workers.get_mut(&worker)) else {
             return false;
         };
         if r.attempts.is_empty() {
             self.retries = (self.retries + RETRY_EARN.0).min(RETRY_EARN.1);
-            self.customers.entry(r.key.clone()).and_modify(|c| c.ceiling -= r.units);
+            let units = if r.granted { 0.0 } else { r.units };
+            self.customers.entry(r.key.clone()).and_modify(|c| c.ceiling -= units);
         }
         (self.turns, self.turns_at) = ((turns - 1.0).max(0.0), self.now);
         self.send_gap += ((self.now - self.sent_at) as f64 - self.send_gap) * LEARN.0;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -34,6 +34,8 @@
     pub boxed_until: Micros,
     pub ceiling: f64,
     pub ceiling_at: Micros,
+    /// The slot whose common part of the ceiling is known to be given out.
+    pub pool_empty: u64,
     pub open: f64,
     pub seen: Micros,
     /// Calls to the counter in flight, the requests whose decision waits for their answers, and the units of
@@ -108,6 +110,8 @@
     /// What the counter has been told of it before its decision.
     pub prepaid: f64,
     pub held: bool,
+    /// Its units were granted from the common part of its customer's ceiling.
+    pub granted: bool,
     pub closed: bool,
     pub streaming: bool,
     /// Its body has not gone out whole yet: no worker can have begun it.
@@ -127,6 +131,8 @@
     pub amount: f64,
     pub units: f64,
     pub sent: Micros,
+    /// The request that it asks a part of the ceiling for; none where it counts use.
+    pub grant: Option<RequestId>,
 }
 
 pub fn secs(span: Micros) -> f64 {
