Attempts after a connection that failed cost no retry budget

The budget keeps work from piling on; a worker that can't be reached has had none of it. Ruled out: a larger budget (it would pile on where workers fail).

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -753,19 +753,21 @@
         if done.closed || r.closed || (outcome == Outcome::Ok && !r.streaming) {
             self.finish(id, Ending::Answered, out);
         } else if !r.attempts.iter().any(|a| a.out) {
-            self.try_again(id, out);
+            self.try_again(id, outcome, out);
         }
         self.release_held(out);
     }
 
     /// Another attempt where budget and time allow one, else the end.
-    fn try_again(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+    fn try_again(&mut self, id: &RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
         let ran = r.attempts.iter().any(|a| a.may_have_run);
         let barred = r.streaming || (ran && r.class.effect == Effect::AtMostOnce);
         let room = r.attempts.len() < self.set.limits.max_attempts && self.now < r.arrived + r.class.aim;
-        if !barred && room && self.retries >= 1.0 {
-            self.retries -= 1.0;
+        // A worker that can't be reached has had no work of it: nothing piles on by another attempt elsewhere.
+        let costs = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
+        if !barred && room && self.retries >= costs {
+            self.retries -= costs;
             self.dispatch_or_hold(id, out);
         } else {
             self.finish(id, Ending::TurnedAway(0), out);
