--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -85,9 +85,10 @@
 const CROSS_ZONE: f64 = 1.1;
 /// Part of what a one-core worker could be sent without falling over that a cold one is sent.
 const COLD_PART: f64 = 1.0;
-/// Gateways that a cold worker's sends are shared among. With a share for each of a hundred, none would come
-/// to one whole send before the worker is warm, and all that save one up may send it together.
-const COLD_GATEWAYS: u32 = 12;
+/// Gateways that a cold worker's sends are shared among at the least, and cold workers that a gateway has a
+/// share of on the mean. With a share for each of a hundred, none would come to one whole send before the
+/// worker is warm, and all that save one up may send it together; with too few, a gateway might have none.
+const COLD_SHARE: (u32, u32) = (12, 4);
 /// Workers that a gateway keeps to at the least while they have room, on the mean: few enough to meet each
 /// often and on kept connections, enough to spread its work and to lose some.
 const NEAR: u32 = 12;
@@ -764,7 +765,7 @@
         let ran = r.attempts.iter().any(|a| a.may_have_run);
         let barred = r.streaming || (ran && r.class.effect == Effect::AtMostOnce);
         let room = r.attempts.len() < self.set.limits.max_attempts && self.now < r.arrived + r.class.aim;
-        // A worker that can't be reached has had no work of it: nothing piles on by another attempt elsewhere.
+        // A worker that can't be reached has had no work of it: another attempt elsewhere piles nothing on.
         let costs = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
         if !barred && room && self.retries >= costs {
             self.retries -= costs;
@@ -881,7 +882,7 @@
         self.ready = ready.map(|w| w.info.id).collect();
         // Each worker is near to so many gateways that each gateway has its number of near ones on the mean.
         let (workers, gateways) = (self.ready.len().max(1) as u32, self.set.instances.max(1));
-        let wide = (NEAR * gateways).div_ceil(workers).max(COLD_GATEWAYS);
+        let wide = (NEAR * gateways).div_ceil(workers).max(self.cold_gateways());
         let near = |id: &&WorkerId| self.workers.get(id).is_some_and(|w| w.place < wide);
         self.near = self.ready.iter().filter(near).copied().collect();
         self.release_held(out);
@@ -894,10 +895,18 @@
         (from + (1.0 - from) * age / warm).min(1.0)
     }
 
+    /// Gateways that share a cold worker. In steps of two, so that gateways agree while their lists differ.
+    fn cold_gateways(&self) -> u32 {
+        let (all, workers) = (self.set.instances.max(1), self.ready.len().max(1) as u32);
+        let steps = std::iter::successors(Some(COLD_SHARE.0), |few| Some(few * 2));
+        let enough = |few: &u32| *few >= all || few * workers >= COLD_SHARE.1 * all;
+        steps.take(32).find(enough).unwrap_or(all).min(all)
+    }
+
     /// Sends that a cold worker may have had from us and did not: at a rate that its few gateways together
     /// may send even if it has one core and the least capacity of its age, whatever the traffic or the fleet.
     fn credit(&self, w: &Worker) -> f64 {
-        let few = self.set.instances.clamp(1, COLD_GATEWAYS);
+        let few = self.cold_gateways();
         if w.place >= few {
             return 0.0;
         }
@@ -965,7 +974,10 @@
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
             h.answered = now;
         }
-        if outcome == Outcome::ConnectFailed && h.fails > 1 {
+        // Turned away where nothing else of ours is out: it drains or is crowded by others, which a late list
+        // or our own record would not tell for long.
+        let closed = outcome == Outcome::Full && w.inflight < 1.0;
+        if closed || (outcome == Outcome::ConnectFailed && h.fails > 1) {
             (0..self.typical.len()).for_each(|class| self.strike(id, class));
         } else if h.fails >= IN_A_ROW {
             self.strike(id, class_ix);
@@ -975,7 +987,7 @@
     /// A worker that failed a class is avoided for it; one that fails two, for all. It covers fast failures,
     /// silence and workers that fail one class only. Harm: a chance failure costs one worker for a meeting.
     fn strike(&mut self, id: WorkerId, class_ix: usize) {
-        let meeting = self.send_gap * self.ready.len() as f64;
+        let meeting = self.send_gap * self.near.len().max(1) as f64;
         let now = self.now;
         let Some(h) = self.workers.get_mut(&id).and_then(|w| w.health.get_mut(class_ix)) else { return };
         if now >= h.avoid_until {
