--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -426,3 +426,38 @@
         assert!(!s.sends.is_empty(), "gateway {n} sent nothing in ten seconds");
     }
 }
+
+/// Guards against going on with a worker that drains while the list is late: it has turned away the only request
+/// that it had of us, and each further one would cost an attempt of the retry budget.
+#[test]
+fn a_worker_that_turns_away_our_only_request_is_left_out_for_a_while() {
+    let mut s = gateway(1, &settings(), &[1, 2, 3, 4]);
+    s.ask("a", 0, 0, 0.1);
+    let closed = s.sends[0].2;
+    s.done(Outcome::Full);
+    serve_all(&mut s);
+    for step in 0..40 {
+        s.ask(&format!("c{step}"), 0, 0, 0.1);
+        s.pass(20 * MS);
+        serve_all(&mut s);
+    }
+    assert!(s.sends.len() > 40);
+    assert!(s.sends[1..].iter().all(|(_, _, w)| *w != closed), "sent to {closed} again");
+}
+
+/// Guards against requests refused for want of a retry budget that only workers out of reach have used up: the
+/// budget keeps work from piling on, and these have had none.
+#[test]
+fn attempts_after_failed_connections_leave_the_retry_budget_alone() {
+    let mut s = gateway(1, &settings(), &(1..=20).collect::<Vec<u64>>());
+    for step in 0..20 {
+        s.ask(&format!("c{step}"), 0, 0, 0.1);
+        for _ in 0..3 {
+            assert!(!s.out.is_empty(), "request {step} was given up");
+            s.done(Outcome::ConnectFailed);
+        }
+        serve_all(&mut s);
+        s.pass(500 * MS);
+    }
+    assert_eq!(s.sends.len(), 80);
+}
