One way to call the counter, one word on a ceiling's common part, places drawn once a worker

The code that makes a call and takes it off the pace stood twice (push, ask_ceiling): Gatekeeper::call now. Whether a ceiling has a common part was worded twice, once negated: common_part. The pace was told of a call in two places of on_counter. A name was made for each held request before it was known whether one is needed, and a worker's place among the gateways drawn anew at each list for workers known already. No assertion changed.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -104,6 +104,15 @@
     known.map_or(r.deadline, |known| known.min(r.deadline))
 }
 
+/// The part of a ceiling that the counter gives out, for a customer that comes through so many gateways.
+fn common_part(counter: bool, gateways: f64) -> f64 {
+    if counter && gateways >= POOL.1 {
+        POOL.0
+    } else {
+        0.0
+    }
+}
+
 /// The decisions of one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Gatekeeper {
@@ -309,7 +318,7 @@
         c.predicted = (c.predicted + others * dt).min(others * window / 1e6);
         c.level = (c.level + (p.rate - others) * dt).min(p.burst);
         c.at = now;
-        let split = if self.set.counter && c.gateways >= POOL.1 { 1.0 - POOL.0 } else { 1.0 };
+        let split = 1.0 - common_part(self.set.counter, c.gateways);
         let depth = (p.ceiling_burst * split + p.ceiling_slack * SLACK_USED) / c.gateways;
         let fills = self.succeeded.unwrap_or(now).saturating_sub(c.ceiling_at);
         c.ceiling = (c.ceiling + p.ceiling_rate * split / c.gateways * secs(fills)).min(depth);
@@ -411,11 +420,17 @@
         let (slot, units, amount) = (c.slot, c.pending, c.pending * stands_for);
         (c.flying, c.pending, c.calls_out) = (c.flying + amount, 0.0, c.calls_out + 1);
         self.unpushed.remove(key);
-        out.push(Action::Count { name: name.clone(), amount, keep: (2.0 * window) as Micros });
-        self.calls.insert(name, Call { key: key.clone(), slot, amount, units, sent: self.now, grant: None });
+        let call = Call { key: key.clone(), slot, amount, units, sent: self.now, grant: None };
+        self.call(name, call, (2.0 * window) as Micros, out);
+        stands_for
+    }
+
+    /// Makes a call to the counter, and takes it off the pace.
+    fn call(&mut self, name: CounterName, call: Call, keep: Micros, out: &mut Vec<Action>) {
+        out.push(Action::Count { name: name.clone(), amount: call.amount, keep });
+        self.calls.insert(name, call);
         let saved = self.now as f64 - CALL_SAVED.0 * self.call_gap;
         self.call_after = self.call_after.max(saved) + self.call_gap;
-        stands_for
     }
 
     /// The length of a slot of a ceiling's common part, µs, and the units that are given out in each.
@@ -435,19 +450,18 @@
     fn ask_ceiling(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id).filter(|r| r.attempts.is_empty() && !r.granted) else { return };
         let (Some(c), (len, _)) = (self.customers.get(&r.key), self.pool(r.key.0)) else { return };
-        let rate = self.plan(&r.key).ceiling_rate;
         let slot = (self.now + c.shift) / len;
-        let short = rate > 0.0 && c.ceiling < r.units && c.pool_empty != slot && !r.key.1 .0.is_empty();
-        let name = CounterName(format!("^{}", counter_name(&r.key, slot).0));
-        let free = self.may_call(r.units) && !self.calls.contains_key(&name);
-        if !short || !free || !self.set.counter || c.gateways < POOL.1 {
+        let short = self.plan(&r.key).ceiling_rate > 0.0 && c.ceiling < r.units && c.pool_empty != slot;
+        let common = common_part(self.set.counter, c.gateways) > 0.0 && !r.key.1 .0.is_empty();
+        if !short || !common || !self.may_call(r.units) {
             return;
         }
-        let (key, amount, units) = (r.key.clone(), r.units, r.units);
-        out.push(Action::Count { name: name.clone(), amount, keep: 2 * len });
-        self.calls.insert(name, Call { key, slot, amount, units, sent: self.now, grant: Some(id.clone()) });
-        let saved = self.now as f64 - CALL_SAVED.0 * self.call_gap;
-        self.call_after = self.call_after.max(saved) + self.call_gap;
+        let name = CounterName(format!("^{}", counter_name(&r.key, slot).0));
+        if !self.calls.contains_key(&name) {
+            let (key, amount, grant) = (r.key.clone(), r.units, Some(id.clone()));
+            let call = Call { key, slot, amount, units: amount, sent: self.now, grant };
+            self.call(name, call, 2 * len, out);
+        }
     }
 
     /// Granted only where the total says that the slot's units are not given out. A late or lost answer
@@ -488,12 +502,11 @@
 
     fn on_counter(&mut self, name: CounterName, outcome: CounterOutcome, out: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&name) else { return };
+        let (key, ok) = (call.key, matches!(outcome, CounterOutcome::Total(n) if n.is_finite()));
+        self.pace(ok, self.now - call.sent);
         if let Some(id) = call.grant {
-            self.pace(matches!(outcome, CounterOutcome::Total(_)), self.now - call.sent);
             return self.on_grant(&id, call.slot, outcome, out);
         }
-        let (key, ok) = (call.key, matches!(outcome, CounterOutcome::Total(n) if n.is_finite()));
-        self.pace(ok, self.now - call.sent);
         self.advance(&key);
         let (window, burst, rate) = (self.window(key.0), self.plan(&key).burst, self.plan(&key).rate);
         let count_floor = if self.set.settles { -self.set.most_units } else { 0.0 };
@@ -864,13 +877,15 @@
             }
         }
         let health = vec![Health::default(); self.typical.len()];
+        let (me, gateways) = (self.set.me, self.set.instances);
         for info in list.workers {
             // Hundreds of gateways hear of a start together; a random first credit keeps them out of step.
             let (credit, credit_at) = (self.rng.f64(), self.now);
             let health = health.clone();
-            let place = place(info.mark, self.set.me, self.set.instances);
-            let fresh =
-                |info| Worker { info, slow: 1.0, health, credit, credit_at, place, ..Worker::default() };
+            let fresh = |info: WorkerInfo| {
+                let place = place(info.mark, me, gateways);
+                Worker { info, slow: 1.0, health, credit, credit_at, place, ..Worker::default() }
+            };
             match self.workers.get_mut(&info.id) {
                 Some(w) if w.info.started == info.started => w.info = info,
                 Some(w) => *w = Worker { inflight: w.inflight, ..fresh(info) },
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use hingestage_policy::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const GATEWAYS: u32 = 300;
 
@@ -38,6 +38,20 @@
     }
 }
 
+/// So many small requests of as many customers, 20 ms apart, each served at once.
+fn ask_and_serve(s: &mut Stage, requests: usize) {
+    for n in 0..requests {
+        s.ask(&format!("c{n}"), 0, 0, 0.1);
+        s.pass(20 * MS);
+        serve_all(s);
+    }
+}
+
+/// The workers that requests were sent to from the `from`th send on.
+fn met(s: &Stage, from: usize) -> BTreeSet<u64> {
+    s.sends[from..].iter().map(|(_, _, worker)| *worker).collect()
+}
+
 #[test]
 fn three_hundred_gateways_do_not_push_a_cold_worker_over() {
     let figures = fleet_settings();
@@ -343,20 +357,16 @@
 fn each_of_many_gateways_keeps_to_few_workers_and_each_worker_to_as_many_gateways() {
     let figures = Settings { instances: 100, ..settings() };
     let workers: Vec<u64> = (1..=60).collect();
-    let mut met: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut near: BTreeMap<u64, usize> = BTreeMap::new();
     for n in 0..100 {
         let mut s = gateway(n, &figures, &workers);
-        for step in 0..200 {
-            s.ask(&format!("c{step}"), 0, 0, 0.1);
-            s.pass(20 * MS);
-            serve_all(&mut s);
-        }
-        let mine: BTreeMap<u64, ()> = s.sends.iter().map(|(_, _, w)| (*w, ())).collect();
+        ask_and_serve(&mut s, 200);
+        let mine = met(&s, 0);
         assert!((3..=24).contains(&mine.len()), "gateway {n} met {} workers", mine.len());
-        mine.keys().for_each(|w| *met.entry(*w).or_default() += 1);
+        mine.iter().for_each(|w| *near.entry(*w).or_default() += 1);
     }
-    assert_eq!(met.len(), 60, "a worker was near to none");
-    assert!(met.values().all(|gateways| *gateways <= 20), "{met:?}");
+    assert_eq!(near.len(), 60, "a worker was near to none");
+    assert!(near.values().all(|gateways| *gateways <= 20), "{near:?}");
 }
 
 /// Guards against subsets that move wholesale: a worker that goes must change nothing for the other 59.
@@ -365,20 +375,14 @@
     let figures = Settings { instances: 100, ..settings() };
     for n in 0..20 {
         let mut s = gateway(n, &figures, &(1..=60).collect::<Vec<u64>>());
-        let ask_many = |s: &mut Stage| {
-            let before = s.sends.len();
-            for step in 0..200 {
-                s.ask(&format!("c{step}"), 0, 0, 0.1);
-                s.pass(20 * MS);
-                serve_all(s);
-            }
-            s.sends[before..].iter().map(|(_, _, w)| (*w, ())).collect::<BTreeMap<u64, ()>>()
-        };
-        let before = ask_many(&mut s);
+        ask_and_serve(&mut s, 200);
+        let before = met(&s, 0);
+        let sends = s.sends.len();
         s.list(ListScope::Full, (2..=60).map(worker).collect());
-        let after = ask_many(&mut s);
+        ask_and_serve(&mut s, 200);
+        let after = met(&s, sends);
         // The fleet is smaller by one in sixty: each of the others may have become near to one gateway more.
-        let kept = before.keys().filter(|w| **w != 1 && after.contains_key(w)).count();
+        let kept = before.iter().filter(|w| **w != 1 && after.contains(w)).count();
         assert!(kept + 2 >= before.len(), "{kept} of {} kept", before.len());
         assert!(after.len() <= before.len() + 3, "{} then {}", before.len(), after.len());
     }
@@ -395,11 +399,7 @@
     for s in fleet.iter_mut() {
         s.list(ListScope::Delta, vec![WorkerInfo { started: Some(s.now), ..worker(61) }]);
         let before = s.sends.len();
-        for step in 0..300 {
-            s.ask(&format!("c{step}"), 0, 0, 0.1);
-            s.pass(20 * MS);
-            serve_all(s);
-        }
+        ask_and_serve(s, 300);
         let cold = s.sends[before..].iter().filter(|(_, _, w)| *w == 61).count();
         senders += usize::from(cold > 0);
         sends += cold;
@@ -418,11 +418,7 @@
         let mut s = gateway(n, &figures, &[]);
         let cold = |id| WorkerInfo { started: Some(START), ..worker(id) };
         s.list(ListScope::Full, (1..=3).map(cold).collect());
-        for step in 0..500 {
-            s.ask(&format!("c{step}"), 0, 0, 0.1);
-            s.pass(20 * MS);
-            serve_all(&mut s);
-        }
+        ask_and_serve(&mut s, 500);
         assert!(!s.sends.is_empty(), "gateway {n} sent nothing in ten seconds");
     }
 }
@@ -436,11 +432,7 @@
     let closed = s.sends[0].2;
     s.done(Outcome::Full);
     serve_all(&mut s);
-    for step in 0..40 {
-        s.ask(&format!("c{step}"), 0, 0, 0.1);
-        s.pass(20 * MS);
-        serve_all(&mut s);
-    }
+    ask_and_serve(&mut s, 40);
     assert!(s.sends.len() > 40);
     assert!(s.sends[1..].iter().all(|(_, _, w)| *w != closed), "sent to {closed} again");
 }
