Datagrams in the platform seam, real and simulated

Need: names are asked for over UDP, and all that is served has to run over the seam, so that the simulator can lose, delay and cut what passes. Weighed: a socket of tokio's beside the seam (no simulated run of it), one type for clients and another for servers (two of each everywhere). Built: one socket that may have a peer; the simulated one delivers whole, in any order, and nothing to or from a machine that is cut off.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -28,6 +28,8 @@
     type Stream: Stream;
     /// Where connections come in.
     type Listener: Listener<Stream = Self::Stream>;
+    /// Where datagrams come and go.
+    type Datagrams: Datagrams;
     /// Ends at a point in time.
     type Sleep: Future<Output = ()> + 'static;
     /// Time as the HTTP library asks for it.
@@ -56,6 +58,14 @@
     /// Listens at an address; port 0 means any that is free.
     fn listen(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>>;
 
+    /// Opens a socket for datagrams at an address; port 0 means a random one that is free. With a peer it
+    /// takes nothing from anybody else.
+    fn datagrams(
+        &self,
+        at: SocketAddr,
+        peer: Option<SocketAddr>,
+    ) -> impl Future<Output = io::Result<Self::Datagrams>>;
+
     /// Writes a line to the log.
     fn log(&self, line: fmt::Arguments);
 
@@ -120,6 +130,15 @@
     fn local_addr(&self) -> io::Result<SocketAddr>;
 }
 
+/// A socket for datagrams. Dropping it closes it.
+pub trait Datagrams: 'static {
+    /// Sends one; to the peer, where the socket has one.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> impl Future<Output = io::Result<()>>;
+
+    /// The next one: its length, and from whom. What is longer than the buffer is cut.
+    fn receive(&self, buffer: &mut [u8]) -> impl Future<Output = io::Result<(usize, SocketAddr)>>;
+}
+
 /// A task that has been started. Dropping the handle lets it go on.
 pub trait Task: 'static {
     /// Ends the task the next time it would run.
--- a/crates/platform/src/real.rs
+++ b/crates/platform/src/real.rs
@@ -1,6 +1,6 @@
 //! The real platform: tokio on one thread, TCP, the system's clocks, standard error.
 
-use crate::{Listener, Platform, Stream, Task};
+use crate::{Datagrams, Listener, Platform, Stream, Task};
 use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
 use std::fmt;
@@ -9,7 +9,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::AbortHandle;
 
 /// Tokio's runtime with a `LocalSet`, which must be running where a method is called.
@@ -19,6 +19,7 @@
 impl Platform for Tokio {
     type Stream = TcpStream;
     type Listener = TcpListener;
+    type Datagrams = UdpSocket;
     type Sleep = tokio::time::Sleep;
     type Timer = TokioTimer;
     type Task = AbortHandle;
@@ -51,6 +52,14 @@
         TcpListener::bind(at).await
     }
 
+    async fn datagrams(&self, at: SocketAddr, peer: Option<SocketAddr>) -> io::Result<UdpSocket> {
+        let socket = UdpSocket::bind(at).await?;
+        if let Some(peer) = peer {
+            socket.connect(peer).await?;
+        }
+        Ok(socket)
+    }
+
     fn log(&self, line: fmt::Arguments) {
         eprintln!("hingestage: {line}");
     }
@@ -76,6 +85,20 @@
     }
 }
 
+impl Datagrams for UdpSocket {
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        match self.peer_addr() {
+            Ok(_) => UdpSocket::send(self, bytes).await,
+            Err(_) => self.send_to(bytes, to).await,
+        }
+        .map(drop)
+    }
+
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.recv_from(buffer).await
+    }
+}
+
 impl Listener for TcpListener {
     type Stream = TcpStream;
 
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -7,7 +7,7 @@
 //! what was on the way arrives once it is back.
 
 use crate::executor::{current, Executor, Host, Nanos, Sleep, TaskId};
-use hingestage_platform::{Listener, Platform, Stream};
+use hingestage_platform::{Datagrams, Listener, Platform, Stream};
 use hingestage_standins::Peer;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -81,6 +81,8 @@
     links: Links,
     next: Cell<u64>,
     listeners: RefCell<BTreeMap<SocketAddr, Rc<Ear>>>,
+    boxes: RefCell<BTreeMap<SocketAddr, Rc<Mailbox>>>,
+    next_port: Cell<u16>,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     cut: RefCell<BTreeSet<Host>>,
     /// Bytes a second that a machine is held to.
@@ -105,6 +107,14 @@
     waker: RefCell<Option<Waker>>,
 }
 
+/// Datagrams that came for a socket and were not read.
+struct Mailbox {
+    host: Host,
+    peer: Option<SocketAddr>,
+    inbox: RefCell<VecDeque<(Vec<u8>, SocketAddr)>>,
+    waker: RefCell<Option<Waker>>,
+}
+
 #[derive(Default)]
 struct Side {
     inbox: VecDeque<u8>,
@@ -155,6 +165,8 @@
             links,
             next: Cell::new(0),
             listeners: RefCell::default(),
+            boxes: RefCell::default(),
+            next_port: Cell::new(0),
             conns: RefCell::default(),
             cut: RefCell::default(),
             slow: RefCell::default(),
@@ -254,16 +266,58 @@
                 self.close(&conn, side);
             }
         }
+        self.0.boxes.borrow_mut().retain(|_, mail| mail.host != host);
         self.0.executor.kill(host);
     }
 
+    /// Opens a socket for datagrams on a machine; of the address only the port counts.
+    fn open_box(&self, host: Host, port: u16, peer: Option<SocketAddr>) -> io::Result<Mail> {
+        if self.exhausted(host) {
+            return Err(io::Error::other("no descriptor left"));
+        }
+        let mut boxes = self.0.boxes.borrow_mut();
+        let free = || {
+            // As a system hands ports out: none that is in use.
+            let next = self.0.next_port.get() % 16_384;
+            self.0.next_port.set(next + 1);
+            49_152 + next
+        };
+        let mut at = address(host, if port == 0 { free() } else { port });
+        while port == 0 && boxes.contains_key(&at) {
+            at = address(host, free());
+        }
+        if boxes.contains_key(&at) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let mail = Rc::new(Mailbox { host, peer, inbox: RefCell::default(), waker: RefCell::default() });
+        boxes.insert(at, mail.clone());
+        Ok(Mail { net: self.clone(), at, mail })
+    }
+
+    /// Sends a datagram: whole or not at all, in any order, and never to or from a machine that is cut off.
+    fn post(&self, from: SocketAddr, bytes: Vec<u8>, to: SocketAddr) {
+        let hosts = [self.host_at(from), self.host_at(to)];
+        let net = self.clone();
+        self.0.executor.at(self.0.executor.nanos() + self.one_way(), move || {
+            let mail = net.0.boxes.borrow().get(&to).cloned();
+            let Some(mail) = mail.filter(|_| net.reaches(hosts)) else { return };
+            if mail.peer.is_some_and(|peer| peer != from) || mail.inbox.borrow().len() >= BACKLOG {
+                return;
+            }
+            mail.inbox.borrow_mut().push_back((bytes, from));
+            let waker = mail.waker.borrow_mut().take();
+            waker.into_iter().for_each(Waker::wake);
+        });
+    }
+
     /// Ends that a machine holds open, those not yet accepted included.
     pub fn descriptors(&self, host: Host) -> usize {
         let conns = self.0.conns.borrow();
         let open =
             |conn: &Rc<Conn>, side: usize| conn.hosts[side] == host && !conn.sides.borrow()[side].closed;
         let ends = conns.values().map(|c| usize::from(open(c, 0)) + usize::from(open(c, 1))).sum::<usize>();
-        ends + self.0.listeners.borrow().values().filter(|ear| ear.host == host).count()
+        let boxes = self.0.boxes.borrow().values().filter(|mail| mail.host == host).count();
+        ends + boxes + self.0.listeners.borrow().values().filter(|ear| ear.host == host).count()
     }
 
     /// Tables of a machine that had entries when it last told.
@@ -645,6 +699,44 @@
     }
 }
 
+/// A socket for datagrams.
+pub struct Mail {
+    net: Net,
+    at: SocketAddr,
+    mail: Rc<Mailbox>,
+}
+
+impl Drop for Mail {
+    fn drop(&mut self) {
+        let mut boxes = self.net.0.boxes.borrow_mut();
+        if boxes.get(&self.at).is_some_and(|mail| Rc::ptr_eq(mail, &self.mail)) {
+            boxes.remove(&self.at);
+        }
+    }
+}
+
+impl Datagrams for Mail {
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.net.post(self.at, bytes.to_vec(), to);
+        Ok(())
+    }
+
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        poll_fn(|cx| match self.mail.inbox.borrow_mut().pop_front() {
+            Some((bytes, from)) => {
+                let length = bytes.len().min(buffer.len());
+                buffer[..length].copy_from_slice(&bytes[..length]);
+                Poll::Ready(Ok((length, from)))
+            }
+            None => {
+                *self.mail.waker.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        })
+        .await
+    }
+}
+
 /// The simulated platform, as one machine has it.
 #[derive(Clone)]
 pub struct Sim {
@@ -676,6 +768,7 @@
 impl Platform for Sim {
     type Stream = End;
     type Listener = Port;
+    type Datagrams = Mail;
     type Sleep = Sleep;
     type Timer = Clock;
     type Task = TaskId;
@@ -715,6 +808,10 @@
         Ok(Port { net: self.net.clone(), at, ear })
     }
 
+    async fn datagrams(&self, at: SocketAddr, peer: Option<SocketAddr>) -> io::Result<Mail> {
+        self.net.open_box(self.host, at.port(), peer)
+    }
+
     fn gauge(&self, table: &'static str, entries: usize) {
         self.net.0.gauges.borrow_mut().insert((self.host, table), entries);
     }
--- a/crates/sim/tests/planted.rs
+++ b/crates/sim/tests/planted.rs
@@ -423,6 +423,7 @@
 impl Platform for Bent {
     type Stream = BentStream;
     type Listener = BentPort;
+    type Datagrams = <Sim as Platform>::Datagrams;
     type Sleep = Sleep;
     type Timer = Clock;
     type Task = TaskId;
@@ -456,6 +457,10 @@
         Ok(BentPort(self.sim.listen(at).await?, self.clone()))
     }
 
+    async fn datagrams(&self, at: SocketAddr, peer: Option<SocketAddr>) -> io::Result<Self::Datagrams> {
+        self.sim.datagrams(at, peer).await
+    }
+
     fn gauge(&self, table: &'static str, entries: usize) {
         self.sim.gauge(table, entries);
     }
