Workers from SRV records: membership, resolver, operators' file, sockets

Need: other installations list their registry nodes in DNS SRV records and have no discovery of ours.

Built: crates/membership (who the workers are, what each source says, the rule that joins it; the list's own words pass through as they are), crates/srv (questions and answers on hickory-proto's codec, a resolver with back-offs, budget and TCP, a service with lifetimes, the last good list and doubt about what shrank; none with I/O), crates/operator (the operators' file, S-expressions by lexpr, each fault with field and place, exit 2), a thin shell in the gateway, `hingestage check` and `hingestage srv`, calls under /srv at the operators' address, figures, and `tier` as the one new word to the decisions: a worse tier gets work where no worker of a better one can take it.

Weighed: hickory's own resolver (reads the machine's files, own cache and sockets, not over the seam), own codec (compression, EDNS, more to get wrong).

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -3,6 +3,7 @@
 use crate::driver::Driver;
 use crate::note;
 use crate::server::Server;
+use crate::srv::Follower;
 use bytes::Bytes;
 use hingestage_operate::Told;
 use hingestage_platform::{Listener, Platform};
@@ -35,12 +36,20 @@
     calls: RefCell<BTreeMap<u64, Rc<Notify>>>,
     next: Cell<u64>,
     odd: Cell<u64>,
+    /// The name that is followed, where one is.
+    follower: RefCell<Option<Rc<Follower<P>>>>,
 }
 
 impl<P: Platform> Admin<P> {
     /// Nobody calls yet.
     pub fn new(driver: Rc<Driver<P>>, server: Rc<Server<P>>) -> Rc<Self> {
-        Rc::new(Admin { driver, server, calls: RefCell::default(), next: Cell::new(0), odd: Cell::new(0) })
+        let (calls, follower) = (RefCell::default(), RefCell::default());
+        Rc::new(Admin { driver, server, calls, next: Cell::new(0), odd: Cell::new(0), follower })
+    }
+
+    /// Shows a name that is followed, too.
+    pub fn show(&self, follower: Rc<Follower<P>>) {
+        *self.follower.borrow_mut() = Some(follower);
     }
 
     /// Takes calls for ever.
@@ -100,16 +109,37 @@
             "/ready" if self.server.wants_clients() => text(StatusCode::OK, "ready"),
             "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
             "/metrics" => {
-                let mut answer = text(StatusCode::OK, self.driver.told_figures());
+                let srv = self.follower.borrow().as_ref().map(|follower| follower.figures());
+                let mut answer = text(StatusCode::OK, self.driver.told_figures(srv));
                 answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                 answer
             }
+            path if path.starts_with("/srv") => self.of_srv(path, post),
             "/drain" => self.tell(Told::Drain, "draining"),
             "/undrain" => self.tell(Told::Undrain, "serving"),
             _ => text(StatusCode::NOT_FOUND, "no such call"),
         }
     }
 
+    /// `GET /srv`, `POST /srv/refresh` and `POST /srv/accept`.
+    fn of_srv(&self, path: &str, post: bool) -> Response<Full<Bytes>> {
+        let follower = self.follower.borrow();
+        match (path, follower.as_ref()) {
+            ("/srv" | "/srv/refresh" | "/srv/accept", None) => {
+                text(StatusCode::NOT_FOUND, "no name is followed")
+            }
+            ("/srv", Some(_)) if post => not("GET"),
+            ("/srv", Some(follower)) => text(StatusCode::OK, follower.explain()),
+            ("/srv/refresh" | "/srv/accept", Some(_)) if !post => not("POST"),
+            ("/srv/refresh" | "/srv/accept", Some(follower)) => {
+                self.driver.platform.log(format_args!("told by an operator: {path}"));
+                follower.ask_now(path == "/srv/accept");
+                text(StatusCode::OK, "asked")
+            }
+            _ => text(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
     fn tell(&self, what: Told, word: &'static str) -> Response<Full<Bytes>> {
         self.driver.platform.log(format_args!("told by an operator: {word}"));
         self.server.told(what);
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,7 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
-use crate::hosts::HostList;
+use hingestage_membership::hosts::HostList;
+use hingestage_operator::Srv;
 use hingestage_policy::settings::{flatten, settings, Fields, Names};
 use hingestage_policy::{Micros, Settings};
 use serde::Deserialize;
@@ -53,6 +54,8 @@
     pub seed: u64,
     /// The workers as this gateway last had them; may be old.
     pub known: HostList,
+    /// The name that workers are also taken from, or alone; from the operators' own file.
+    pub srv: Option<Srv>,
     /// What the decisions go by.
     pub settings: Settings,
     /// The names of classes and plans.
@@ -132,6 +135,7 @@
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("configuration: field `seed`: `{}` is not hexadecimal", file.seed))?,
             known: file.known,
+            srv: None,
             connect_timeout: span("limits.connectTimeoutUs")?,
             worker_idle: span("limits.connIdleUs")?,
             settings,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,19 +1,19 @@
-//! The list of workers: the watch on it, and the book of who is where.
+//! The list of workers: the watch on it, and what each word of membership does here.
 
 use crate::driver::Driver;
-use crate::hosts::{HostList, Target};
 use crate::wire::{Place, Wire, WireIo};
 use crate::{note, Backoff};
 use bytes::{Bytes, BytesMut};
+use hingestage_membership::hosts::HostList;
+use hingestage_membership::{Address, Change, Located, Membership, Sources, Told};
 use hingestage_platform::{Platform, Stream, Task};
-use hingestage_policy::{fnv, Availability, Event, ListScope, WorkerId, WorkerInfo, WorkerList, Zone};
+use hingestage_policy::{Availability, Event, ListScope, Micros, WorkerId, WorkerList};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,74 +25,64 @@
 /// The longest line; a list of thousands of workers is shorter.
 const LINE_MAX: usize = 4 << 20;
 
-/// Ids kept, of workers listed and gone; past that those gone are forgotten.
-const IDS_MAX: usize = 1_000;
-
-/// Which worker is which: `uid`s as the ids that the decisions go by, never given twice.
-#[derive(Default)]
+/// Who the workers are, and what the gateway does about each word of it.
 pub struct Book {
-    ids: RefCell<HashMap<String, WorkerId>>,
-    next: Cell<u64>,
+    members: RefCell<Membership>,
     odd: Cell<u64>,
 }
 
 impl Book {
-    fn id(&self, uid: &str) -> WorkerId {
-        *self.ids.borrow_mut().entry(uid.to_owned()).or_insert_with(|| {
-            self.next.set(self.next.get() + 1);
-            WorkerId(self.next.get())
-        })
+    /// Nobody yet.
+    pub fn new(sources: Sources) -> Rc<Self> {
+        Rc::new(Book { members: RefCell::new(Membership::new(sources)), odd: Cell::new(0) })
+    }
+
+    /// Goes by other sources from the next word on.
+    pub fn go_by(&self, sources: Sources) {
+        self.members.borrow_mut().go_by(sources);
     }
 
     /// Brings pools and decisions to a list. `scope` says what the list covers.
     pub fn apply<P: Platform>(&self, driver: &Rc<Driver<P>>, list: &HostList, scope: ListScope) {
-        let workers: Vec<WorkerInfo> = list.targets.iter().map(|t| self.worker(driver, t)).collect();
-        let named: HashSet<WorkerId> = workers.iter().map(|w| w.id).collect();
-        if scope != ListScope::Delta {
-            driver.workers.keep_only(&named);
-        }
-        // A worker that comes back keeps its id; only a fleet's many former lives are forgotten.
-        if self.ids.borrow().len() > IDS_MAX {
-            self.ids.borrow_mut().retain(|_, id| driver.workers.lists(*id));
-        }
-        driver.feed(Event::Workers(WorkerList { scope, workers }));
-        driver.recall_unwritten();
+        let change = self.members.borrow_mut().list(list, scope, driver.micros());
+        self.carry_out(driver, change);
     }
 
-    fn worker<P: Platform>(&self, driver: &Driver<P>, target: &Target) -> WorkerInfo {
-        let id = self.id(&target.uid);
-        let mut availability = match target.state.as_str() {
-            "up" => Availability::Ready,
-            "removed" => Availability::Gone,
-            // A word nobody has described is no leave to send.
-            _ => Availability::Draining,
-        };
-        match target.endpoint.parse::<SocketAddr>() {
-            Ok(addr) if availability != Availability::Gone => {
-                driver.workers.list(id, addr, target.boot_ms, availability == Availability::Ready)
-            }
-            parsed => {
-                if parsed.is_err() && availability != Availability::Gone {
-                    note(
-                        &driver.platform,
-                        &self.odd,
-                        format_args!("discovery: worker {:?} has no address", target.uid),
-                    );
+    /// Brings them to what DNS names.
+    pub fn apply_srv<P: Platform>(&self, driver: &Rc<Driver<P>>, addresses: &[Address]) {
+        let change = self.members.borrow_mut().srv(addresses, driver.micros());
+        self.carry_out(driver, change);
+    }
+
+    /// Nobody listens at a worker's address.
+    pub fn refused<P: Platform>(&self, driver: &Rc<Driver<P>>, worker: WorkerId) {
+        let change = self.members.borrow_mut().refused(worker, driver.micros());
+        change.into_iter().for_each(|change| self.carry_out(driver, change));
+    }
+
+    /// Ends what has had its time; gives when there is more to do.
+    pub fn lapse<P: Platform>(&self, driver: &Rc<Driver<P>>) -> Option<Micros> {
+        let change = self.members.borrow_mut().lapse(driver.micros());
+        change.into_iter().for_each(|change| self.carry_out(driver, change));
+        self.members.borrow().wake()
+    }
+
+    fn carry_out<P: Platform>(&self, driver: &Rc<Driver<P>>, change: Change) {
+        for Told { info, place } in &change.workers {
+            match place {
+                Some(Located { at, life }) => {
+                    driver.workers.list(info.id, *at, *life, info.availability == Availability::Ready)
                 }
-                availability = Availability::Gone;
-                driver.workers.unlist(id);
+                None => driver.workers.unlist(info.id),
             }
         }
-        WorkerInfo {
-            id,
-            availability,
-            zone: Zone(target.az.clone()),
-            cell: target.pod_group,
-            mark: fnv(target.uid.as_bytes()),
-            size: target.capacity_hint.filter(|n| n.is_finite() && *n > 0.0).unwrap_or(1.0),
-            // The gateway's clock counts Unix time too, so that all gateways agree on a start.
-            started: (target.boot_ms > 0).then(|| target.boot_ms.saturating_mul(1_000)),
+        if change.scope != ListScope::Delta {
+            driver.workers.keep_only(self.members.borrow().placed());
         }
+        change.odd.iter().for_each(|what| note(&driver.platform, &self.odd, what));
+        let workers = change.workers.into_iter().map(|told| told.info).collect();
+        driver.feed(Event::Workers(WorkerList { scope: change.scope, workers }));
+        driver.recall_unwritten();
     }
 }
 
@@ -121,13 +111,13 @@
     /// Follows the list at `at` from version `rev` on; calls `told` after each list or change.
     pub fn start(
         driver: Rc<Driver<P>>,
-        book: Book,
+        book: Rc<Book>,
         at: SocketAddr,
         rev: u64,
         told: impl Fn() + 'static,
     ) -> Rc<Self> {
         let (now, coming) = (RefCell::default(), RefCell::default());
-        let watcher = Rc::new(Watcher { driver, book: Rc::new(book), told: Box::new(told), now, coming });
+        let watcher = Rc::new(Watcher { driver, book, told: Box::new(told), now, coming });
         *watcher.now.borrow_mut() = Some(watcher.follow(at, Some(rev)));
         watcher
     }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::counter::{Counter, Tell};
 use crate::workers::{Attempted, Parts, Progress, Served, ServedBody, Times, Workers};
-use hingestage_operate::{Ending, Figures, Gauges};
+use hingestage_operate::{Ending, Figures, Gauges, SrvFigures};
 use hingestage_platform::{Platform, Stream, Task};
 use hingestage_policy::{
     Action, AttemptDone, ClassId, CustomerId, Decide, Event, Gatekeeper, Micros, Outcome, PlanId,
@@ -150,6 +150,11 @@
         })
     }
 
+    /// The decisions' present: Unix time that runs evenly.
+    pub fn micros(&self) -> Micros {
+        self.clock.at(self.platform.now())
+    }
+
     /// Tells the platform how large the tables are that hold what is not over.
     pub fn gauge(&self) {
         self.platform.gauge("open requests", self.open.borrow().len());
@@ -158,7 +163,7 @@
     }
 
     /// The figures as operators read them.
-    pub fn told_figures(&self) -> String {
+    pub fn told_figures(&self, srv: Option<SrvFigures>) -> String {
         let attempts = |open: &Open<P>| {
             open.attempts.iter().flatten().filter(|running| running.progress.came_whole()).count()
         };
@@ -167,6 +172,7 @@
             attempts_out: self.open.borrow().values().map(attempts).sum(),
             hosts_listed: self.workers.listed(),
             hosts_down: self.decisions.borrow().avoided(),
+            srv,
         })
     }
 
@@ -180,7 +186,7 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
-            let now = self.clock.at(self.platform.now());
+            let now = self.micros();
             self.decisions.borrow_mut().handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,9 +5,13 @@
 use crate::discovery::{Book, Watcher};
 use crate::driver::{Driver, MakeDecisions};
 use crate::server::Server;
+use crate::srv::{Follower, Hears};
+use hingestage_membership::{Address, Sources};
 use hingestage_operate::Told;
+use hingestage_operator::Srv;
 use hingestage_platform::{Listener, Platform};
 use hingestage_policy::{Event, ListScope};
+use hingestage_srv::Endpoint;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,18 +79,25 @@
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
     let driver = Driver::new(platform.clone(), &config, decide);
     let server = Server::new(driver.clone(), &config);
+    let mut admin = None;
     if let Some(at) = config.admin {
         let listener = platform.listen(at).await.map_err(|e| format!("field `admin`: {at}: {e}"))?;
-        platform.spawn(Admin::new(driver.clone(), server.clone()).serve(listener));
+        let serving = admin.insert(Admin::new(driver.clone(), server.clone())).clone();
+        platform.spawn(serving.serve(listener));
     }
     platform.log(format_args!("listening on {bound}"));
-    let book = Book::default();
-    book.apply(&driver, &config.known, ListScope::Cached);
-    let watcher = Watcher::start(driver.clone(), book, config.discovery, config.known.rev, {
-        let server = server.clone();
-        move || server.told(Told::Ready)
+    let book = Book::new(sources(config.srv.as_ref()));
+    let follower = config.srv.clone().map(|srv| follow_name(&driver, &server, &book, srv, config.seed));
+    follower.iter().for_each(|follower| admin.iter().for_each(|admin| admin.show(follower.clone())));
+    let listed = config.srv.as_ref().is_none_or(|srv| srv.beside_list);
+    let watcher = listed.then(|| {
+        book.apply(&driver, &config.known, ListScope::Cached);
+        Watcher::start(driver.clone(), book.clone(), config.discovery, config.known.rev, {
+            let server = server.clone();
+            move || server.told(Told::Ready)
+        })
     });
-    if !config.known.targets.is_empty() {
+    if listed && !config.known.targets.is_empty() {
         // While discovery is down the list of before is all there is, and serves well enough.
         let (server, sleep) = (server.clone(), platform.sleep(KNOWN_WILL_DO));
         platform.spawn(async move {
@@ -95,7 +106,8 @@
         });
     }
     let (tell_stop, stop) = oneshot::channel();
-    platform.spawn(follow(driver.clone(), server.clone(), watcher, controls, tell_stop));
+    let sources = Followed { book, watcher, follower };
+    platform.spawn(follow(driver.clone(), server.clone(), sources, controls, tell_stop));
     platform.spawn(driver.counter.clone().run());
     platform.spawn(tidy(driver, server.clone()));
     tokio::select! {
@@ -107,6 +119,63 @@
     Ok(())
 }
 
+/// The sources of workers in use.
+struct Followed<P: Platform> {
+    book: Rc<Book>,
+    watcher: Option<Rc<Watcher<P>>>,
+    follower: Option<Rc<Follower<P>>>,
+}
+
+fn sources(srv: Option<&Srv>) -> Sources {
+    match srv {
+        None => Sources::List,
+        Some(srv) => Sources::Srv { grace: srv.settings.grace, cold_at_start: srv.cold_at_start },
+    }
+}
+
+/// What DNS says goes into the book, and the gateway is ready once it has said anything.
+struct ToBook<P: Platform> {
+    driver: Rc<Driver<P>>,
+    server: Rc<Server<P>>,
+    book: Rc<Book>,
+}
+
+impl<P: Platform> Hears for ToBook<P> {
+    fn believe(&self, endpoints: &[Endpoint]) {
+        let address = |e: &Endpoint| Address {
+            at: e.at,
+            tier: e.priority.into(),
+            size: e.size,
+            names: e.names.iter().map(ToString::to_string).collect(),
+        };
+        let addresses: Vec<Address> = endpoints.iter().map(address).collect();
+        self.book.apply_srv(&self.driver, &addresses);
+        self.server.told(Told::Ready);
+    }
+
+    fn lapse(&self) -> Option<Duration> {
+        let at = self.book.lapse(&self.driver)?;
+        Some(Duration::from_micros(at.saturating_sub(self.driver.micros())))
+    }
+}
+
+fn follow_name<P: Platform>(
+    driver: &Rc<Driver<P>>,
+    server: &Rc<Server<P>>,
+    book: &Rc<Book>,
+    srv: Srv,
+    seed: u64,
+) -> Rc<Follower<P>> {
+    let (weak, seen) = (Rc::downgrade(driver), book.clone());
+    driver.workers.tell_refused(move |worker| {
+        if let Some(driver) = weak.upgrade() {
+            seen.refused(&driver, worker);
+        }
+    });
+    let hears = ToBook { driver: driver.clone(), server: server.clone(), book: book.clone() };
+    Follower::start(driver.platform.clone(), srv.settings, seed, Box::new(hears))
+}
+
 async fn tidy<P: Platform>(driver: Rc<Driver<P>>, server: Rc<Server<P>>) {
     loop {
         driver.platform.sleep(TIDY).await;
@@ -120,14 +189,14 @@
 async fn follow<P: Platform>(
     driver: Rc<Driver<P>>,
     server: Rc<Server<P>>,
-    watcher: Rc<Watcher<P>>,
+    sources: Followed<P>,
     mut controls: mpsc::Receiver<Control>,
     stop: oneshot::Sender<()>,
 ) {
     let mut stop = Some(stop);
     while let Some(control) = controls.recv().await {
         match control {
-            Control::Reload(reload) => go_where(&driver, &watcher, *reload),
+            Control::Reload(reload) => go_where(&driver, &sources, *reload),
             Control::Successor(serves) => {
                 driver.platform.log(format_args!("successor {}", if serves { "starts" } else { "is gone" }));
                 server.told(if serves { Told::SuccessorStarts } else { Told::SuccessorGone });
@@ -144,12 +213,22 @@
 }
 
 /// Goes where the file sends it now.
-fn go_where<P: Platform>(driver: &Rc<Driver<P>>, watcher: &Rc<Watcher<P>>, reload: Reload) {
+fn go_where<P: Platform>(driver: &Rc<Driver<P>>, sources: &Followed<P>, reload: Reload) {
     driver.figures.borrow_mut().reloaded(reload.is_ok());
     match reload {
         Ok(config) => {
             driver.platform.log(format_args!("configuration read again"));
-            watcher.go_to(config.discovery);
+            sources.watcher.iter().for_each(|watcher| watcher.go_to(config.discovery));
+            match (&sources.follower, config.srv) {
+                (Some(follower), Some(srv)) if srv.beside_list == sources.watcher.is_some() => {
+                    sources.book.go_by(self::sources(Some(&srv)));
+                    follower.go_by(srv.settings);
+                }
+                (None, None) => {}
+                _ => driver
+                    .platform
+                    .log(format_args!("other sources of workers take a restart; the old ones stay")),
+            }
             if let Some(at) = config.counter {
                 driver.counter.go_to(at);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,9 +8,9 @@
 pub mod driver;
 pub mod gateway;
 pub mod heads;
-pub mod hosts;
 pub mod passing;
 pub mod server;
+pub mod srv;
 pub mod wire;
 pub mod workers;
 
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -204,15 +204,25 @@
     connect_timeout: Duration,
     keep_idle: Duration,
     odd: Cell<u64>,
+    /// Who wants to know that nobody listens at a worker's address.
+    on_refused: RefCell<Option<OnRefused>>,
 }
 
+type OnRefused = Rc<dyn Fn(WorkerId)>;
+
 impl<P: Platform> Workers<P> {
     /// None known yet. Connections are retired at half the time after which workers close them: a request
     /// that crosses the closing would be a reset, which may have run.
     pub fn new(platform: P, most: usize, connect_timeout: Duration, worker_idle: Duration) -> Self {
         let (pools, open) = (RefCell::default(), Rc::default());
         let keep_idle = worker_idle / 2;
-        Workers { platform, pools, open, most, connect_timeout, keep_idle, odd: Cell::new(0) }
+        let (odd, on_refused) = (Cell::new(0), RefCell::default());
+        Workers { platform, pools, open, most, connect_timeout, keep_idle, odd, on_refused }
+    }
+
+    /// Tells somebody from now on when nobody listens at a worker's address.
+    pub fn tell_refused(&self, tell: impl Fn(WorkerId) + 'static) {
+        *self.on_refused.borrow_mut() = Some(Rc::new(tell));
     }
 
     /// Notes where a worker is, when it started and whether it takes work. Idle connections to one that does
@@ -368,7 +378,15 @@
         // A machine that is cut off says nothing: the time-out is ours.
         let until = until.min(self.platform.now() + self.connect_timeout);
         let connected = self.platform.timeout_at(until, self.platform.connect(life.0)).await;
-        let Ok(Ok(stream)) = connected else { return Err(Outcome::ConnectFailed) };
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            failed => {
+                let refused = matches!(failed, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
+                let tell = self.on_refused.borrow().clone().filter(|_| refused);
+                tell.into_iter().for_each(|tell| tell(worker));
+                return Err(Outcome::ConnectFailed);
+            }
+        };
         let wire = Wire::new(stream, place);
         let io = TokioIo::new(WireIo(wire.clone()));
         let (sender, driver) = http1::Builder::new()
--- a/crates/membership/src/hosts.rs
+++ b/crates/membership/src/hosts.rs
@@ -38,3 +38,18 @@
     #[serde(default)]
     pub boot_ms: u64,
 }
+
+impl Target {
+    /// One of which only the address is known.
+    pub fn nameless() -> Target {
+        Target {
+            uid: String::new(),
+            endpoint: String::new(),
+            az: String::new(),
+            pod_group: 0,
+            state: String::new(),
+            capacity_hint: None,
+            boot_ms: 0,
+        }
+    }
+}
--- a/crates/operate/src/figures.rs
+++ b/crates/operate/src/figures.rs
@@ -35,6 +35,27 @@
     pub hosts_listed: usize,
     /// Those of them that get nothing for what they did.
     pub hosts_down: usize,
+    /// Of the name that workers are taken from, where one is followed.
+    pub srv: Option<SrvFigures>,
+}
+
+/// What is believed of a name, and what it took to know.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct SrvFigures {
+    /// One word on how good it is.
+    pub standing: &'static str,
+    /// Addresses believed.
+    pub believed: usize,
+    /// Questions sent.
+    pub asked: u64,
+    /// Of these, over TCP.
+    pub over_tcp: u64,
+    /// Without an answer in time.
+    pub timeouts: u64,
+    /// Answers that did not belong to their question.
+    pub foreign: u64,
+    /// Questions that a server failed.
+    pub failed: u64,
 }
 
 #[derive(Serialize)]
@@ -48,6 +69,8 @@
     hosts_down: usize,
     reconfig_ok: u64,
     reconfig_failed: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    srv: Option<SrvFigures>,
 }
 
 impl Figures {
@@ -90,6 +113,7 @@
             hosts_down: now.hosts_down,
             reconfig_ok: self.reloads.0,
             reconfig_failed: self.reloads.1,
+            srv: now.srv,
         };
         // Names and numbers only: there is nothing in it that could not be written.
         serde_json::to_string(&told).unwrap_or_default()
@@ -115,7 +139,8 @@
         figures.attempted();
         figures.reloaded(true);
         figures.reloaded(false);
-        let told = figures.json(Gauges { inflight: 4, attempts_out: 2, hosts_listed: 9, hosts_down: 1 });
+        let told =
+            figures.json(Gauges { inflight: 4, attempts_out: 2, hosts_listed: 9, hosts_down: 1, srv: None });
         assert_eq!(
             told,
             r#"{"success":{"pull":2,"push":0},"busy":{"pull":0,"push":1},"failure":{"pull":0,"push":1},"backend_calls":3,"inflight":4,"hosts_listed":9,"hosts_down":1,"reconfig_ok":1,"reconfig_failed":1}"#
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -9,5 +9,5 @@
 mod figures;
 mod life;
 
-pub use figures::{Ending, Figures, Gauges};
+pub use figures::{Ending, Figures, Gauges, SrvFigures};
 pub use life::{Life, Told};
--- /dev/null
+++ b/crates/operator/src/form.rs
@@ -0,0 +1,134 @@
+//! Reading S-expressions with their places in the text.
+
+use lexpr::datum::{Datum, Ref};
+use lexpr::Value;
+
+/// The deepest nesting that is read: a file of a person's hand has four.
+const DEPTH_MAX: usize = 32;
+/// The largest file, bytes.
+const SIZE_MAX: usize = 1 << 20;
+
+/// A whole text.
+pub struct Text(Datum);
+
+/// One expression and its place.
+#[derive(Clone, Copy)]
+pub struct Form<'a>(Ref<'a>);
+
+/// Reads a text as one list of sections.
+pub fn read(text: &str) -> Result<Text, String> {
+    if text.len() > SIZE_MAX {
+        return Err(format!(" larger than {SIZE_MAX} bytes"));
+    }
+    too_deep(text)?;
+    // The line that opens the list is one more than the file has.
+    let wrapped = format!("(\n{text}\n)");
+    let datum = lexpr::datum::from_str(&wrapped).map_err(|e| match e.location() {
+        Some(at) => format!("{}:{}: {e}", at.line().saturating_sub(1), at.column()),
+        None => format!(" {e}"),
+    })?;
+    Ok(Text(datum))
+}
+
+/// The library reads by recursion: nesting is bounded before.
+fn too_deep(text: &str) -> Result<(), String> {
+    let (mut depth, mut quoted, mut escaped, mut comment) = (0usize, false, false, false);
+    for (n, line) in text.lines().enumerate() {
+        for c in line.chars() {
+            match c {
+                _ if comment => {}
+                _ if escaped => escaped = false,
+                '\\' if quoted => escaped = true,
+                '"' => quoted = !quoted,
+                _ if quoted => {}
+                ';' => comment = true,
+                '(' | '[' => depth += 1,
+                ')' | ']' => depth = depth.saturating_sub(1),
+                // A quotation mark nests as well.
+                '\'' | '`' | ',' => depth += 1,
+                _ => {}
+            }
+            if depth > DEPTH_MAX {
+                return Err(format!("{}: nested more than {DEPTH_MAX} deep", n + 1));
+            }
+        }
+        comment = false;
+    }
+    Ok(())
+}
+
+impl Text {
+    /// Its sections.
+    pub fn items(&self) -> Result<Vec<Form<'_>>, String> {
+        Form(self.0.as_ref()).items()
+    }
+}
+
+impl<'a> Form<'a> {
+    /// Line and column where it begins, from 1.
+    pub fn place(&self) -> (usize, usize) {
+        let start = self.0.span().start();
+        (start.line().saturating_sub(1), start.column() + 1)
+    }
+
+    /// A message about a field of it.
+    pub fn error(&self, field: &str, what: &str) -> String {
+        crate::fault(self, field, what)
+    }
+
+    /// The members of a list.
+    pub fn items(&self) -> Result<Vec<Form<'a>>, String> {
+        let list = matches!(self.0.value(), Value::Null) || self.0.value().is_list();
+        let items = self.0.list_iter().filter(|_| list);
+        let items = items.ok_or_else(|| self.error(&self.0.value().to_string(), "a list is wanted here"))?;
+        Ok(items.map(Form).collect())
+    }
+
+    /// The name that a list begins with.
+    pub fn head(&self) -> Result<String, String> {
+        let first = self.items()?.first().and_then(|first| first.0.value().as_symbol().map(str::to_owned));
+        first.ok_or_else(|| {
+            self.error(&self.0.value().to_string(), "a list that begins with a name is wanted here")
+        })
+    }
+
+    /// What follows the name.
+    pub fn rest(&self) -> Result<Vec<Form<'a>>, String> {
+        Ok(self.items()?.split_off(1))
+    }
+
+    /// Its one argument.
+    pub fn one(&self, field: &str) -> Result<Form<'a>, String> {
+        match self.rest()?.as_slice() {
+            [one] => Ok(*one),
+            other => Err(self.error(field, &format!("one value is wanted, {} are given", other.len()))),
+        }
+    }
+
+    /// A text or a word.
+    pub fn text(&self, field: &str) -> Result<&'a str, String> {
+        let value = self.0.value();
+        let text = value.as_str().or_else(|| value.as_symbol());
+        text.ok_or_else(|| self.error(field, &format!("`{value}` is no text")))
+    }
+
+    /// A number between bounds.
+    pub fn number(&self, field: &str, least: f64, most: f64) -> Result<f64, String> {
+        let value = self.0.value();
+        let number = value.as_f64().filter(|n| n.is_finite());
+        let number = number.ok_or_else(|| self.error(field, &format!("`{value}` is no number")))?;
+        match (least..=most).contains(&number) {
+            true => Ok(number),
+            false => Err(self.error(field, &format!("{number} is not between {least} and {most}"))),
+        }
+    }
+
+    /// `yes` or `no`.
+    pub fn flag(&self, field: &str) -> Result<bool, String> {
+        match self.text(field)? {
+            "yes" => Ok(true),
+            "no" => Ok(false),
+            other => Err(self.error(field, &format!("`{other}` is neither yes nor no"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,57 @@
+//! The operators' own file: what this program can do beyond what the platform configures.
+//!
+//! It holds sections as S-expressions, `(srv (name "_registry._tcp.example.org") ...)`. Each field is a list that
+//! begins with its name. Whatever is wrong is one message with field, line and column, and nothing of the file
+//! is used. `deploy/operator.example.lisp` has all fields.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod form;
+mod srv;
+
+pub use srv::Srv;
+
+use form::Form;
+use std::path::Path;
+
+/// Everything that the file says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// Workers taken from SRV records.
+    pub srv: Option<Srv>,
+}
+
+impl Operator {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// One message that names the file, the field and its place.
+    pub fn load(path: &Path) -> Result<Operator, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Operator::parse(&text).map_err(|e| format!("{}:{e}", path.display()))
+    }
+
+    /// Checks a file's text.
+    ///
+    /// # Errors
+    /// One message that names the field and its place.
+    pub fn parse(text: &str) -> Result<Operator, String> {
+        // One list round all sections, on a line of its own so that columns stay what they are.
+        let whole = form::read(text)?;
+        let mut operator = Operator::default();
+        for section in whole.items()? {
+            match section.head()?.as_str() {
+                "srv" if operator.srv.is_some() => return Err(section.error("srv", "given twice")),
+                "srv" => operator.srv = Some(srv::read(&section)?),
+                other => return Err(section.error(other, "no such section; there is `srv`")),
+            }
+        }
+        Ok(operator)
+    }
+}
+
+/// A field's fault, as it is told.
+fn fault(form: &Form, field: &str, what: &str) -> String {
+    let (line, column) = form.place();
+    format!("{line}:{column}: field `{field}`: {what}")
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -181,6 +181,8 @@
     pub size: f64,
     /// When it last started; `None` means long ago.
     pub started: Option<Micros>,
+    /// Less is better: it gets work only where no worker of a better tier can take it.
+    pub tier: u32,
 }
 
 impl WorkerInfo {
@@ -188,7 +190,7 @@
     pub fn ready(id: WorkerId) -> Self {
         let availability = Availability::Ready;
         let zone = Zone::default();
-        WorkerInfo { id, availability, zone, cell: 0, mark: id.0, size: 1.0, started: None }
+        WorkerInfo { id, availability, zone, cell: 0, mark: id.0, size: 1.0, started: None, tier: 0 }
     }
 }
 
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -894,12 +894,15 @@
         }
         self.workers.retain(|_, w| w.info.availability != Availability::Gone || w.inflight > 0.0);
         let ready = self.workers.values().filter(|w| w.info.availability == Availability::Ready);
-        self.ready = ready.map(|w| w.info.id).collect();
+        let mut ready: Vec<(u32, WorkerId)> = ready.map(|w| (w.info.tier, w.info.id)).collect();
+        ready.sort_by_key(|(tier, _)| *tier);
+        let best = ready.partition_point(|(tier, _)| ready.first().is_some_and(|(least, _)| tier == least));
+        self.ready = ready.into_iter().map(|(_, id)| id).collect();
         // Each worker is near to so many gateways that each gateway has its number of near ones on the mean.
-        let (workers, gateways) = (self.ready.len().max(1) as u32, self.set.instances.max(1));
+        let (workers, gateways) = (best.max(1) as u32, self.set.instances.max(1));
         let wide = (NEAR * gateways).div_ceil(workers).max(self.cold_gateways());
         let near = |id: &&WorkerId| self.workers.get(id).is_some_and(|w| w.place < wide);
-        self.near = self.ready.iter().filter(near).copied().collect();
+        self.near = self.ready[..best].iter().filter(near).copied().collect();
         self.release_held(out);
     }
 
@@ -1047,10 +1050,13 @@
         }
         // At most half the fleet is avoided on our own evidence: past that the trouble is not theirs.
         let worker = |i: usize| self.workers.get(&self.ready[i]);
-        let all: Vec<&Worker> = (0..n).filter_map(|i| worker((draws[0] * n / from + i) % n)).collect();
+        let mut all: Vec<&Worker> = (0..n).filter_map(|i| worker((draws[0] * n / from + i) % n)).collect();
+        // A worse tier is for what no worker of a better one can take: those are gone, avoided or full.
+        all.sort_by_key(|w| w.info.tier);
         let most = all.iter().filter(|w| !self.healthy(r, w)).count() * 2 > n;
         let fits = || all.iter().copied().filter(|w| (most || self.healthy(r, w)) && fit(w));
-        let new = fits().filter(|w| !tried(w)).take(2).min_by(better);
+        let tier = fits().find(|w| !tried(w)).map_or(0, |w| w.info.tier);
+        let new = fits().filter(|w| !tried(w) && w.info.tier == tier).take(2).min_by(better);
         new.or_else(|| fits().next()).map(|w| w.info.id)
     }
 
--- a/crates/policy/tests/five_rules.rs
+++ b/crates/policy/tests/five_rules.rs
@@ -176,7 +176,7 @@
 fn random_walk(seed: u64) -> Vec<Action> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut figures = settings();
-    figures.limits.second_copies = seed % 2 == 0;
+    figures.limits.second_copies = seed.is_multiple_of(2);
     let mut s = Stage::new(figures.clone(), &[1, 2, 3]);
     let mut totals = BTreeMap::new();
     let mut ready: BTreeMap<u64, bool> = (1..=5).map(|id| (id, id <= 3)).collect();
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -64,7 +64,7 @@
             }
             let before = s.sends.len();
             // Each gateway has about two requests a second, all warm workers together 600.
-            if (step + n as u64) % 25 == 0 {
+            if (step + n as u64).is_multiple_of(25) {
                 s.ask(&format!("c{n}-{step}"), 0, 0, 0.1);
             }
             s.pass(20 * MS);
@@ -217,7 +217,7 @@
         s.pass(20 * MS);
         let (due, rest) = std::mem::take(&mut s.out).into_iter().partition(|o: &Out| {
             let n = o.request.trim_start_matches("r-").parse::<u64>().unwrap();
-            (n + o.attempt as u64) % 5 != 0
+            !(n + o.attempt as u64).is_multiple_of(5)
         });
         s.out = rest;
         let due: Vec<Out> = due;
@@ -315,7 +315,7 @@
         let asks = |n: usize, step: u64| matches!((step + 6 * n as u64) % 600, 0 | 3);
         crowd.step(asks, |_| {
             slow.set(slow.get() + 1);
-            if slow.get() % 97 == 0 {
+            if slow.get().is_multiple_of(97) {
                 1_200 * MS
             } else {
                 25 * MS
@@ -336,7 +336,7 @@
     for second in 0..40 {
         (crowd.held, crowd.served, crowd.refused) = (0, 0, 0);
         for _ in 0..200 {
-            crowd.step(|n, step| (step + n as u64) % 16 == 0, |_| 50 * MS);
+            crowd.step(|n, step| (step + n as u64).is_multiple_of(16), |_| 50 * MS);
         }
         held.push(crowd.held / 200);
         println!(
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod counter;
 pub mod discovery;
+pub mod dns;
 mod message;
 mod peer;
 pub mod site;
--- /dev/null
+++ b/deploy/operator.example.lisp
@@ -0,0 +1,24 @@
+; What this program can do beyond what the platform configures. Given with `--operator FILE` or RELAY_OPERATOR,
+; checked with `hingestage check FILE`. Spans are seconds. docs/srv.md says what each field does.
+
+(srv
+  ; The name that workers are listed under, and who is asked, the first that answers.
+  (name "_registry._tcp.sala.example.org")
+  (servers "127.0.0.1:5300" "127.0.0.2:5300")
+
+  ; Addresses outside of these are not believed.
+  (networks "127.0.0.0/8")
+  (addresses ipv4)                ; ipv4, ipv6 or both
+
+  (beside-list no)                ; whether the list of discovery is followed as well
+  (at-start cold)                 ; what workers of the first answer are taken for: cold or warm
+
+  (lifetimes 5 300)               ; the least and the longest that an answer is gone by
+  (timeout 1)                     ; time that a server has
+  (retry 1 30)                    ; between two tries at what failed: at first, at the longest
+
+  (stale-for 3600)                ; how long the last good answer holds while none comes
+  (shrink-to 0.5)                 ; an answer with less than this part of what is believed is doubted
+  (shrink-for 60)                 ; for so long
+  (grace 30)                      ; time that a worker has to finish once its record has vanished
+  (questions-per-second 20))
--- a/src/bin/hingestage-adapter/wire.rs
+++ b/src/bin/hingestage-adapter/wire.rs
@@ -111,6 +111,7 @@
         mark: f.int("worker")?,
         size: f.checked("powerHint")?.unwrap_or(1.0),
         started: f.optional("lastStartUs")?.filter(|at| *at > 0),
+        tier: 0,
     })
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,15 +2,18 @@
 //! until told to stop, and exits when all is answered.
 #![forbid(unsafe_code)]
 
+mod srv;
+
 use clap::{Parser, Subcommand};
 use hingestage_gateway::config::Config;
 use hingestage_gateway::driver::gatekeeper;
 use hingestage_gateway::gateway::{serve_on, Control};
 use hingestage_handover::{Offer, Predecessor, Taken};
+use hingestage_operator::Operator;
 use hingestage_platform::Tokio;
 use std::future::Future;
 use std::net::TcpListener;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
@@ -21,6 +24,9 @@
 #[derive(Parser)]
 #[command(name = "hingestage", version)]
 struct Args {
+    /// The operators' own file; see `deploy/operator.example.lisp`.
+    #[arg(long, env = "RELAY_OPERATOR", value_name = "FILE")]
+    operator: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -29,6 +35,13 @@
 enum Command {
     /// Shows the gateway at work among stand-ins on loopback sockets.
     Lab(hingestage_lab::Args),
+    /// Checks an operators' file; a fault is named with its field and place.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Follows a name's SRV records for a while and tells what would be believed, and why.
+    Srv(srv::Args),
 }
 
 fn main() -> ExitCode {
@@ -40,21 +53,49 @@
         std::process::exit(101);
     }));
     let done = match args.command {
-        None => start(),
-        Some(Command::Lab(args)) => block_on(hingestage_lab::run(args)),
+        None => start(args.operator),
+        Some(Command::Lab(args)) => block_on(hingestage_lab::run(args)).map_err(Failed::Running),
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Srv(args)) => srv::run(args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
+        Err(failed) => {
+            let (message, code) = match failed {
+                Failed::Running(message) => (message, ExitCode::FAILURE),
+                Failed::Asked(message) => (message, ExitCode::from(2)),
+            };
             eprintln!("hingestage: {message}");
-            ExitCode::FAILURE
+            code
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let config = Config::load(|name| std::env::var(name).ok())?;
-    block_on(run(config))
+/// Why the program ends without having done what was asked.
+enum Failed {
+    /// Something went wrong.
+    Running(String),
+    /// It was asked for what makes no sense: a fault in the operators' file or the command line.
+    Asked(String),
+}
+
+fn start(operator: Option<PathBuf>) -> Result<(), Failed> {
+    let read = read_operator(operator.as_deref()).map_err(Failed::Asked)?;
+    let config = Config::load(|name| std::env::var(name).ok()).map_err(Failed::Running)?;
+    block_on(run(Config { srv: read.srv, ..config }, operator)).map_err(Failed::Running)
+}
+
+fn read_operator(file: Option<&Path>) -> Result<Operator, String> {
+    file.map_or_else(|| Ok(Operator::default()), Operator::load)
+}
+
+fn check(file: &Path) -> Result<(), Failed> {
+    let operator = Operator::load(file).map_err(Failed::Asked)?;
+    match operator.srv {
+        Some(srv) => println!("srv: {} from {} servers", srv.settings.name, srv.settings.servers.len()),
+        None => println!("nothing is asked for"),
+    }
+    Ok(())
 }
 
 fn block_on(task: impl Future<Output = Result<(), String>> + 'static) -> Result<(), String> {
@@ -65,7 +106,7 @@
     LocalSet::new().block_on(&runtime, served).map_err(|e| e.to_string())?
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, operator: Option<PathBuf>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     // Without a handler the signal would end the program. It goes on while stopping as well.
     let hang_up = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
@@ -73,7 +114,7 @@
     let (listener, _predecessor) = listen(&config, place.as_deref())?;
     let (tell, controls) = mpsc::channel(4);
     let offered = place.and_then(|place| offer(&place, &listener, tell.clone()));
-    spawn_local(read_again(hang_up, tell.clone()));
+    spawn_local(read_again(hang_up, operator, tell.clone()));
     spawn_local(async move {
         if term.recv().await.is_some() {
             // Its part of the listening socket goes too: a queue that nobody accepts from would lose requests.
@@ -137,10 +178,13 @@
     }
 }
 
-/// Reads the configuration again at each signal.
-async fn read_again(mut hang_up: Signal, tell: mpsc::Sender<Control>) {
+/// Reads the configuration and the operators' file again at each signal.
+async fn read_again(mut hang_up: Signal, operator: Option<PathBuf>, tell: mpsc::Sender<Control>) {
     while hang_up.recv().await.is_some() {
-        let reload = Config::reload(|name| std::env::var(name).ok());
+        let reload = Config::reload(|name| std::env::var(name).ok()).and_then(|config| {
+            let read = read_operator(operator.as_deref())?;
+            Ok(Config { srv: read.srv, ..config })
+        });
         if tell.send(Control::Reload(Box::new(reload))).await.is_err() {
             return;
         }
