Simulated worlds whose workers come from SRV records, with eighteen ways of a bad server

Need: names, lifetimes and a name server that is late, lost, cut, silent, wrong or lying are tried with every rule checked from outside, as the list is. The seeds of before draw what they drew.

Ruled out as faults of the program: two of the checker's own (a shrunk answer counted for less than it told; DNS taking back its own drains).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -166,14 +166,14 @@
     srv: Srv,
     seed: u64,
 ) -> Rc<Follower<P>> {
-    let (weak, seen) = (Rc::downgrade(driver), book.clone());
+    let hears = ToBook { driver: driver.clone(), server: server.clone(), book: book.clone() };
+    let follower = Follower::start(driver.platform.clone(), srv.settings, seed, Box::new(hears));
+    let (weak, seen, asks) = (Rc::downgrade(driver), book.clone(), Rc::downgrade(&follower));
     driver.workers.tell_refused(move |worker| {
-        if let Some(driver) = weak.upgrade() {
-            seen.refused(&driver, worker);
-        }
+        weak.upgrade().into_iter().for_each(|driver| seen.refused(&driver, worker));
+        asks.upgrade().into_iter().for_each(|follower| follower.suspect());
     });
-    let hears = ToBook { driver: driver.clone(), server: server.clone(), book: book.clone() };
-    Follower::start(driver.platform.clone(), srv.settings, seed, Box::new(hears))
+    follower
 }
 
 async fn tidy<P: Platform>(driver: Rc<Driver<P>>, server: Rc<Server<P>>) {
--- a/crates/gateway/src/srv.rs
+++ b/crates/gateway/src/srv.rs
@@ -75,6 +75,12 @@
         self.step(|service, now, out| service.ask_now(accept, now, out));
     }
 
+    /// A worker was not where a record says.
+    pub fn suspect(&self) {
+        self.service.borrow_mut().suspect(self.now());
+        self.stir.notify_one();
+    }
+
     /// What is believed and why, to be read.
     pub fn explain(&self) -> String {
         self.service.borrow().explain(self.now())
--- a/crates/sim/src/campaign.rs
+++ b/crates/sim/src/campaign.rs
@@ -1,7 +1,6 @@
 //! Many seeds: played on several threads, counted in the order of the seeds.
 
 use crate::checker::{Violation, PHASES};
-use crate::scenario::scenario;
 use crate::script::kinds;
 use crate::service::Service;
 use crate::world::{play, Options};
@@ -59,7 +58,7 @@
                 if seed >= end || over || enough.load(Ordering::Relaxed) {
                     return;
                 }
-                let script = scenario(seed);
+                let script = (options.scenario)(seed);
                 let report = play(&script, options);
                 if until_broken && report.broken.is_some() {
                     enough.store(true, Ordering::Relaxed);
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -3,7 +3,7 @@
 
 use clap::{Parser, Subcommand};
 use hingestage_sim::campaign::{self, Campaign};
-use hingestage_sim::scenario::scenario;
+use hingestage_sim::scenario::{scenario, srv_scenario};
 use hingestage_sim::script::Script;
 use hingestage_sim::shrink::shrink;
 use hingestage_sim::world::{play, Options, Report};
@@ -36,6 +36,9 @@
         /// play the same.
         #[arg(long = "for", value_parser = span, conflicts_with = "seed")]
         lasts: Option<Duration>,
+        /// Worlds in which workers come from SRV records.
+        #[arg(long)]
+        srv: bool,
         /// Threads; as many as there are cores where it is left out.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=256))]
         jobs: Option<u16>,
@@ -54,6 +57,9 @@
         /// A script.
         #[arg(long)]
         file: Option<PathBuf>,
+        /// The seed's world is one in which workers come from SRV records.
+        #[arg(long, conflicts_with = "file")]
+        srv: bool,
         /// Where to write the short script.
         #[arg(short, long)]
         output: PathBuf,
@@ -101,14 +107,14 @@
     // A gateway's panic is a finding, told with its seed; the usual message would only get lost among others.
     std::panic::set_hook(Box::new(|_| {}));
     let done = match Args::parse().command {
-        Command::Run { seeds: Some(seeds), jobs, until_broken, .. } => {
-            Ok(run(seeds, None, until_broken, jobs))
+        Command::Run { seeds: Some(seeds), jobs, until_broken, srv, .. } => {
+            Ok(run(seeds, None, until_broken, jobs, drawn(srv)))
         }
-        Command::Run { lasts: Some(lasts), jobs, until_broken, .. } => {
-            Ok(run(fresh(), Some(lasts), until_broken, jobs))
+        Command::Run { lasts: Some(lasts), jobs, until_broken, srv, .. } => {
+            Ok(run(fresh(), Some(lasts), until_broken, jobs, drawn(srv)))
         }
-        Command::Run { seed, trace, .. } => Ok(one(&scenario(seed.unwrap_or(0)), trace)),
-        Command::Shrink { seed, file, output } => shorten(seed, file, &output),
+        Command::Run { seed, trace, srv, .. } => Ok(one(&drawn(srv)(seed.unwrap_or(0)), trace)),
+        Command::Shrink { seed, file, srv, output } => shorten(seed, file, drawn(srv), &output),
         Command::Replay { file, trace } => read(&file).map(|script| one(&script, trace)),
     };
     match done {
@@ -125,12 +131,30 @@
     text.parse().map_err(|e| format!("{}: {e}", file.display()))
 }
 
-fn run(seeds: Range<u64>, lasts: Option<Duration>, until_broken: bool, jobs: Option<u16>) -> ExitCode {
+/// What draws the script of a seed.
+type Draw = fn(u64) -> Script;
+
+fn drawn(srv: bool) -> Draw {
+    if srv {
+        srv_scenario
+    } else {
+        scenario
+    }
+}
+
+fn run(
+    seeds: Range<u64>,
+    lasts: Option<Duration>,
+    until_broken: bool,
+    jobs: Option<u16>,
+    scenario: Draw,
+) -> ExitCode {
     let jobs = jobs.map_or_else(|| std::thread::available_parallelism().map_or(1, usize::from), usize::from);
     let (all, began) = (seeds.end - seeds.start, Instant::now());
     let mut said = began;
     let until = lasts.map(|lasts| began + lasts);
-    let campaign = campaign::run(seeds, until, until_broken, jobs, Options::default(), |done| {
+    let options = Options { scenario, ..Options::default() };
+    let campaign = campaign::run(seeds, until, until_broken, jobs, options, |done| {
         if said.elapsed().as_secs() >= 2 {
             said = Instant::now();
             let of = if lasts.is_some() { String::new() } else { format!(" of {all}") };
@@ -181,7 +205,12 @@
     println!("{} passed, {} failed", u8::from(report.broken.is_none()), u8::from(report.broken.is_some()));
 }
 
-fn shorten(seed: Option<u64>, file: Option<PathBuf>, output: &Path) -> Result<ExitCode, String> {
+fn shorten(
+    seed: Option<u64>,
+    file: Option<PathBuf>,
+    scenario: Draw,
+    output: &Path,
+) -> Result<ExitCode, String> {
     let script = match (seed, file) {
         (_, Some(file)) => read(&file)?,
         (seed, None) => scenario(seed.unwrap_or(0)),
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -41,6 +41,8 @@
     (5, Draft::clocks),
     (5, Draft::sockets),
     (3, Draft::lag),
+    // Drawn by `srv_scenario` alone: the seeds of before stay what they were.
+    (0, Draft::srv),
 ];
 
 /// A family's place in [`FAMILIES`].
@@ -70,6 +72,27 @@
     draft.script
 }
 
+/// The script of a seed in which workers come from SRV records.
+pub fn srv_scenario(seed: u64) -> Script {
+    let mut rng = Rng::with_seed(seed ^ 0x5352_565f_7365_6564);
+    let site = Site { family: "srv", ..Site::default() };
+    let (gateways, runs_on) = (1 + rng.usize(..4), rng.bool());
+    let script =
+        Script { seed, gateways, runs_on, exact: false, site, workers: Vec::new(), acts: Vec::new() };
+    // A restart under the same name and address is told by no record: it is no part of these worlds.
+    let known = kinds().into_iter().filter(|kind| kind != "restart").collect();
+    let kinds = swarm(&mut rng, known);
+    let mut draft = Draft { rng, script, kinds };
+    draft.srv();
+    // Whoever replaces workers within a lifetime has been told not to (`docs/on-srv.md`).
+    let deploys = draft.script.acts.iter().any(|(_, act)| matches!(act, Act::Fault(Fault::Deploy(..))));
+    if let Some((_, ttl)) = draft.script.site.srv.as_mut().filter(|_| deploys) {
+        *ttl = (*ttl).min(2);
+    }
+    draft.script.acts.sort_by_key(|(at, _)| *at);
+    draft.script
+}
+
 /// A random part of the kinds: now and then one or two, else a share of them, or all.
 fn swarm(rng: &mut Rng, mut kinds: Vec<String>) -> Vec<String> {
     rng.shuffle(&mut kinds);
@@ -330,6 +353,42 @@
         self.faults();
     }
 
+    /// Workers from SRV records, alone or beside the list, through deploys and whatever befalls a name server.
+    fn srv(&mut self) {
+        if self.rng.u32(..8) == 0 {
+            self.script.gateways = [8, 16][self.rng.usize(..2)];
+            self.script.site.spread = 2;
+        }
+        self.script.site.srv = Some((self.rng.u32(..3) == 0, [0, 1, 1, 2, 60][self.rng.usize(..5)]));
+        let fleet = 3 + self.rng.usize(..8);
+        self.workers(fleet, |rng, w| (w.cold, w.queue) = (rng.u32(..3) == 0, [8, 64][rng.usize(..2)]));
+        self.asks();
+        if self.rng.bool() {
+            self.rush();
+        }
+        // A deploy of everything by records alone, one worker after another.
+        if self.rng.u32(..3) == 0 {
+            let (from, step) = (self.rng.u64(..500_000), 50_000 + self.rng.u64(..300_000));
+            for n in 0..fleet {
+                let same_address = self.rng.bool();
+                self.add(from + n as u64 * step, Act::Fault(Fault::Deploy(n, same_address)));
+            }
+        }
+        for _ in 0..self.rng.usize(..4) {
+            let way = DNS_WAYS[self.rng.usize(..DNS_WAYS.len())];
+            let figure = match way {
+                "late" => 1 + self.rng.u64(..500),
+                "lost" => 2 + self.rng.u64(..3),
+                _ => 0,
+            };
+            let at = self.rng.u64(..LOAD);
+            self.add(at, Act::Fault(Fault::Dns(way, figure)));
+            let until = at + self.rng.u64(50_000..2_500_000);
+            self.add(until.min(FAULTS), Act::Mend(Mend::Dns));
+        }
+        self.faults();
+    }
+
     /// Part of what the fleet can do, now and then more than all of it.
     fn asks(&mut self) {
         let capacity: f64 = self.script.workers.iter().map(|w| w.cores as f64 * w.speed).sum();
@@ -484,7 +543,12 @@
     fn every_family_and_kind_of_fault_is_drawn() {
         let scripts: Vec<Script> = (0..2_000).map(scenario).collect();
         let families: BTreeSet<&str> = scripts.iter().map(|s| s.site.family).collect();
-        assert_eq!(families.len(), FAMILIES.len(), "{families:?}");
+        assert_eq!(families.len(), FAMILIES.len() - 1, "{families:?}");
+        let of_dns = (0..500).map(srv_scenario).flat_map(|s| s.acts).filter_map(|(_, act)| match act {
+            Act::Fault(Fault::Dns(way, _)) => Some(way),
+            _ => None,
+        });
+        assert_eq!(of_dns.collect::<BTreeSet<_>>().len(), DNS_WAYS.len());
         let drawn = scripts.iter().flat_map(|s| &s.acts).filter_map(|(_, act)| match act {
             Act::Fault(fault) => Some(fault.kind()),
             _ => None,
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -33,9 +33,9 @@
 pub const WORKERS_MAX: usize = 500;
 
 /// The families of worlds that a seed may draw, each with other limits that bind.
-pub const FAMILIES: [&str; 13] = [
+pub const FAMILIES: [&str; 14] = [
     "mixed", "narrow", "crowd", "light", "wide", "connect", "keyed", "flood", "ids", "patience", "clocks",
-    "sockets", "lag",
+    "sockets", "lag", "srv",
 ];
 /// The zones that workers may be in.
 pub const ZONES: [&str; 2] = ["a", "b"];
@@ -61,6 +61,8 @@
     pub keyed: Option<(&'static str, u64)>,
     /// By how much the clocks of gateways are off, milliseconds.
     pub clocks: Vec<(usize, i64)>,
+    /// Workers come from SRV records: whether beside the list, and the records' lifetime, seconds.
+    pub srv: Option<(bool, u32)>,
 }
 
 impl Default for Site {
@@ -74,6 +76,7 @@
             latency: 0,
             keyed: None,
             clocks: Vec::new(),
+            srv: None,
         }
     }
 }
@@ -206,6 +209,8 @@
     Term(usize),
     /// A gateway reads its configuration again: a good one with other addresses, or a bad one.
     Reload(usize, bool),
+    /// The name server behaves in one of the ways of [`DNS_WAYS`], with a figure where the way takes one.
+    Dns(&'static str, u64),
     /// A client behaves badly, in one of the ways of the stand-in clients.
     Rude(usize, &'static str),
     /// Nothing goes wrong: a last line that keeps the world from being mended before.
@@ -235,6 +240,28 @@
 /// Ways in which the counter may behave badly.
 pub const COUNTER_WAYS: [&str; 7] = ["busy", "late", "spoilt", "silent", "breaks", "gone", "empty"];
 
+/// Ways in which the name server may behave badly.
+pub const DNS_WAYS: [&str; 18] = [
+    "late",
+    "lost",
+    "silent",
+    "servfail",
+    "unknown",
+    "empty",
+    "shrunk",
+    "truncated",
+    "truncated-hangs",
+    "truncated-cut",
+    "wrong-id",
+    "wrong-question",
+    "forged",
+    "alias-loop",
+    "alias",
+    "pointer-loop",
+    "plain",
+    "bare",
+];
+
 /// The names of all kinds of faults, as the table of what was reached has them.
 pub fn kinds() -> Vec<String> {
     let workers = WORKER_WAYS.iter().map(|way| format!("worker {way}"));
@@ -281,6 +308,7 @@
             Fault::Term(_) => "term".into(),
             Fault::Reload(_, true) => "reload".into(),
             Fault::Reload(_, false) => "reload-bad".into(),
+            Fault::Dns(way, _) => format!("dns {way}"),
             Fault::Rude(_, what) => format!("rude {what}"),
             Fault::Nothing => "nothing".into(),
         }
@@ -296,6 +324,8 @@
     Discovery(usize),
     /// The counter.
     Counter,
+    /// The name server.
+    Dns,
 }
 
 /// Something that happens.
@@ -389,6 +419,8 @@
             Fault::Term(g) => write!(f, "term {g}"),
             Fault::Reload(g, true) => write!(f, "reload {g}"),
             Fault::Reload(g, false) => write!(f, "reload-bad {g}"),
+            Fault::Dns(way, 0) => write!(f, "dns {way}"),
+            Fault::Dns(way, figure) => write!(f, "dns {way} {figure}"),
             Fault::Rude(g, what) => write!(f, "rude {g} {what}"),
             Fault::Nothing => write!(f, "nothing"),
         }
@@ -417,6 +449,9 @@
         if let Some((group, window)) = self.keyed {
             writeln!(f, "keyed {group} {window}")?;
         }
+        if let Some((beside, ttl)) = self.srv {
+            writeln!(f, "srv beside={} ttl={ttl}", if beside { "yes" } else { "no" })?;
+        }
         self.clocks.iter().try_for_each(|(gateway, off)| writeln!(f, "clock {gateway} {off}"))
     }
 }
@@ -444,6 +479,7 @@
                 Act::Mend(Mend::Worker(n)) => writeln!(f, "at {at} mend worker {n}")?,
                 Act::Mend(Mend::Discovery(g)) => writeln!(f, "at {at} mend discovery {g}")?,
                 Act::Mend(Mend::Counter) => writeln!(f, "at {at} mend counter")?,
+                Act::Mend(Mend::Dns) => writeln!(f, "at {at} mend dns")?,
             }
         }
         Ok(())
@@ -519,6 +555,8 @@
             ["counter", way, fig] => {
                 Fault::Counter(one_of(way, &COUNTER_WAYS, "way of the counter")?, figure(fig)?)
             }
+            ["dns", way] => Fault::Dns(one_of(way, &DNS_WAYS, "way of the name server")?, 0),
+            ["dns", way, fig] => Fault::Dns(one_of(way, &DNS_WAYS, "way of the name server")?, figure(fig)?),
             ["kill", g, back] => Fault::Kill(gateway(g)?, figure(back)?),
             ["term", g] => Fault::Term(gateway(g)?),
             ["reload", g] => Fault::Reload(gateway(g)?, true),
@@ -584,6 +622,7 @@
         ["mend", "worker", n] => Act::Mend(Mend::Worker(below(n, "worker", 1_000)?)),
         ["mend", "discovery", g] => Act::Mend(Mend::Discovery(below(g, "gateway", GATEWAYS_MAX)?)),
         ["mend", "counter"] => Act::Mend(Mend::Counter),
+        ["mend", "dns"] => Act::Mend(Mend::Dns),
         _ => return Err(format!("`{}` says nothing known", words.join(" "))),
     })
 }
@@ -650,6 +689,10 @@
                 let off = number::<i64>(off, "time in milliseconds")?.clamp(-60_000, 60_000);
                 self.site.clocks.push((below(g, "gateway", GATEWAYS_MAX)?, off));
             }
+            ["srv", rest @ ..] => {
+                let [beside, ttl] = values(rest, ["beside", "ttl"])?;
+                self.site.srv = Some((yes(beside)?, below(ttl, "lifetime in seconds", 86_401)? as u32));
+            }
             ["worker", n, rest @ ..] => {
                 let (rest, place) = place(rest)?;
                 let [cores, speed, queue, cold] = values(rest, ["cores", "speed", "queue", "cold"])?;
@@ -676,12 +719,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::scenario::scenario;
+    use crate::scenario::{scenario, srv_scenario};
 
     #[test]
     fn what_is_written_is_read_again() {
-        for seed in 0..200 {
-            let script = scenario(seed);
+        for script in (0..200).map(scenario).chain((0..200).map(srv_scenario)) {
             let text = script.to_string();
             assert_eq!(text.parse::<Script>().map_err(|e| format!("{e}\n{text}")), Ok(script));
         }
--- a/crates/sim/src/world/discovery.rs
+++ b/crates/sim/src/world/discovery.rs
@@ -26,6 +26,7 @@
 
     /// Lets discovery know of a worker: each gateway's agent hears of it in its own time.
     pub(super) fn list(self: &Rc<Self>, listed: Listed) {
+        self.record(&listed);
         for g in 0..self.gateways.len() {
             let (world, listed) = (self.clone(), listed.clone());
             // At the start all is known at once.
--- a/crates/sim/src/world/gateways.rs
+++ b/crates/sim/src/world/gateways.rs
@@ -8,7 +8,9 @@
         let host = GATEWAY + g as Host;
         let life = self.checker.borrow_mut().gateway_starts(g);
         let agent = gateway.agents[gateway.side.get()].clone();
-        for listed in agent.changes() {
+        self.resolved.borrow_mut().remove(&g);
+        let listed = if self.follows_list() { agent.changes() } else { Vec::new() };
+        for listed in listed {
             let (uid, state, boot_ms) = (listed.uid, listed.state, listed.boot_ms);
             (self.observer)(Seen::Told { gateway: g, uid, state, boot_ms });
         }
@@ -61,7 +63,8 @@
             keyed: own.keyed.map(|(group, window)| (group, Duration::from_millis(window))),
         };
         let text = site::config(self.gateways.len(), g, listen, agent, counter, seed, known, &extras);
-        Config::parse(&text.to_string(), |_| None)
+        let config = Config::parse(&text.to_string(), |_| None)?;
+        Ok(Config { srv: self.srv_settings(), ..config })
     }
 
     pub(super) fn gateway_ended(self: &Rc<Self>, g: usize, life: u32, ended: Result<(), String>) {
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -3,12 +3,14 @@
 mod clients;
 mod counter;
 mod discovery;
+mod dns;
 mod gateways;
 mod workers;
 
 use crate::checker::{Asked, Checker, Figures, Violation};
 use crate::executor::{Executor, Host, Nanos};
 use crate::net::{address, Links, Net, Sim, Wired};
+use crate::scenario::scenario;
 use crate::script::{Act, AskLine, Class, Fault, Manner, Mend, Micros, Script, PLANS};
 use crate::service::Service;
 use crate::site;
@@ -19,6 +21,7 @@
 use hingestage_standins::client::Pool;
 use hingestage_standins::counter::Counter;
 use hingestage_standins::discovery::{Agent, Listed};
+use hingestage_standins::dns::Dns;
 use hingestage_standins::worker::{Keys, Spec, Worker};
 use hingestage_standins::{Observer, Seen};
 use std::cell::{Cell, RefCell};
@@ -45,6 +48,7 @@
 const STILL_COME: Nanos = 300 * MS;
 
 const COUNTER: Host = 40;
+const DNS: Host = 41;
 const GATEWAY: Host = 1_000;
 const AGENT: Host = 2_000;
 const CLIENTS: Host = 3_000;
@@ -71,11 +75,13 @@
     pub start: Start,
     /// Whether to keep a line for everything that is seen.
     pub trace: bool,
+    /// Draws the script of a seed.
+    pub scenario: fn(u64) -> Script,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { start, trace: false }
+        Options { start, trace: false, scenario }
     }
 }
 
@@ -138,6 +144,9 @@
     lives: Cell<usize>,
     /// The keys that each group of workers has seen.
     keys: RefCell<BTreeMap<(&'static str, u64), Keys>>,
+    dns: Rc<Dns<Sim>>,
+    /// Workers that the name server has told each gateway of and not taken back.
+    resolved: RefCell<BTreeMap<usize, BTreeSet<String>>>,
     counter: RefCell<Rc<Counter<Sim>>>,
     counter_side: Cell<u16>,
     requests: Cell<u64>,
@@ -210,6 +219,7 @@
             );
             let gateways = (0..script.gateways).map(|g| gateways::gateway(&net, g, &observer)).collect();
             let counter = Counter::new(net.platform(COUNTER), counter::PACE);
+            let net_of = net.clone();
             World {
                 checker: RefCell::new(Checker::new(figures(script))),
                 executor: executor.clone(),
@@ -221,6 +231,8 @@
                 workers: RefCell::default(),
                 lives: Cell::new(0),
                 keys: RefCell::default(),
+                dns: dns::server(&net_of, script, this.clone()),
+                resolved: RefCell::default(),
                 counter: RefCell::new(counter),
                 counter_side: Cell::new(0),
                 requests: Cell::new(0),
@@ -245,6 +257,7 @@
             self.net.set_clock(GATEWAY + *g as Host, off * MS as i64);
         }
         self.start_counter();
+        self.start_dns();
         for line in self.script.workers.clone() {
             let host = WORKER + line.number as Host;
             let spec = Spec {
@@ -329,6 +342,9 @@
 
     fn check_floor(&self) {
         let (tasks, descriptors) = self.floor.get();
+        // Questions after names go on for ever, each with a socket.
+        let asks = if self.script.site.srv.is_some() { hingestage_srv::resolver::FLYING_MAX } else { 0 };
+        let (tasks, descriptors) = (tasks + asks, descriptors + asks);
         for g in 0..self.gateways.len() {
             let host = GATEWAY + g as Host;
             let now = (self.executor.tasks_of(host), self.net.descriptors(host));
@@ -399,6 +415,7 @@
             Act::Mend(Mend::Worker(n)) => self.mend_worker(n),
             Act::Mend(Mend::Discovery(g)) => self.mend_discovery(g),
             Act::Mend(Mend::Counter) => self.mend_counter(),
+            Act::Mend(Mend::Dns) => self.mend_dns(),
         }
     }
 
@@ -420,6 +437,7 @@
             }
             Fault::SameId(g) if exists(g) => self.same_id(g),
             Fault::Counter(way, figure) => self.counter_turns(way, figure),
+            Fault::Dns(way, figure) => self.dns_turns(way, figure),
             Fault::Dead(g) if exists(g) => self.gateways[g].agents.iter().for_each(|a| a.speak(false)),
             Fault::Babble(g) if exists(g) => self.gateways[g].agents.iter().for_each(|a| a.babble()),
             Fault::Late(g, by) if exists(g) => self.gateways[g].late.set(by * MS),
@@ -436,6 +454,7 @@
         hosts.iter().for_each(|host| self.mend_worker((host - WORKER) as usize));
         (0..self.gateways.len()).for_each(|g| self.mend_discovery(g));
         self.mend_counter();
+        self.mend_dns();
     }
 }
 
--- a/crates/sim/tests/planted.rs
+++ b/crates/sim/tests/planted.rs
@@ -34,7 +34,7 @@
 /// Finds the first seed on which the defect shows, shortens its script, and holds the script against the
 /// gateway as it is served.
 fn caught(defect: &str, rules: &[&str], start: Start) {
-    let options = Options { start, trace: false };
+    let options = Options { start, ..Options::default() };
     // A defect may break another rule first: what is left open also goes out after the final answer.
     let broken = |seed| play(&scenario(seed), options).broken.filter(|b| rules.contains(&b.rule));
     let found = (0..SEEDS).find_map(|seed| broken(seed).map(|b| (seed, b)));
--- a/crates/srv/src/service.rs
+++ b/crates/srv/src/service.rs
@@ -135,6 +135,8 @@
     /// When to ask for the records again; none while that is under way.
     refresh: Option<Micros>,
     fails: u32,
+    /// When the records were last asked for.
+    asked: Micros,
     /// Answers doubted in a row.
     doubts: u32,
     /// An operator believes the next answer whatever it lacks.
@@ -158,6 +160,7 @@
             server: 0,
             refresh: Some(now),
             fails: 0,
+            asked: now,
             doubts: 0,
             accept: false,
             believed: Vec::new(),
@@ -218,6 +221,7 @@
         if self.refresh.is_some_and(|at| at <= now) {
             let question = Question { name: self.settings.name.clone(), kind: Kind::Srv };
             self.refresh = (!self.resolver.want(question)).then(|| now + self.settings.retry.0);
+            self.asked = now;
         }
         let asks = !self.silent();
         for (name, families) in self.targets.iter_mut().filter(|_| asks) {
@@ -258,6 +262,15 @@
         self.tick(now, out);
     }
 
+    /// A worker turned out not to be where a record says: the records may have changed before their time. Asked
+    /// for no more often than after the least lifetime, whatever a fleet that is down makes of it.
+    pub fn suspect(&mut self, now: Micros) {
+        let soonest = (self.asked + self.settings.lifetimes.0).max(now);
+        if matches!(self.standing, Standing::Fresh) {
+            self.refresh = self.refresh.map(|at| at.min(soonest));
+        }
+    }
+
     fn follow(&mut self, outs: Vec<Out>, now: Micros, out: &mut Vec<Action>) {
         for one in outs {
             match one {
@@ -344,8 +357,11 @@
                 }
             }
             _ => {
-                (self.standing, self.doubts) = (Standing::Fresh, 0);
-                self.refresh = Some(lasting);
+                self.standing = Standing::Fresh;
+                // With no worker at all nothing is gained by waiting: asked again as what failed is.
+                self.doubts = if told.is_empty() { self.doubts.saturating_add(1) } else { 0 };
+                let soon = self.later(self.doubts, now);
+                self.refresh = Some(if told.is_empty() { lasting.min(soon) } else { lasting });
                 if !matches!(before, Standing::Fresh) {
                     self.note(now, format!("{what}: {} believed", told.len()), out);
                 }
@@ -535,7 +551,9 @@
             Outcome::Failed(what) => {
                 let since = *family.silent.get_or_insert(now);
                 family.fails = family.fails.saturating_add(1);
-                if family.fails == 1 {
+                // A server that is down fails all of them: one line says so.
+                let others = self.targets.values().flat_map(|of| of.values()).any(|f| f.fails > 0);
+                if family.fails == 1 && !others {
                     self.note(now, format!("{}: {what}", question.name), out);
                 }
                 if now >= since + stale_for {
--- a/crates/srv/tests/service.rs
+++ b/crates/srv/tests/service.rs
@@ -489,6 +489,28 @@
     assert!((95..=111).contains(&world.asked.len()), "{} questions in 10 s", world.asked.len());
 }
 
+#[test]
+fn a_worker_that_is_not_there_has_the_records_asked_for_early_and_seldom() {
+    let mut world = warm(settings(1));
+    world.pass(10 * SECOND, |asked| asked.zone(&ABCD, 60));
+    for _ in 0..200 {
+        world.service.suspect(world.now);
+        world.pass(SECOND / 10, |asked| asked.zone(&ABC, 60));
+    }
+    assert_eq!(world.there(), [1, 2, 3]);
+    let asked = world.asked.len() - 1;
+    assert!((4..=5).contains(&asked), "{asked} questions in 20 s of suspicion, one in 5 s at most");
+}
+
+#[test]
+fn a_start_that_meets_an_empty_zone_does_not_wait_for_its_lifetime() {
+    let mut world = World::new(settings(1));
+    world.pass(SECOND, |asked| absent(&mut asked.reply(), true, 300));
+    assert_eq!(world.service.standing(), Standing::Fresh);
+    world.pass(31 * SECOND, |asked| asked.zone(&ABC, 60));
+    assert_eq!(world.there(), [1, 2, 3]);
+}
+
 #[test]
 fn it_explains_what_it_believes() {
     let world = warm(settings(1));
--- a/crates/standins/src/dns.rs
+++ b/crates/standins/src/dns.rs
@@ -38,6 +38,8 @@
     Silent,
     /// It answers so much later.
     Late(Duration),
+    /// It answers one datagram in so many, and everything over TCP.
+    Lost(u64),
     /// It says that it can't.
     ServFail,
     /// It says that there is no such name.
@@ -91,7 +93,7 @@
     ("absent", Mood::Absent),
 ];
 
-/// Who hears that a client was given the whole zone as it is: who, and what it held.
+/// Who hears that a client was given the zone, whole or shrunk: who, and what of it.
 pub type Given = Rc<dyn Fn(SocketAddr, &[Entry])>;
 
 /// The server.
@@ -208,6 +210,7 @@
         let srv = query.query_type == RecordType::SRV;
         match mood {
             Mood::Silent => return None,
+            Mood::Lost(one_in) if !tcp && !self.asked.get().is_multiple_of(one_in.max(1)) => return None,
             Mood::TruncatedHangs if tcp => return None,
             Mood::ServFail => reply.metadata.response_code = ResponseCode::ServFail,
             Mood::Plain if asked.edns.is_some() => {
@@ -252,8 +255,11 @@
             cut.add_query(query).metadata.truncation = true;
             return cut.to_vec().ok();
         }
-        if srv && matches!(mood, Mood::Good | Mood::Alias | Mood::Plain) {
-            (self.given)(from, &self.zone.borrow());
+        let zone = self.zone.borrow();
+        match mood {
+            Mood::Good | Mood::Alias | Mood::Plain if srv => (self.given)(from, &zone),
+            Mood::Shrunk if srv => (self.given)(from, &zone[..zone.len() / 3]),
+            _ => {}
         }
         Some(bytes)
     }
