--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -358,7 +358,7 @@
 }
 
 /// A folder of its own; gone with the test.
-pub struct Folder(std::path::PathBuf);
+pub struct Folder(pub std::path::PathBuf);
 
 impl Folder {
     pub fn new() -> Folder {
@@ -408,6 +408,11 @@
         Gateway::launch(config, &[("TMPDIR", shared.0.to_str().unwrap().to_owned())])
     }
 
+    /// Starts with an operators' file.
+    pub fn start_with(config: &Value, operator: &std::path::Path) -> Gateway {
+        Gateway::launch(config, &[("RELAY_OPERATOR", operator.to_str().unwrap().to_owned())])
+    }
+
     fn launch(config: &Value, variables: &[(&str, String)]) -> Gateway {
         let (mut child, folder) = spawn(&config.to_string(), variables);
         let mut log = BufReader::new(child.stderr.take().unwrap());
