--- a/crates/mutants/src/judge.rs
+++ b/crates/mutants/src/judge.rs
@@ -177,6 +177,8 @@
         }
         for (found, packages) in [
             (Found::SmallWorlds, &["-p", "hingestage-small-worlds"][..]),
+            (Found::SmallWorlds, &["-p", "hingestage-membership"][..]),
+            (Found::Tests, &["-p", "hingestage-srv", "-p", "hingestage-operator"][..]),
             (Found::Bytes, &["-p", "hingestage-sim", "--test", "bytes"][..]),
             (Found::Tests, &["-p", "hingestage-sim", "--test", "hard_cases", "--test", "scripts"][..]),
             (Found::Tests, &["-p", "hingestage-policy", "-p", "hingestage-gateway", "-p", "hingestage"][..]),
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -360,10 +360,17 @@
             self.script.site.spread = 2;
         }
         self.script.site.srv = Some((self.rng.u32(..3) == 0, [0, 1, 1, 2, 60][self.rng.usize(..5)]));
-        let fleet = 3 + self.rng.usize(..8);
-        self.workers(fleet, |rng, w| (w.cold, w.queue) = (rng.u32(..3) == 0, [8, 64][rng.usize(..2)]));
+        // Now and then so few and so slow that the cold budget alone decides.
+        let narrow = self.rng.u32(..4) == 0;
+        let fleet = if narrow { 1 + self.rng.usize(..4) } else { 3 + self.rng.usize(..8) };
+        self.workers(fleet, |rng, w| {
+            (w.cold, w.queue) = (rng.u32(..3) == 0, [8, 64][rng.usize(..2)]);
+            if narrow {
+                (w.cold, w.cores, w.queue) = (rng.u32(..4) > 0, 1, rng.usize(..3));
+            }
+        });
         self.asks();
-        if self.rng.bool() {
+        if narrow || self.rng.bool() {
             self.rush();
         }
         // A deploy of everything by records alone, one worker after another.
--- a/crates/sim/tests/planted.rs
+++ b/crates/sim/tests/planted.rs
@@ -11,7 +11,7 @@
 use hingestage_policy::*;
 use hingestage_sim::executor::{Sleep, TaskId};
 use hingestage_sim::net::{Clock, End, Port, Sim};
-use hingestage_sim::scenario::scenario;
+use hingestage_sim::scenario::{scenario, srv_scenario};
 use hingestage_sim::shrink::shrink;
 use hingestage_sim::site;
 use hingestage_sim::world::{self, play, Life, Options, Start};
@@ -542,3 +542,46 @@
     }
     caught("a reload ends the program", &["crash"], start);
 }
+
+// ---- defects of the source of workers ----
+
+/// As `caught`, in worlds whose workers come from records.
+fn caught_by_records(defect: &str, rules: &[&str], start: Start) {
+    let options = Options { start, scenario: srv_scenario, ..Options::default() };
+    let broken = |seed| play(&srv_scenario(seed), options).broken.filter(|b| rules.contains(&b.rule));
+    let found = (0..SEEDS).find_map(|seed| broken(seed).map(|b| (seed, b)));
+    let (seed, broken) = found.unwrap_or_else(|| panic!("{defect}: not found in {SEEDS} seeds"));
+    let sound = play(&srv_scenario(seed), Options::default());
+    assert_eq!(sound.broken, None, "{defect}: breaks without the defect");
+    println!("| {defect} | `{}` | {seed} |", broken.rule);
+}
+
+/// Starts a gateway that follows its name by other settings.
+macro_rules! follows {
+    ($change:expr) => {{
+        fn start(sim: Sim, mut c: Config, stop: oneshot::Receiver<()>, r: mpsc::Receiver<Reload>) -> Life {
+            c.srv.iter_mut().for_each($change);
+            world::start(sim, c, stop, r)
+        }
+        start
+    }};
+}
+
+#[test]
+fn a_lifetime_is_ignored() {
+    let start = follows!(|srv| srv.settings.lifetimes = (3_600_000_000, 3_600_000_000));
+    caught_by_records("a lifetime is ignored", &["liveness"], start);
+}
+
+#[test]
+fn a_vanished_record_means_nothing() {
+    // Whatever vanishes is doubted, for ever.
+    let start = follows!(|srv| (srv.settings.shrink_to, srv.settings.shrink_for) = (9.0, 3_600_000_000));
+    caught_by_records("a vanished record means nothing", &["drains", "liveness"], start);
+}
+
+#[test]
+fn new_records_are_taken_for_warm() {
+    let start = follows!(|srv| srv.cold_at_start = false);
+    caught_by_records("records of the first answer are taken for warm", &["cold"], start);
+}
