--- a/crates/lab/examples/cost.rs
+++ b/crates/lab/examples/cost.rs
@@ -13,6 +13,7 @@
 use hingestage_platform::{Platform, Tokio};
 use hingestage_standins::client::{Ask, Ended, Manner, Pool};
 use hingestage_standins::discovery::{Agent, Listed};
+use hingestage_standins::dns::{Dns, Entry};
 use hingestage_standins::worker::{Spec, Worker};
 use hingestage_standins::{counter::Counter, site, Observer};
 use std::cell::Cell;
@@ -37,6 +38,9 @@
     /// How long each program runs in a round, seconds.
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=600))]
     seconds: u64,
+    /// The candidate takes its workers from SRV records, of so many seconds.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=86_400))]
+    srv: Option<u32>,
     /// Rounds.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=100))]
     rounds: u16,
@@ -89,6 +93,10 @@
     let (discovery_at, counter_at) = (local(&discovery)?, local(&counter)?);
     Tokio.spawn(agent.clone().run(discovery));
     Tokio.spawn(Counter::new(Tokio, Duration::from_micros(500)).run(counter));
+    let operator = match args.srv {
+        Some(ttl) => Some(name_server(&agent, ttl).await?),
+        None => None,
+    };
     let config = |listen| {
         site::config(1, 0, listen, discovery_at, counter_at, 1, agent.list(), &site::Extras::default())
             .to_string()
@@ -99,7 +107,8 @@
         let mut cost = [0.0; 2];
         for (n, program) in [&args.baseline, &args.candidate].into_iter().enumerate() {
             let listen = local(&port(any()).await?)?;
-            cost[n] = measure(program, listen, &config(listen), args).await?;
+            let operator = operator.as_deref().filter(|_| n == 1);
+            cost[n] = measure(program, listen, &config(listen), operator, args).await?;
         }
         let ratio = cost[1] / cost[0];
         println!("{round:>6}{:>22.1}{:>22.1}{ratio:>9.3}", cost[0], cost[1]);
@@ -110,6 +119,31 @@
     Ok(())
 }
 
+/// A name server that lists the same workers, and an operators' file that follows it.
+async fn name_server(agent: &Agent<Tokio>, ttl: u32) -> Result<String, String> {
+    let listed = agent.list();
+    let endpoints = listed["targets"].as_array().into_iter().flatten().filter_map(|t| t["endpoint"].as_str());
+    let entry = |(n, at): (usize, SocketAddr)| Entry {
+        target: format!("w{n}.sala.example.org"),
+        port: at.port(),
+        priority: 0,
+        weight: 10,
+        at: vec![at.ip()],
+    };
+    let zone: Vec<Entry> = endpoints.filter_map(|at| at.parse().ok()).enumerate().map(entry).collect();
+    let dns = Dns::new(Tokio, "_registry._tcp.sala.example.org", ttl, Rc::new(|_, _| {}));
+    dns.change(|old| *old = zone);
+    let at = local(&port(any()).await?)?;
+    Tokio.spawn(async move { drop(dns.run(at).await) });
+    let text = format!(
+        "(srv (name \"_registry._tcp.sala.example.org\") (servers \"{at}\") (at-start warm)
+          (questions-per-second 5000))"
+    );
+    let path = std::env::temp_dir().join(format!("hingestage-cost-{}.lisp", std::process::id()));
+    std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(path.display().to_string())
+}
+
 /// A gateway that is ended with this.
 struct Gateway(Child, PathBuf);
 
@@ -122,7 +156,7 @@
 }
 
 impl Gateway {
-    fn start(program: &Path, config: &str) -> Result<Gateway, String> {
+    fn start(program: &Path, config: &str, operator: Option<&str>) -> Result<Gateway, String> {
         let path = std::env::temp_dir().join(format!("hingestage-cost-{}.json", std::process::id()));
         std::fs::write(&path, config).map_err(|e| format!("{}: {e}", path.display()))?;
         let mut command = Command::new(program);
@@ -130,10 +164,18 @@
         for variable in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"] {
             command.env_remove(variable);
         }
+        command.envs(operator.map(|file| ("RELAY_OPERATOR", file)));
         let child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
         Ok(Gateway(child, path))
     }
 
+    /// Memory in use, kB.
+    fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+    }
+
     /// Time on a core so far.
     fn cpu(&self) -> Result<Duration, String> {
         let path = format!("/proc/{}/schedstat", self.0.id());
@@ -144,8 +186,14 @@
 }
 
 /// CPU that a request costs a program, microseconds.
-async fn measure(program: &Path, listen: SocketAddr, config: &str, args: &Args) -> Result<f64, String> {
-    let gateway = Gateway::start(program, config)?;
+async fn measure(
+    program: &Path,
+    listen: SocketAddr,
+    config: &str,
+    operator: Option<&str>,
+    args: &Args,
+) -> Result<f64, String> {
+    let gateway = Gateway::start(program, config, operator)?;
     wait_until_up(listen).await.map_err(|e| format!("{}: {e}", program.display()))?;
     let pool = Pool::new(Tokio, listen, Rc::new(|_| {}));
     // Connections are made and latencies learned before it counts.
@@ -153,6 +201,7 @@
     let before = gateway.cpu()?;
     let served = flow(&pool, args.rate, Duration::from_secs(args.seconds)).await;
     let spent = gateway.cpu()? - before;
+    eprintln!("{}: {} kB", program.display(), gateway.memory());
     let asked = u64::from(args.rate) * args.seconds;
     if served * 10 < asked * 9 {
         return Err(format!("{} served {served} of {asked} requests", program.display()));
