--- a/crates/gateway/src/srv.rs
+++ b/crates/gateway/src/srv.rs
@@ -2,7 +2,7 @@
 
 use hingestage_operate::SrvFigures;
 use hingestage_platform::{Datagrams, Platform, Task};
-use hingestage_srv::resolver::STREAM_MAX;
+use hingestage_srv::resolver::{Ask, STREAM_MAX};
 use hingestage_srv::service::Action;
 use hingestage_srv::{Endpoint, Micros, Service, SrvSettings};
 use std::cell::{Cell, RefCell};
@@ -129,18 +129,19 @@
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Ask { ask, server, tcp, bytes } => {
-                let (follower, life) = (self.clone(), self.life.get());
+            Action::Ask(ask) => {
+                let (follower, life, number) = (self.clone(), self.life.get(), ask.number);
                 let task = self.platform.spawn(async move {
-                    let done = match tcp {
-                        true => follower.over_stream(ask, life, server, &bytes).await,
-                        false => follower.by_datagram(ask, life, server, &bytes).await,
+                    let done = match ask.tcp {
+                        true => follower.over_stream(&ask, life).await,
+                        false => follower.by_datagram(&ask, life).await,
                     };
                     if let Err(e) = done {
-                        follower.tell(life, |service, now, out| service.broke(ask, &e.to_string(), now, out));
+                        let what = e.to_string();
+                        follower.tell(life, |service, now, out| service.broke(number, &what, now, out));
                     }
                 });
-                self.asks.borrow_mut().insert(ask, task);
+                self.asks.borrow_mut().insert(number, task);
             }
             Action::Forget(ask) => {
                 self.asks.borrow_mut().remove(&ask).into_iter().for_each(|task| task.abort());
@@ -158,46 +159,38 @@
     }
 
     /// From a port of its own for each question, so that nobody can guess where the answer is waited for.
-    async fn by_datagram(
-        self: &Rc<Self>,
-        ask: u64,
-        life: u64,
-        to: SocketAddr,
-        bytes: &[u8],
-    ) -> io::Result<()> {
-        let any: IpAddr = match to {
+    async fn by_datagram(self: &Rc<Self>, ask: &Ask, life: u64) -> io::Result<()> {
+        let any: IpAddr = match ask.server {
             SocketAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
             SocketAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
         };
-        let socket = self.platform.datagrams(SocketAddr::new(any, 0), Some(to)).await?;
-        socket.send(bytes, to).await?;
+        let socket = self.platform.datagrams(SocketAddr::new(any, 0), Some(ask.server)).await?;
+        socket.send(&ask.bytes, ask.server).await?;
         let mut buffer = vec![0; DATAGRAM_MAX];
         loop {
             let (length, from) = socket.receive(&mut buffer).await?;
-            if from == to {
-                self.tell(life, |service, now, out| service.heard(ask, &buffer[..length], now, out));
+            if from == ask.server {
+                self.heard(ask, life, &buffer[..length]);
             }
         }
     }
 
     /// One question over a connection of its own, each message with its length before it (RFC 7766).
-    async fn over_stream(
-        self: &Rc<Self>,
-        ask: u64,
-        life: u64,
-        to: SocketAddr,
-        bytes: &[u8],
-    ) -> io::Result<()> {
-        let mut stream = self.platform.connect(to).await?;
-        let length = u16::try_from(bytes.len()).map_err(|_| io::Error::other("too long a question"))?;
+    async fn over_stream(self: &Rc<Self>, ask: &Ask, life: u64) -> io::Result<()> {
+        let mut stream = self.platform.connect(ask.server).await?;
+        let length = u16::try_from(ask.bytes.len()).map_err(|_| io::Error::other("too long a question"))?;
         let mut message = length.to_be_bytes().to_vec();
-        message.extend_from_slice(bytes);
+        message.extend_from_slice(&ask.bytes);
         stream.write_all(&message).await?;
         let mut length = [0; 2];
         stream.read_exact(&mut length).await?;
         let mut answer = vec![0; usize::from(u16::from_be_bytes(length)).min(STREAM_MAX)];
         stream.read_exact(&mut answer).await?;
-        self.tell(life, |service, now, out| service.heard(ask, &answer, now, out));
+        self.heard(ask, life, &answer);
         Ok(())
     }
+
+    fn heard(self: &Rc<Self>, ask: &Ask, life: u64, bytes: &[u8]) {
+        self.tell(life, |service, now, out| service.heard(ask.number, bytes, now, out));
+    }
 }
--- a/crates/srv/examples/figures.rs
+++ b/crates/srv/examples/figures.rs
@@ -55,11 +55,11 @@
         service.tick(now, &mut out);
         while let Some(action) = out.pop() {
             match action {
-                Action::Ask { ask, bytes, .. } => {
+                Action::Ask(ask) => {
                     asked += 1;
                     let first = usize::from(now >= change);
-                    let bytes = answer(&bytes, workers, first, ttl, along);
-                    service.heard(ask, &bytes, now, &mut out);
+                    let bytes = answer(&ask.bytes, workers, first, ttl, along);
+                    service.heard(ask.number, &bytes, now, &mut out);
                 }
                 Action::Believe(_) if now >= change && late.is_none() => late = Some(now - change),
                 _ => {}
--- a/crates/srv/src/lib.rs
+++ b/crates/srv/src/lib.rs
@@ -21,6 +21,13 @@
 /// Microseconds in a second.
 pub const SECOND: Micros = 1_000_000;
 
+/// The wait before the next try at what failed so often in a row: drawn, so that those who failed together don't
+/// try together, from a span that doubles up to the longest.
+fn back_off(rng: &mut fastrand::Rng, (first, longest): (Micros, Micros), fails: u32) -> Micros {
+    let most = first.saturating_mul(1 << fails.min(16)).clamp(first, longest.max(first));
+    rng.u64(first..=most)
+}
+
 /// A generator whose draws differ from the first one on, also for seeds that lie close together (the finalizer
 /// of `splitmix64`).
 fn rng(seed: u64) -> fastrand::Rng {
--- a/crates/srv/src/resolver.rs
+++ b/crates/srv/src/resolver.rs
@@ -3,7 +3,7 @@
 
 use crate::message::{ask, read, Found, Question, Read, Stamp, ALIASES_MAX, COOKIE};
 use crate::settings::SrvSettings;
-use crate::{Micros, SECOND};
+use crate::{back_off, Micros, SECOND};
 use fastrand::Rng;
 use hickory_proto::rr::Name;
 use std::collections::{BTreeMap, VecDeque};
@@ -18,20 +18,24 @@
 /// Bytes of the longest answer over TCP that is read: a thousand records, names of full length and addresses.
 pub const STREAM_MAX: usize = 65_535;
 
+/// A question to be put to a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Its number; never given twice.
+    pub number: u64,
+    /// To whom.
+    pub server: SocketAddr,
+    /// Over TCP, with the length before it, or as one datagram from a port of its own.
+    pub tcp: bool,
+    /// The question.
+    pub bytes: Vec<u8>,
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
-    /// Put these bytes to a server and tell what comes, until [`Out::Forget`].
-    Ask {
-        /// Its number; never given twice.
-        ask: u64,
-        /// To whom.
-        server: SocketAddr,
-        /// Over TCP, with the length before it, or as one datagram from a port of its own.
-        tcp: bool,
-        /// The question.
-        bytes: Vec<u8>,
-    },
+    /// Put this to a server and tell what comes, until [`Out::Forget`].
+    Ask(Ask),
     /// Close the socket of an ask: it is over.
     Forget(u64),
     /// A question is answered.
@@ -277,11 +281,9 @@
     fn failed(&mut self, number: u64, what: &str, now: Micros, out: &mut Vec<Out>) {
         let Some(mut flying) = self.land(number, out) else { return };
         self.counts.failed += 1;
-        let (first, longest) = self.settings.retry;
         let server = &mut self.servers[flying.server];
         server.fails = server.fails.saturating_add(1);
-        let most = first.saturating_mul(1 << server.fails.min(16)).clamp(first, longest.max(first));
-        server.quiet_until = now + self.rng.u64(first..=most);
+        server.quiet_until = now + back_off(&mut self.rng, self.settings.retry, server.fails);
         if flying.lookup.left.as_ref().is_some_and(|left| !left.is_empty()) {
             (flying.lookup.tcp, flying.lookup.again) = (false, 0);
             self.waiting.push_front(flying.lookup);
@@ -325,12 +327,12 @@
         self.next += 1;
         self.counts.asked += 1;
         self.counts.tcp += u64::from(lookup.tcp);
-        out.push(Out::Ask {
-            ask: self.next,
+        out.push(Out::Ask(Ask {
+            number: self.next,
             server: self.settings.servers[server],
             tcp: lookup.tcp,
             bytes: ask(&question, &stamp),
-        });
+        }));
         let until = now + self.settings.timeout;
         self.flying.insert(self.next, Flying { lookup, server, stamp, until, foreign: 0 });
     }
--- a/crates/srv/src/service.rs
+++ b/crates/srv/src/service.rs
@@ -5,9 +5,9 @@
 //! times are over. `docs/srv.md` has the rules as a table; each of its rows is a test.
 
 use crate::message::{Found, Kind, Question, SrvRecord};
-use crate::resolver::{Counts, Out, Outcome, Resolver};
+use crate::resolver::{Ask, Counts, Out, Outcome, Resolver};
 use crate::settings::{Addresses, SrvSettings};
-use crate::{Micros, SECOND};
+use crate::{back_off, Micros, SECOND};
 use fastrand::Rng;
 use hickory_proto::rr::Name;
 use std::collections::BTreeMap;
@@ -77,17 +77,8 @@
 /// What the caller is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Put a question to a server; see [`Out::Ask`].
-    Ask {
-        /// Its number.
-        ask: u64,
-        /// To whom.
-        server: SocketAddr,
-        /// Over TCP or as a datagram.
-        tcp: bool,
-        /// The question.
-        bytes: Vec<u8>,
-    },
+    /// Put a question to a server and tell what comes, until [`Action::Forget`].
+    Ask(Ask),
     /// Close the socket of an ask.
     Forget(u64),
     /// These are the workers from now on.
@@ -274,7 +265,7 @@
     fn follow(&mut self, outs: Vec<Out>, now: Micros, out: &mut Vec<Action>) {
         for one in outs {
             match one {
-                Out::Ask { ask, server, tcp, bytes } => out.push(Action::Ask { ask, server, tcp, bytes }),
+                Out::Ask(ask) => out.push(Action::Ask(ask)),
                 Out::Forget(ask) => out.push(Action::Forget(ask)),
                 Out::Done { question, outcome, server } if question.kind == Kind::Srv => {
                     self.on_records(outcome, server, now, out);
@@ -580,9 +571,7 @@
 
     /// When to ask again for what failed so often in a row.
     fn later(&mut self, fails: u32, now: Micros) -> Micros {
-        let (first, longest) = self.settings.retry;
-        let most = first.saturating_mul(1 << fails.min(16)).clamp(first, longest.max(first));
-        now + self.rng.u64(first..=most)
+        now + back_off(&mut self.rng, self.settings.retry, fails)
     }
 
     // ---- what is told ----
@@ -601,6 +590,12 @@
         }
     }
 
+    /// The addresses known of a target, of all families.
+    fn addresses(&self, target: &Name) -> impl Iterator<Item = IpAddr> + '_ {
+        let families = self.targets.get(target).into_iter().flat_map(|of| of.values());
+        families.flat_map(|family| family.addresses.iter().copied())
+    }
+
     /// Records and addresses joined. Two names at one address are one worker, as large as both.
     fn endpoints(&self) -> Vec<Endpoint> {
         let mut sums: BTreeMap<u16, (u64, u64)> = BTreeMap::new();
@@ -610,13 +605,7 @@
         }
         let mut joined: BTreeMap<SocketAddr, Endpoint> = BTreeMap::new();
         for ((target, port), held) in &self.records {
-            let addresses: Vec<IpAddr> = self
-                .targets
-                .get(target)
-                .into_iter()
-                .flat_map(|of| of.values())
-                .flat_map(|f| f.addresses.clone())
-                .collect();
+            let addresses: Vec<IpAddr> = self.addresses(target).collect();
             let (sum, count) = sums.get(&held.priority).copied().unwrap_or((0, 1));
             // Weights of nothing everywhere mean no preference.
             let size = if sum == 0 { 1.0 } else { held.weight as f64 * count as f64 / sum as f64 };
@@ -653,14 +642,7 @@
             counts.asked, counts.tcp, counts.timeouts, counts.foreign
         );
         for ((target, port), held) in &self.records {
-            let addresses: Vec<String> = self
-                .targets
-                .get(target)
-                .into_iter()
-                .flat_map(|of| of.values())
-                .flat_map(|f| &f.addresses)
-                .map(ToString::to_string)
-                .collect();
+            let addresses: Vec<String> = self.addresses(target).map(|at| at.to_string()).collect();
             let who = self.settings.servers.get(held.teller).map(ToString::to_string).unwrap_or_default();
             let at = if addresses.is_empty() { "no address".into() } else { addresses.join(" ") };
             text += &format!(
--- a/crates/srv/tests/common/mod.rs
+++ b/crates/srv/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use hickory_proto::op::{Message, MessageType, ResponseCode};
 use hickory_proto::rr::rdata::{A, AAAA, CNAME, SOA, SRV};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
+use hingestage_srv::resolver::Ask;
 use hingestage_srv::service::Action;
 use hingestage_srv::{Endpoint, Micros, Service, SrvSettings, SECOND};
 use std::net::{IpAddr, SocketAddr};
@@ -173,7 +174,7 @@
             let mut more = Vec::new();
             for action in out {
                 match action {
-                    Action::Ask { ask, server, tcp, bytes } => {
+                    Action::Ask(Ask { number: ask, server, tcp, bytes }) => {
                         self.open.push(ask);
                         assert!(self.open.len() <= hingestage_srv::resolver::FLYING_MAX);
                         let asked = Asked { message: Message::from_vec(&bytes).unwrap(), server, tcp };
