What clients ask stands below the checker and the sums of service

Cause: checker.rs used service.rs and service.rs took `Asked` from the checker, a circle. Moved `Asked` to a module of its own that both use; nothing else changed.

--- a/crates/sim/src/checker.rs
+++ b/crates/sim/src/checker.rs
@@ -4,6 +4,7 @@
 //! broken is kept with its time. Names of rules are those of the briefs, and `crash`, `mixed-up`, `bad-client`,
 //! `liveness` and `floor` beside them.
 
+use crate::asked::Asked;
 use crate::executor::Nanos;
 use crate::script::Class;
 use crate::service::Service;
@@ -48,29 +49,6 @@
     pub what: String,
 }
 
-/// What a client asks, as the world knows it.
-#[derive(Clone, Debug)]
-pub struct Asked {
-    /// Through which gateway, and which life of it.
-    pub gateway: usize,
-    /// See `gateway`.
-    pub life: u32,
-    /// Its class: how often its effect may happen.
-    pub class: Class,
-    /// The account.
-    pub account: u64,
-    /// The plan.
-    pub plan: usize,
-    /// Units, as guessed.
-    pub units: f64,
-    /// Its number, which its id is in hexadecimal.
-    pub number: u64,
-    /// Method and path as written.
-    pub line: String,
-    /// The body as written.
-    pub body: Vec<u8>,
-}
-
 struct Attempt {
     conn: u64,
     /// When its first byte was written, and the zone and cell of its worker.
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod asked;
 pub mod campaign;
 pub mod checker;
 pub mod executor;
--- a/crates/sim/src/service.rs
+++ b/crates/sim/src/service.rs
@@ -3,7 +3,7 @@
 //! Quotas are held as one gateway that saw everything would hold them. Two builds are compared by their sums
 //! over the same seeds; one run alone says little.
 
-use crate::checker::Asked;
+use crate::asked::Asked;
 use crate::executor::Nanos;
 use crate::site;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -7,7 +7,8 @@
 mod gateways;
 mod workers;
 
-use crate::checker::{Asked, Checker, Figures, Violation};
+use crate::asked::Asked;
+use crate::checker::{Checker, Figures, Violation};
 use crate::executor::{Executor, Host, Nanos};
 use crate::net::{address, Links, Net, Sim, Wired};
 use crate::scenario::scenario;
