The laboratory shows a gateway served by SRV records

Need: a new user has no name server at hand. Ruled out: a second laboratory; the zone changes where discovery is told.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,10 +9,13 @@
 use hingestage_gateway::config::Config;
 use hingestage_gateway::driver::gatekeeper;
 use hingestage_gateway::gateway::serve;
+use hingestage_operator::Srv;
 use hingestage_platform::{Platform, Tokio};
+use hingestage_srv::{SrvSettings, SECOND};
 use hingestage_standins::client::Pool;
 use hingestage_standins::counter::Counter;
 use hingestage_standins::discovery::{Agent, Listed};
+use hingestage_standins::dns::{Dns, Entry};
 use hingestage_standins::worker::{Mood, Spec, Worker};
 use hingestage_standins::{site, Observer, Seen};
 use load::is_up;
@@ -29,6 +32,9 @@
 const WORKERS: usize = 10;
 /// Time that a call to the counter takes.
 const COUNTER_PACE: Duration = Duration::from_micros(700);
+/// The name that workers are listed under, and how long its records hold.
+const SERVICE: &str = "_registry._tcp.sala.example.org";
+const LIFETIME: Duration = Duration::from_secs(1);
 /// Unless told otherwise each event of the programme comes after so long.
 const EVENT: Duration = Duration::from_secs(4);
 
@@ -44,6 +50,9 @@
     /// Where the gateway listens; port 0 takes any that is free.
     #[arg(long, default_value = "127.0.0.1:0", value_parser = loopback)]
     listen: SocketAddr,
+    /// Workers come from SRV records of a name server of the laboratory's own, and not from discovery.
+    #[arg(long)]
+    srv: bool,
     /// Leaves out what goes wrong: the silent worker, the deploy, the flood.
     #[arg(long)]
     calm: bool,
@@ -59,6 +68,8 @@
 
 struct Lab {
     agent: Rc<Agent<Tokio>>,
+    /// The name server, and how long its records hold.
+    dns: Rc<Dns<Tokio>>,
     workers: RefCell<Vec<Hand>>,
     observer: Observer,
 }
@@ -82,7 +93,9 @@
     let discovery = port(any()).await?;
     let counter_port = port(any()).await?;
     let agent = Agent::new(Tokio, 0, observer.clone());
-    let lab = Rc::new(Lab { agent: agent.clone(), workers: RefCell::default(), observer: observer.clone() });
+    let dns = Dns::new(Tokio, SERVICE, LIFETIME.as_secs() as u32, Rc::new(|_, _| {}));
+    let (workers, observer_of) = (RefCell::default(), observer.clone());
+    let lab = Rc::new(Lab { agent: agent.clone(), dns: dns.clone(), workers, observer: observer_of });
     for _ in 0..WORKERS {
         lab.add_worker(false).await?;
     }
@@ -95,7 +108,8 @@
     let text =
         site::config(1, 0, listen, discovery_at, counter_at, 1, agent.list(), &site::Extras::default())
             .to_string();
-    let config = Config::parse(&text, |_| None)?;
+    let srv = if args.srv { Some(follow(dns).await?) } else { None };
+    let config = Config { srv, ..Config::parse(&text, |_| None)? };
     let (stop, stopped) = oneshot::channel::<()>();
     let (_reload, reloads) = mpsc::channel(1);
     let (ended, mut gateway) = oneshot::channel();
@@ -127,6 +141,20 @@
     Ok(())
 }
 
+/// Starts the name server, says how to ask it, and gives what the gateway goes by.
+async fn follow(dns: Rc<Dns<Tokio>>) -> Result<Srv, String> {
+    let at = local(&port(any()).await?)?;
+    Tokio.spawn(async move { drop(dns.run(at).await) });
+    println!("Its workers, as DNS names them:\n\n  hingestage srv {SERVICE} --server {at}\n");
+    let settings = SrvSettings::new(SERVICE, vec![at])?;
+    let settings = SrvSettings {
+        networks: vec!["127.0.0.0/8".parse()?],
+        lifetimes: (LIFETIME.as_secs() * SECOND, LIFETIME.as_secs() * SECOND),
+        ..settings
+    };
+    Ok(Srv { settings, beside_list: false, cold_at_start: false })
+}
+
 /// On a terminal each table takes the place of the one before.
 fn draw(text: &str) -> std::io::Result<()> {
     let mut out = std::io::stdout().lock();
@@ -216,7 +244,7 @@
         };
         let worker = Worker::new(Tokio, spec, self.observer.clone());
         Tokio.spawn(worker.clone().run(listener));
-        self.agent.change(listed.clone());
+        self.told(&listed);
         self.workers.borrow_mut().push(Hand { worker, listed });
         Ok(())
     }
@@ -225,7 +253,8 @@
     async fn deploy(&self, number: usize) -> Result<(), String> {
         self.tell(number, "draining");
         self.add_worker(true).await?;
-        Tokio.sleep(Duration::from_millis(700)).await;
+        // Whoever learns of it by records does so within their lifetime.
+        Tokio.sleep(LIFETIME + Duration::from_millis(500)).await;
         self.workers.borrow()[number].worker.drain();
         Tokio.sleep(EVENT).await;
         self.tell(number, "removed");
@@ -236,7 +265,21 @@
         let mut workers = self.workers.borrow_mut();
         let Some(hand) = workers.get_mut(number) else { return };
         hand.listed.state = state.into();
-        self.agent.change(hand.listed.clone());
+        self.told(&hand.listed);
+    }
+
+    /// Lets discovery and the name server know of a worker: it has a record while it is up.
+    fn told(&self, listed: &Listed) {
+        self.agent.change(listed.clone());
+        let target = format!("{}.sala.example.org", listed.uid);
+        let at: Option<SocketAddr> = listed.endpoint.parse().ok();
+        self.dns.change(|zone| {
+            zone.retain(|entry| entry.target != target);
+            if let (Some(at), "up") = (at, listed.state.as_str()) {
+                let (priority, weight) = (0, 10);
+                zone.push(Entry { target, port: at.port(), priority, weight, at: vec![at.ip()] });
+            }
+        });
     }
 
     fn states(&self) -> Vec<table::Row> {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -22,6 +22,17 @@
     assert!(shown.contains("w9"), "{shown}");
 }
 
+#[test]
+fn the_laboratory_serves_workers_from_records_too() {
+    let out = run(&["lab", "--seconds", "2", "--calm", "--srv"]);
+    let shown = text(&out.stdout);
+    assert!(out.status.success(), "{shown}{}", text(&out.stderr));
+    assert!(shown.contains("hingestage srv _registry._tcp.sala.example.org --server 127.0.0.1:"), "{shown}");
+    let last = shown.lines().rfind(|line| line.contains("served (200)")).unwrap();
+    let served: u64 = last.split_whitespace().nth(2).unwrap().parse().unwrap();
+    assert!(served > 20, "{shown}");
+}
+
 #[test]
 fn bad_arguments_are_named_and_end_with_2() {
     for (args, says) in [
