Tests of a clock that steps back and of cookies, of workers from DNS

A service whose clock goes back half a minute keeps what it believes and asks on; a server's part of a cookie comes back to it, and an answer with another client's part is foreign. Both held as the code stood; nothing else changed.

--- a/crates/srv/tests/service.rs
+++ b/crates/srv/tests/service.rs
@@ -511,6 +511,47 @@
     assert_eq!(world.there(), [1, 2, 3]);
 }
 
+#[test]
+fn a_clock_that_steps_back_loses_nothing_and_stops_nothing() {
+    let mut world = warm(settings(1));
+    world.pass(30 * SECOND, |asked| asked.zone(&ABCD, 60));
+    let asked = world.asked.len();
+    world.now = SECOND / 2;
+    world.pass(200 * SECOND, |asked| asked.zone(&ABC, 60));
+    assert_eq!(world.there(), [1, 2, 3]);
+    assert!(world.asked.len() > asked, "it asks on");
+}
+
+#[test]
+fn a_cookie_goes_back_to_its_server_and_another_one_is_foreign() {
+    use hickory_proto::op::Edns;
+    use hickory_proto::rr::rdata::opt::{EdnsCode, EdnsOption};
+    let cookie = |asked: &Asked| match asked.message.edns.as_ref().and_then(|e| e.option(EdnsCode::Cookie)) {
+        Some(EdnsOption::Unknown(_, bytes)) => bytes.clone(),
+        _ => Vec::new(),
+    };
+    let with = |asked: &Asked, rows: &[Row], cookie: Vec<u8>| {
+        let Reply::Bytes(bytes) = asked.zone(rows, 5) else { return Reply::Nothing };
+        let mut message = hickory_proto::op::Message::from_vec(&bytes).unwrap();
+        let mut edns = Edns::new();
+        edns.options_mut().insert(EdnsOption::Unknown(10, cookie));
+        message.set_edns(edns);
+        common::bytes(&message)
+    };
+    let mut world = World::new(settings(1));
+    world.pass(SECOND, |asked| with(asked, &ABC, [cookie(asked), vec![9; 8]].concat()));
+    assert_eq!(world.there(), [1, 2, 3]);
+    let mut given = Vec::new();
+    world.pass(5 * SECOND, |asked| {
+        given = cookie(asked);
+        // Somebody who does not see the question has to guess the cookie too.
+        with(asked, &ABCD, vec![0; 16])
+    });
+    assert_eq!(given[8..], [9; 8], "the server's part comes back to it");
+    assert_eq!(world.there(), [1, 2, 3]);
+    assert!(world.service.counts().foreign > 0);
+}
+
 #[test]
 fn it_explains_what_it_believes() {
     let world = warm(settings(1));
