Control plane, thin: store of configuration, registry, calls between processes

Need: the services that kept the list of workers and handed out settings are gone. The system has to know its nodes, workers and configuration itself.

Change: `crates/node` (settings file, log, signals), `crates/rpc` (typed calls, framing, silent peers noticed), `crates/replication` (versions, quorums, freshness and repair of replicas, without I/O), `crates/config-store` (replicas as plain files) and `crates/registry` (operators' and clients' calls, proxies by heartbeat, the platform's list read by one registry under a fence).

Ruled out: a log with a leader (the house style wants versions compared), and gossip among proxies for the list.

--- /dev/null
+++ b/crates/config-store/src/server.rs
@@ -0,0 +1,309 @@
+//! The replica on sockets and a disk.
+
+use crate::files::Files;
+use compact_str::CompactString;
+use eyre::{eyre, Context, Result};
+use hingestage_node::settings::InnerPort;
+use hingestage_node::{Settings, Signals};
+use hingestage_replication::{Figures, Micros, Replica};
+use hingestage_rpc::messages::{
+    Change, Proposed, ReadState, StoreAnswer, StoreMember, StoreNews, StoreRequest, Summary, Update,
+};
+use hingestage_rpc::{serve as serve_calls, Client, Handler};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Period at which replicas compare what they have.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(250);
+/// How long another replica may take to answer.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_000);
+/// How often replicas look for others at the seeds.
+const SEED_PERIOD: Duration = Duration::from_secs(2);
+/// Microseconds in a millisecond.
+const MILLI: Micros = 1_000;
+
+type Peer = Client<StoreRequest, StoreAnswer>;
+
+/// A replica on sockets and a disk.
+pub struct Store {
+    replica: RefCell<Replica>,
+    files: Files,
+    started: Instant,
+    /// Told whenever the replica or what it knows of others has changed.
+    changed: Notify,
+    /// Told when something new is to be handed to the others.
+    news: Notify,
+    peers: RefCell<BTreeMap<CompactString, Rc<Peer>>>,
+}
+
+/// Runs the program until it is told to end.
+///
+/// # Errors
+/// The directory or the address can't be had.
+pub async fn serve(settings: Rc<Settings>) -> Result<()> {
+    let mut signals = Signals::listen()?;
+    let dir = settings.data_dir.as_ref().ok_or_else(|| eyre!("settings: `data_dir` is missing"))?;
+    let files = Files::open(dir).wrap_err_with(|| format!("{}", dir.display()))?;
+    let loaded = files.load().wrap_err("reading the disk")?;
+    let addr = settings.inner(InnerPort::ConfigStore);
+    let me = StoreMember { name: settings.node.as_str().into(), zone: settings.zone.as_str().into(), addr };
+    let recovering = !loaded.begun && !settings.bootstrap;
+    if recovering {
+        log::warn!("the disk is empty and the system has run before: recovering from other stores");
+    }
+    let serial = loaded.state.config.as_ref().map_or(0, |config| config.version.serial);
+    log::info!("configuration {serial:08x} on disk, {} stores known", loaded.members.len());
+    let replica = Replica::new(me, loaded.state, loaded.members, recovering, Figures::default());
+    let store = Rc::new(Store {
+        replica: RefCell::new(replica),
+        files,
+        started: Instant::now(),
+        changed: Notify::new(),
+        news: Notify::new(),
+        peers: RefCell::default(),
+    });
+    if !recovering {
+        store.note_members();
+    }
+    let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("{addr}"))?;
+    spawn_local(serve_calls(listener, store.clone()));
+    spawn_local(find_members(store.clone(), settings.clone()));
+    signals.terminate.recv().await;
+    log::info!("told to end");
+    Ok(())
+}
+
+/// Asks the seeds for replicas that are not known yet. The settings file is read again: seeds change.
+async fn find_members(store: Rc<Store>, settings: Rc<Settings>) {
+    loop {
+        let current = Settings::load().unwrap_or_else(|_| (*settings).clone());
+        for seed in &current.seeds {
+            let addr = current.inner_at(seed.ip(), InnerPort::ConfigStore);
+            let known = store.replica.borrow().members().iter().any(|member| member.addr == addr);
+            if !known {
+                let (store, peer) = (store.clone(), Peer::new(addr));
+                spawn_local(async move { store.exchange(&peer, None).await });
+            }
+        }
+        store.start_peers();
+        tokio::time::sleep(SEED_PERIOD).await;
+    }
+}
+
+impl Store {
+    fn now(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Keeps an exchange going with every replica that is known.
+    fn start_peers(self: &Rc<Self>) {
+        let members = self.replica.borrow().members();
+        let me = self.replica.borrow().me().name.clone();
+        for member in members.into_iter().filter(|member| member.name != me) {
+            let same = |peer: &Rc<Peer>| peer.addr() == member.addr;
+            if self.peers.borrow().get(&member.name).is_some_and(same) {
+                continue;
+            }
+            let peer = Rc::new(Peer::new(member.addr));
+            self.peers.borrow_mut().insert(member.name.clone(), peer.clone());
+            let store = self.clone();
+            spawn_local(async move { store.keep_exchanging(member.name, peer).await });
+        }
+    }
+
+    async fn keep_exchanging(self: Rc<Self>, name: CompactString, peer: Rc<Peer>) {
+        loop {
+            let current = self.peers.borrow().get(&name).is_some_and(|current| Rc::ptr_eq(current, &peer));
+            if !current {
+                return;
+            }
+            let news = self.news.notified();
+            self.exchange(&peer, Some(&name)).await;
+            self.hand_over(&peer, &name).await;
+            let _ = tokio::time::timeout(EXCHANGE_PERIOD, news).await;
+        }
+    }
+
+    /// Compares what both have.
+    async fn exchange(self: &Rc<Self>, peer: &Peer, name: Option<&CompactString>) {
+        let asked_at = self.now();
+        let request = {
+            let replica = self.replica.borrow();
+            let (from, summary) = (replica.me().clone(), replica.summary());
+            StoreRequest::Exchange { from, summary, members: replica.members() }
+        };
+        let Ok(StoreAnswer::Exchanged { summary, members }) = peer.call(&request, ANSWER_WITHIN).await else {
+            return;
+        };
+        let at = members.iter().find(|member| member.addr == peer.addr()).map(|member| member.name.clone());
+        self.meet(members);
+        if let Some(name) = name.or(at.as_ref()) {
+            self.heard(name, asked_at, summary);
+        }
+    }
+
+    /// Hands over what another replica lacks.
+    async fn hand_over(self: &Rc<Self>, peer: &Peer, name: &CompactString) {
+        let missing = self.replica.borrow().missing_at(name);
+        for update in missing {
+            let asked_at = self.now();
+            let answer = peer.call(&StoreRequest::Replicate(update), ANSWER_WITHIN).await;
+            let Ok(StoreAnswer::Replicated(summary)) = answer else { return };
+            self.heard(name, asked_at, summary);
+        }
+    }
+
+    fn heard(&self, name: &CompactString, asked_at: Micros, summary: Summary) {
+        let now = self.now();
+        let was_recovering = self.replica.borrow().recovering();
+        self.replica.borrow_mut().heard(now, name, asked_at, summary);
+        if was_recovering && !self.replica.borrow().recovering() {
+            log::info!("recovered");
+            self.note_members();
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn meet(self: &Rc<Self>, members: Vec<StoreMember>) {
+        if self.replica.borrow_mut().meet(members) {
+            log::info!("{} stores known", self.replica.borrow().members().len());
+            if !self.replica.borrow().recovering() {
+                self.note_members();
+            }
+            self.start_peers();
+        }
+    }
+
+    fn note_members(&self) {
+        if let Err(error) = self.files.write_members(&self.replica.borrow().members()) {
+            log::error!("disk: {error}");
+        }
+    }
+
+    /// Writes an update to disk and takes it in; false where the disk refuses.
+    fn take_in(&self, update: Update) -> bool {
+        if !self.replica.borrow().is_news(&update) {
+            return true;
+        }
+        let mut after = self.replica.borrow().state().clone();
+        after.apply(update.clone());
+        if let Err(error) = self.files.write(&update, &after) {
+            log::error!("disk: {error}");
+            return false;
+        }
+        self.replica.borrow_mut().adopt(self.now(), update);
+        self.changed.notify_waiters();
+        self.news.notify_waiters();
+        true
+    }
+
+    async fn propose(self: Rc<Self>, change: Change, wait: Duration) -> StoreAnswer {
+        let until = self.now() + wait.as_micros() as Micros;
+        if self.replica.borrow().recovering() {
+            return StoreAnswer::Proposed(Proposed::Pending);
+        }
+        let update = self.replica.borrow().update_for(self.without_conflict(change));
+        if !self.take_in(update.clone()) {
+            return StoreAnswer::Failed;
+        }
+        loop {
+            let changed = self.changed.notified();
+            let now = self.now();
+            if self.replica.borrow().is_durable(now, &update) {
+                return StoreAnswer::Proposed(Proposed::Durable);
+            }
+            if now >= until || !self.wait_until(changed, until).await {
+                return StoreAnswer::Proposed(Proposed::Pending);
+            }
+        }
+    }
+
+    /// A serial that is held already changes nothing, whatever comes under it.
+    fn without_conflict(&self, change: Change) -> Change {
+        let replica = self.replica.borrow();
+        match (change, &replica.state().config) {
+            (Change::Config(new), Some(held)) if new.version.serial <= held.version.serial => {
+                Change::Config(held.clone())
+            }
+            (change, _) => change,
+        }
+    }
+
+    /// Waits for a notification; false where the time is up first.
+    async fn wait_until(&self, changed: impl std::future::Future<Output = ()>, until: Micros) -> bool {
+        let left = Duration::from_micros(until.saturating_sub(self.now()));
+        tokio::time::timeout(left, changed).await.is_ok()
+    }
+
+    async fn watch(self: Rc<Self>, have: Summary, wait: Duration) -> StoreAnswer {
+        let until = self.now() + wait.as_micros() as Micros;
+        loop {
+            let changed = self.changed.notified();
+            let news = self.news_for(&have);
+            let is_news =
+                news.config.is_some() || news.proxies.is_some() || news.summary.drains != have.drains;
+            if is_news || self.now() >= until {
+                return StoreAnswer::Watched(Box::new(news));
+            }
+            let _ = self.wait_until(changed, until).await;
+        }
+    }
+
+    fn news_for(&self, have: &Summary) -> StoreNews {
+        let now = self.now();
+        let mut replica = self.replica.borrow_mut();
+        replica.refresh(now);
+        let mut summary = replica.summary();
+        summary.config = replica.in_force().map(|config| config.version);
+        let config = replica.in_force().filter(|config| Some(config.version) > have.config).cloned();
+        let proxies = (summary.proxies != have.proxies).then(|| replica.state().proxies.clone());
+        let fresh_age = replica.current_as_of(now).map(|at| now.saturating_sub(at) / MILLI + 1);
+        StoreNews { summary, config, proxies, fresh_age }
+    }
+
+    async fn read(self: Rc<Self>, wait: Duration) -> StoreAnswer {
+        let (asked_at, until) = (self.now(), self.now() + wait.as_micros() as Micros);
+        self.news.notify_waiters();
+        let mut current = false;
+        while !current && self.now() < until {
+            let changed = self.changed.notified();
+            current = self.replica.borrow().is_current_since(self.now(), asked_at);
+            if !current {
+                self.wait_until(changed, until).await;
+            }
+        }
+        let state = if current { ReadState::Current } else { ReadState::Unknown };
+        StoreAnswer::Read(self.replica.borrow().state().config.clone(), state)
+    }
+}
+
+impl Handler for Store {
+    type Request = StoreRequest;
+    type Answer = StoreAnswer;
+
+    async fn handle(self: Rc<Self>, _from: SocketAddr, request: StoreRequest) -> StoreAnswer {
+        match request {
+            StoreRequest::Exchange { from, summary, mut members } => {
+                members.push(from.clone());
+                self.meet(members);
+                // When it was said is not known here: it tells what is missing, and nothing of the present.
+                self.heard(&from.name, 0, summary);
+                let replica = self.replica.borrow();
+                StoreAnswer::Exchanged { summary: replica.summary(), members: replica.members() }
+            }
+            StoreRequest::Replicate(update) => match self.take_in(update) {
+                true => StoreAnswer::Replicated(self.replica.borrow().summary()),
+                false => StoreAnswer::Failed,
+            },
+            StoreRequest::Propose { change, wait } => self.propose(change, Duration::from_millis(wait)).await,
+            StoreRequest::Watch { have, wait } => self.watch(have, Duration::from_millis(wait)).await,
+            StoreRequest::Read { wait } => self.read(Duration::from_millis(wait)).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,11 @@
+//! What every program of the system shares: its settings file, command line, log, signals and runtime.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod program;
+pub mod settings;
+mod signals;
+
+pub use program::{run, Program};
+pub use settings::Settings;
+pub use signals::Signals;
--- /dev/null
+++ b/crates/registry/src/directory.rs
@@ -0,0 +1,115 @@
+//! Which proxies there are, by their heartbeats, and which of them a client is sent to.
+
+use compact_str::CompactString;
+use hingestage_replication::{digest, Micros};
+use hingestage_rpc::messages::ProxyStatus;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Figures of the directory.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// A proxy not heard for so long is not handed out.
+    pub silent_after: Micros,
+    /// A proxy not heard for so long is forgotten.
+    pub forget_after: Micros,
+    /// Proxies known at the most.
+    pub proxies_max: usize,
+    /// Proxies of a client's own zone from which on no others are named.
+    pub enough: usize,
+    /// Addresses in one answer at the most.
+    pub answer_max: usize,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Figures {
+            silent_after: 2_000_000,
+            forget_after: 60_000_000,
+            proxies_max: 8_192,
+            enough: 2,
+            answer_max: 64,
+        }
+    }
+}
+
+struct Entry {
+    status: ProxyStatus,
+    heard_at: Micros,
+}
+
+/// Proxies by their heartbeats.
+pub struct Directory {
+    figures: Figures,
+    proxies: BTreeMap<CompactString, Entry>,
+}
+
+impl Directory {
+    /// Nobody is known.
+    pub fn new(figures: Figures) -> Self {
+        Directory { figures, proxies: BTreeMap::new() }
+    }
+
+    /// A proxy has told of itself. Tells whether anything is new. An older life of it that is still heard, by a
+    /// message that was under way, changes nothing.
+    pub fn heard(&mut self, now: Micros, status: ProxyStatus) -> bool {
+        let known = self.proxies.get_mut(&status.id.node);
+        if let Some(entry) = known {
+            if entry.status.id.incarnation > status.id.incarnation {
+                return false;
+            }
+            let revived = now >= entry.heard_at + self.figures.silent_after;
+            let new = entry.status != status;
+            *entry = Entry { status, heard_at: now };
+            return new || revived;
+        }
+        if self.proxies.len() >= self.figures.proxies_max {
+            return false;
+        }
+        self.proxies.insert(status.id.node.clone(), Entry { status, heard_at: now });
+        true
+    }
+
+    /// Forgets those not heard for long. Tells whether the living are others than before `last` was taken.
+    pub fn tidy(&mut self, now: Micros) {
+        let keep = self.figures.forget_after;
+        self.proxies.retain(|_, entry| now < entry.heard_at + keep);
+    }
+
+    /// Those heard lately.
+    pub fn living(&self, now: Micros) -> impl Iterator<Item = &ProxyStatus> {
+        let silent_after = self.figures.silent_after;
+        self.proxies
+            .values()
+            .filter(move |entry| now < entry.heard_at + silent_after)
+            .map(|entry| &entry.status)
+    }
+
+    /// A digest of the living: another one where they are others.
+    pub fn version(&self, now: Micros) -> u64 {
+        self.living(now).fold(0, |sum, status| {
+            let text = format!("{} {} {}", status.id.node, status.id.incarnation, status.ready);
+            sum ^ digest(text.as_bytes())
+        })
+    }
+
+    /// Where a client of a zone and region is sent: to ready proxies of its zone, where there are enough, else
+    /// to those of its region as well, else to all.
+    pub fn lookup(&self, now: Micros, zone: &str, region: &str) -> Vec<SocketAddr> {
+        let ready: Vec<&ProxyStatus> = self.living(now).filter(|status| status.ready).collect();
+        let within = |near: &dyn Fn(&ProxyStatus) -> bool| -> Vec<SocketAddr> {
+            ready.iter().filter(|status| near(status)).map(|status| status.http).collect()
+        };
+        let rings: [&dyn Fn(&ProxyStatus) -> bool; 3] =
+            [&|status| status.zone == zone, &|status| status.region == region, &|_| true];
+        let mut answer = Vec::new();
+        for ring in rings {
+            answer = within(ring);
+            if answer.len() >= self.figures.enough {
+                break;
+            }
+        }
+        answer.truncate(self.figures.answer_max);
+        answer
+    }
+}
--- /dev/null
+++ b/crates/registry/src/http.rs
@@ -0,0 +1,185 @@
+//! Calls from outside, HTTP/1.1: one dispatch on method and path segments.
+
+use crate::server::{Registry, PROPOSE_WAIT};
+use bytes::Bytes;
+use hingestage_configuration::Configuration;
+use hingestage_replication::digest;
+use hingestage_rpc::messages::{
+    Change, ConfigDocument, ConfigVersion, Proposed, ReadState, StoreAnswer, StoreRequest,
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// The largest configuration, bytes.
+const CONFIG_BYTES_MAX: usize = 48 << 20;
+/// How long a caller may take over a request's head or between two requests.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a caller may take over a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Connections at once.
+const CONNECTIONS_MAX: usize = 512;
+/// Pause where the system has no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a read waits for the other stores.
+const READ_WAIT: Duration = Duration::from_millis(800);
+/// How long the store's answer may take beyond what it was asked to wait.
+const STORE_SPARE: Duration = Duration::from_millis(100);
+/// Advice to callers whose change is not durable yet, seconds.
+const COME_AGAIN: HeaderValue = HeaderValue::from_static("0.3");
+/// How long clients hold an answer about where to go.
+const TTL: Duration = Duration::from_secs(2);
+
+type Answer = Response<Full<Bytes>>;
+
+/// Takes calls in for ever.
+pub(crate) async fn serve(listener: TcpListener, registry: Rc<Registry>) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if open.get() < CONNECTIONS_MAX => {
+                open.set(open.get() + 1);
+                let (open, registry) = (open.clone(), registry.clone());
+                spawn_local(async move {
+                    converse(stream, registry).await;
+                    open.set(open.get() - 1);
+                });
+            }
+            Ok((_, from)) => log::warn!("{from}: too many connections"),
+            Err(error) => {
+                log::warn!("accept: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse(stream: TcpStream, registry: Rc<Registry>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let registry = registry.clone();
+        async move { Ok::<_, Infallible>(registry.answer(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A caller that misbehaves ends its own connection and nothing else.
+    let _ = connection.await;
+}
+
+impl Registry {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        let method = request.method().clone();
+        match (method, segments.as_slice()) {
+            (Method::PUT, ["config"]) => self.put_config(request).await,
+            (Method::GET, ["config"]) => self.get_config().await,
+            (Method::POST, ["drain", zone]) => self.drain(zone, true).await,
+            (Method::DELETE, ["drain", zone]) => self.drain(zone, false).await,
+            (Method::GET, ["lookup"]) => self.lookup(request.uri().query().unwrap_or_default()),
+            (Method::GET, ["status"]) => json(StatusCode::OK, self.status()),
+            (_, ["config"] | ["drain", _] | ["lookup"] | ["status"]) => {
+                error(StatusCode::METHOD_NOT_ALLOWED, "method not allowed here")
+            }
+            _ => error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn put_config(&self, request: Request<Incoming>) -> Answer {
+        let body = Limited::new(request.into_body(), CONFIG_BYTES_MAX).collect();
+        let body = match timeout(BODY_TIMEOUT, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return error(StatusCode::BAD_REQUEST, "the body can't be read whole"),
+            Err(_) => return error(StatusCode::REQUEST_TIMEOUT, "the body takes too long"),
+        };
+        let serial = match Configuration::parse(&body) {
+            Ok(configuration) => configuration.serial.0,
+            Err(invalid) => {
+                let status = StatusCode::from_u16(invalid.status()).unwrap_or(StatusCode::BAD_REQUEST);
+                log::info!("configuration refused: {invalid}");
+                return error(status, &invalid.to_string());
+            }
+        };
+        let version = ConfigVersion { serial, digest: digest(&body) };
+        let document = ConfigDocument { version, json: body.to_vec() };
+        let answer = self.propose(Change::Config(document)).await;
+        log::info!("configuration {serial:08x}: {}", answer.status());
+        answer
+    }
+
+    async fn drain(&self, zone: &str, drained: bool) -> Answer {
+        if !self.settings.zones.contains_key(zone) {
+            return error(StatusCode::NOT_FOUND, "no such zone");
+        }
+        let answer = self.propose(Change::Drain { zone: zone.into(), drained }).await;
+        log::info!("zone {zone} drained {drained}: {}", answer.status());
+        answer
+    }
+
+    /// Asks for a change, and answers once it is durable.
+    async fn propose(&self, change: Change) -> Answer {
+        let request = StoreRequest::Propose { change, wait: PROPOSE_WAIT.as_millis() as u64 };
+        match self.store.call(&request, PROPOSE_WAIT + STORE_SPARE).await {
+            Ok(StoreAnswer::Proposed(Proposed::Durable)) => json(StatusCode::OK, "{}".to_owned()),
+            Ok(StoreAnswer::Proposed(Proposed::Pending)) => come_again("not durable yet"),
+            Ok(_) => come_again("the disk refuses"),
+            Err(failed) => come_again(&format!("store: {failed}")),
+        }
+    }
+
+    async fn get_config(&self) -> Answer {
+        let request = StoreRequest::Read { wait: READ_WAIT.as_millis() as u64 };
+        match self.store.call(&request, READ_WAIT + STORE_SPARE).await {
+            Ok(StoreAnswer::Read(Some(config), ReadState::Current)) => json(StatusCode::OK, config.json),
+            Ok(StoreAnswer::Read(None, ReadState::Current)) => error(StatusCode::NOT_FOUND, "none yet"),
+            Ok(_) => come_again("too few stores answered"),
+            Err(failed) => come_again(&format!("store: {failed}")),
+        }
+    }
+
+    fn lookup(&self, query: &str) -> Answer {
+        let value = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value).unwrap_or_default()
+        };
+        let (zone, region) = (value("zone"), value("region"));
+        let addrs = self.directory.borrow().lookup(self.now(), zone, region);
+        if addrs.is_empty() {
+            return come_again("no proxy is ready");
+        }
+        let ttl = TTL.min(self.settings.bounds.ttl_max);
+        let addrs: Vec<String> = addrs.iter().map(ToString::to_string).collect();
+        let body = serde_json::json!({ "addrs": addrs, "ttl": format!("{}ms", ttl.as_millis()) });
+        json(StatusCode::OK, body.to_string())
+    }
+}
+
+fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn error(status: StatusCode, message: &str) -> Answer {
+    json(status, serde_json::json!({ "error": message }).to_string())
+}
+
+fn come_again(message: &str) -> Answer {
+    let mut answer = error(StatusCode::SERVICE_UNAVAILABLE, message);
+    answer.headers_mut().insert(RETRY_AFTER, COME_AGAIN);
+    answer
+}
--- /dev/null
+++ b/crates/registry/src/server.rs
@@ -0,0 +1,356 @@
+//! The registry on sockets.
+
+use crate::directory::{self, Directory};
+use crate::duty::{self, Duty};
+use crate::http;
+use crate::platform_list;
+use crate::watch::InForce;
+use compact_str::CompactString;
+use eyre::{eyre, Context, Result};
+use hingestage_node::settings::InnerPort;
+use hingestage_node::{Settings, Signals};
+use hingestage_replication::Micros;
+use hingestage_rpc::messages::{
+    Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAnswer, RegistryMember,
+    RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList,
+};
+use hingestage_rpc::{serve as serve_calls, Client, Handler};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// How long the store waits for news before it answers.
+const STORE_WAIT: Duration = Duration::from_millis(300);
+/// How long an answer of another process may take beyond what it was asked to wait.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_000);
+/// Pause after a call that failed.
+const CALL_PAUSE: Duration = Duration::from_millis(150);
+/// Period at which registries hear each other.
+const MEET_PERIOD: Duration = Duration::from_millis(400);
+/// Period at which the platform's list is read by the one that has the duty.
+const READ_PERIOD: Duration = Duration::from_millis(900);
+/// Period of housekeeping.
+const TIDY_PERIOD: Duration = Duration::from_millis(500);
+/// How long a change may take to become durable before its caller is told to come again.
+pub(crate) const PROPOSE_WAIT: Duration = Duration::from_millis(850);
+/// Longest time for which a part of a common limit may be used without news from here. A proxy that is new gets
+/// its part once all leases from before are over.
+pub const LEASE: Duration = Duration::from_secs(12);
+/// How long after the first start of the whole system proxies are taken in as settled: nobody holds a lease yet.
+const FIRST_START: Duration = Duration::from_secs(6);
+
+pub(crate) type StoreClient = Client<StoreRequest, StoreAnswer>;
+type Peer = Client<RegistryRequest, RegistryAnswer>;
+
+/// The registry.
+pub struct Registry {
+    pub(crate) settings: Rc<Settings>,
+    pub(crate) store: StoreClient,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) in_force: RefCell<InForce>,
+    duty: RefCell<Duty>,
+    started: Instant,
+    /// Told when something has changed that proxies go by.
+    changed: Notify,
+    /// Proxies to be taken into common limits, and when each was first seen among them unsettled.
+    newcomers: RefCell<BTreeMap<CompactString, Option<Micros>>>,
+    peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
+}
+
+/// Runs the program until it is told to end.
+///
+/// # Errors
+/// An address can't be had.
+pub async fn serve(settings: Rc<Settings>) -> Result<()> {
+    let mut signals = Signals::listen()?;
+    let addr = settings.inner(InnerPort::Registry);
+    let id = ProcessId { node: settings.node.as_str().into(), incarnation: incarnation() };
+    let me = RegistryMember { id, zone: settings.zone.as_str().into(), addr, reads_list: true };
+    let registry = Rc::new(Registry {
+        store: StoreClient::new(settings.inner(InnerPort::ConfigStore)),
+        directory: RefCell::new(Directory::new(directory::Figures::default())),
+        in_force: RefCell::default(),
+        duty: RefCell::new(Duty::new(me, duty::Figures::default())),
+        started: Instant::now(),
+        changed: Notify::new(),
+        newcomers: RefCell::default(),
+        peers: RefCell::default(),
+        settings: settings.clone(),
+    });
+    let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("{addr}"))?;
+    spawn_local(serve_calls(listener, registry.clone()));
+    for (name, at) in [("admin", settings.listen.admin), ("dir", settings.listen.dir)] {
+        let at = at.ok_or_else(|| eyre!("settings: `listen.{name}` is missing"))?;
+        let listener = TcpListener::bind(at).await.wrap_err_with(|| format!("listen.{name}: {at}"))?;
+        spawn_local(http::serve(listener, registry.clone()));
+    }
+    spawn_local(registry.clone().follow_store());
+    spawn_local(registry.clone().read_list());
+    spawn_local(registry.clone().meet_others());
+    spawn_local(registry.clone().admit_newcomers());
+    spawn_local(registry.clone().tidy());
+    signals.terminate.recv().await;
+    log::info!("told to end");
+    Ok(())
+}
+
+/// Tells the lives of a process apart.
+fn incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+impl Registry {
+    pub(crate) fn now(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Hears from the store on this machine what is in force.
+    async fn follow_store(self: Rc<Self>) {
+        loop {
+            let have = self.in_force.borrow().summary.clone();
+            let asked_at = self.now();
+            let request = StoreRequest::Watch { have, wait: STORE_WAIT.as_millis() as u64 };
+            match self.store.call(&request, STORE_WAIT + ANSWER_WITHIN).await {
+                Ok(StoreAnswer::Watched(news)) => {
+                    if self.in_force.borrow_mut().take(asked_at, *news) {
+                        self.changed.notify_waiters();
+                    }
+                }
+                _ => tokio::time::sleep(CALL_PAUSE).await,
+            }
+        }
+    }
+
+    /// Reads the platform's list while this registry has the duty.
+    async fn read_list(self: Rc<Self>) {
+        let Some(cloud) = self.settings.cloud_api.clone() else { return };
+        // Others are to be heard first.
+        tokio::time::sleep(MEET_PERIOD).await;
+        loop {
+            let version = self.duty.borrow_mut().read_under(self.now());
+            if let Some(version) = version {
+                let read = platform_list::read(cloud.addr).await;
+                self.duty.borrow_mut().has_read(self.now(), read.is_ok());
+                match read {
+                    Ok(workers) => self.take_workers(WorkerList { version, workers }),
+                    Err(error) => log::warn!("list of workers: {error}"),
+                }
+            }
+            tokio::time::sleep(READ_PERIOD).await;
+        }
+    }
+
+    fn take_workers(&self, list: WorkerList) {
+        if list.version <= self.in_force.borrow().workers.version {
+            return;
+        }
+        self.duty.borrow_mut().saw(list.version);
+        self.in_force.borrow_mut().workers = list;
+        self.changed.notify_waiters();
+    }
+
+    /// Keeps hearing the other registries.
+    async fn meet_others(self: Rc<Self>) {
+        loop {
+            for addr in self.others() {
+                if self.peers.borrow().contains_key(&addr) {
+                    continue;
+                }
+                let peer = Rc::new(Peer::new(addr));
+                self.peers.borrow_mut().insert(addr, peer.clone());
+                spawn_local(self.clone().keep_meeting(peer));
+            }
+            tokio::time::sleep(MEET_PERIOD).await;
+        }
+    }
+
+    /// Addresses of other registries: those that are known, and those at the seeds of the present settings.
+    fn others(&self) -> Vec<SocketAddr> {
+        let me = self.settings.inner(InnerPort::Registry);
+        let known = self.duty.borrow().members(self.now()).into_iter().map(|member| member.addr);
+        let seeds = Settings::load().map(|settings| settings.seeds).unwrap_or_default();
+        let seeds = seeds.into_iter().map(|seed| self.settings.inner_at(seed.ip(), InnerPort::Registry));
+        known.chain(seeds).filter(|addr| *addr != me).collect()
+    }
+
+    async fn keep_meeting(self: Rc<Self>, peer: Rc<Peer>) {
+        loop {
+            let now = self.now();
+            let request = RegistryRequest::Meet {
+                from: self.duty.borrow().me(now),
+                members: self.duty.borrow().members(now),
+                workers: self.in_force.borrow().workers.version,
+            };
+            if let Ok(RegistryAnswer::Met { from, members, workers }) =
+                peer.call(&request, ANSWER_WITHIN).await
+            {
+                self.met(from, members);
+                if workers > self.in_force.borrow().workers.version {
+                    let answer = peer.call(&RegistryRequest::FetchWorkers, ANSWER_WITHIN).await;
+                    if let Ok(RegistryAnswer::Workers(list)) = answer {
+                        self.take_workers(list);
+                    }
+                }
+            }
+            tokio::time::sleep(MEET_PERIOD).await;
+        }
+    }
+
+    fn met(&self, from: RegistryMember, members: Vec<RegistryMember>) {
+        let mut duty = self.duty.borrow_mut();
+        duty.heard(self.now(), from);
+        members.into_iter().for_each(|member| duty.told_of(member));
+    }
+
+    /// Takes proxies into common limits. One that comes later than the system's first start is settled once
+    /// every lease that was given without it is over.
+    async fn admit_newcomers(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TIDY_PERIOD).await;
+            let names = self.due_newcomers();
+            if names.is_empty() {
+                continue;
+            }
+            let change = Change::Proxies(names);
+            let request = StoreRequest::Propose { change, wait: PROPOSE_WAIT.as_millis() as u64 };
+            let answer = self.store.call(&request, PROPOSE_WAIT + ANSWER_WITHIN).await;
+            if !matches!(answer, Ok(StoreAnswer::Proposed(Proposed::Durable))) {
+                log::info!("proxies are not taken into common limits yet");
+            }
+        }
+    }
+
+    fn due_newcomers(&self) -> ProxyNames {
+        let now = self.now();
+        let first_start = self.settings.bootstrap && now < FIRST_START.as_micros() as Micros;
+        let in_force = self.in_force.borrow();
+        let mut newcomers = self.newcomers.borrow_mut();
+        newcomers.retain(|name, _| in_force.proxies.get(name) != Some(&true));
+        let mut due = ProxyNames::new();
+        for (name, seen_at) in newcomers.iter_mut() {
+            if in_force.proxies.contains_key(name) {
+                seen_at.get_or_insert(now);
+            }
+            let waited = seen_at.is_some_and(|at| now >= at + LEASE.as_micros() as Micros);
+            if first_start || waited || seen_at.is_none() {
+                due.insert(name.clone(), first_start || waited);
+            }
+        }
+        due
+    }
+
+    async fn tidy(self: Rc<Self>) {
+        let mut version = 0;
+        loop {
+            tokio::time::sleep(TIDY_PERIOD).await;
+            let now = self.now();
+            self.directory.borrow_mut().tidy(now);
+            self.duty.borrow_mut().tidy(now);
+            let current = self.directory.borrow().version(now);
+            if current != version {
+                version = current;
+                self.changed.notify_waiters();
+            }
+        }
+    }
+
+    /// What this registry has of the state that proxies go by.
+    fn have(&self) -> Have {
+        let in_force = self.in_force.borrow();
+        Have {
+            config: in_force.summary.config,
+            drains: in_force.summary.drains.clone(),
+            workers: in_force.workers.version,
+            directory: self.directory.borrow().version(self.now()),
+        }
+    }
+
+    async fn watch(self: Rc<Self>, status: ProxyStatus, theirs: Have, wait: Duration) -> RegistryAnswer {
+        let until = self.now() + wait.as_micros() as Micros;
+        let name = status.id.node.clone();
+        if self.directory.borrow_mut().heard(self.now(), status) {
+            self.changed.notify_waiters();
+        }
+        if self.in_force.borrow().proxies.get(&name) != Some(&true) {
+            self.newcomers.borrow_mut().entry(name.clone()).or_default();
+        }
+        loop {
+            let changed = self.changed.notified();
+            let have = self.have();
+            let news = have.config > theirs.config
+                || have.drains != theirs.drains
+                || have.workers > theirs.workers
+                || have.directory != theirs.directory;
+            let now = self.now();
+            if news || now >= until {
+                return RegistryAnswer::Watched(Box::new(self.watched(now, have, &theirs, &name)));
+            }
+            let _ = tokio::time::timeout(Duration::from_micros(until - now), changed).await;
+        }
+    }
+
+    fn watched(&self, now: Micros, have: Have, theirs: &Have, name: &CompactString) -> Watched {
+        let in_force = self.in_force.borrow();
+        let other_directory = have.directory != theirs.directory;
+        let living = || self.directory.borrow().living(now).cloned().collect();
+        Watched {
+            directory: other_directory.then(living),
+            registries: self.duty.borrow().members(now).into_iter().map(|member| member.addr).collect(),
+            fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000 + 1),
+            members: in_force.proxies.len() as u32,
+            settled: in_force.proxies.get(name) == Some(&true),
+            have,
+        }
+    }
+
+    /// What an operator reads of this registry.
+    pub(crate) fn status(&self) -> String {
+        let now = self.now();
+        let have = self.have();
+        let in_force = self.in_force.borrow();
+        let living = self.directory.borrow().living(now).count();
+        let fresh = in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000);
+        serde_json::json!({
+            "node": self.settings.node,
+            "config": have.config.map(|version| format!("{:08x}", version.serial)),
+            "drained": have.drains.iter().filter(|(_, drain)| drain.drained).map(|(zone, _)| zone).collect::<Vec<_>>(),
+            "workers": in_force.workers.workers.len(),
+            "workers_version": [have.workers.fence, have.workers.number],
+            "proxies": living,
+            "members": in_force.proxies.len(),
+            "fresh_ms": fresh,
+            "recovering": in_force.summary.recovering,
+        })
+        .to_string()
+    }
+}
+
+impl Handler for Registry {
+    type Request = RegistryRequest;
+    type Answer = RegistryAnswer;
+
+    async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
+        match request {
+            RegistryRequest::Watch { status, have, wait } => {
+                self.watch(status, have, Duration::from_millis(wait)).await
+            }
+            RegistryRequest::Meet { from, members, .. } => {
+                self.met(from, members);
+                let now = self.now();
+                RegistryAnswer::Met {
+                    from: self.duty.borrow().me(now),
+                    members: self.duty.borrow().members(now),
+                    workers: self.in_force.borrow().workers.version,
+                }
+            }
+            RegistryRequest::FetchConfig => RegistryAnswer::Config(self.in_force.borrow().config.clone()),
+            RegistryRequest::FetchWorkers => RegistryAnswer::Workers(self.in_force.borrow().workers.clone()),
+            RegistryRequest::Status => RegistryAnswer::Status(self.status()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/watch.rs
@@ -0,0 +1,44 @@
+//! What is in force, as the local store tells it, and as it is handed on to proxies.
+
+use hingestage_replication::Micros;
+use hingestage_rpc::messages::{ConfigDocument, ProxyNames, StoreNews, Summary, WorkerList};
+
+/// Microseconds in a millisecond.
+const MILLI: Micros = 1_000;
+
+/// What is in force.
+#[derive(Default)]
+pub struct InForce {
+    /// In short, as the store told it last.
+    pub summary: Summary,
+    /// The configuration.
+    pub config: Option<ConfigDocument>,
+    /// Proxies that take part in common limits.
+    pub proxies: ProxyNames,
+    /// The latest moment at which nothing newer can have been acknowledged anywhere.
+    pub fresh_as_of: Option<Micros>,
+    /// The list of workers.
+    pub workers: WorkerList,
+}
+
+impl InForce {
+    /// Takes in what the store told when it was asked at `asked_at`. Tells whether anything changed that
+    /// proxies go by.
+    pub fn take(&mut self, asked_at: Micros, news: StoreNews) -> bool {
+        let drains_changed = news.summary.drains != self.summary.drains;
+        let config_changed = news.config.is_some();
+        if let Some(config) = news.config {
+            self.config = Some(config);
+        }
+        if let Some(proxies) = news.proxies {
+            self.proxies = proxies;
+        }
+        if let Some(age) = news.fresh_age {
+            let fresh = asked_at.saturating_sub(age * MILLI);
+            self.fresh_as_of = self.fresh_as_of.max(Some(fresh));
+        }
+        self.summary = news.summary;
+        self.summary.config = self.config.as_ref().map(|config| config.version);
+        drains_changed || config_changed
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/messages.rs
@@ -0,0 +1,343 @@
+//! What the processes of the system say to each other.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Milliseconds, a span.
+pub type Millis = u64;
+
+/// A version of the configuration: its serial, and a digest that tells two contents under one serial apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigVersion {
+    /// The operator's serial.
+    pub serial: u64,
+    /// Digest of the document.
+    pub digest: u64,
+}
+
+/// A configuration as the operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigDocument {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The document, JSON.
+    pub json: Vec<u8>,
+}
+
+/// Whether a zone is evacuated, and by which order: the one with the highest number holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ZoneDrain {
+    /// Number of the order.
+    pub order: u64,
+    /// Whether nothing may be sent to the zone's workers.
+    pub drained: bool,
+}
+
+/// Orders about zones, by zone.
+pub type ZoneDrains = BTreeMap<CompactString, ZoneDrain>;
+/// Proxies that take part in common limits, by name, and whether each is settled: a proxy may use its part of a
+/// limit only once all leases from before its admission are over.
+pub type ProxyNames = BTreeMap<CompactString, bool>;
+
+/// A change of what the stores keep.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// A configuration.
+    Config(ConfigDocument),
+    /// An order about a zone.
+    Drain {
+        /// The zone.
+        zone: CompactString,
+        /// The order.
+        drain: ZoneDrain,
+    },
+    /// Proxies that take part in common limits from now on.
+    Proxies(ProxyNames),
+}
+
+/// What a store holds, in short.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The newest configuration.
+    pub config: Option<ConfigVersion>,
+    /// Orders about zones.
+    pub drains: ZoneDrains,
+    /// Number and digest of the names of proxies.
+    pub proxies: (u64, u64),
+    /// Whether the store lost its disk and has not caught up: it speaks for nobody.
+    pub recovering: bool,
+}
+
+/// A store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreMember {
+    /// Name of its machine.
+    pub name: CompactString,
+    /// Its zone.
+    pub zone: CompactString,
+    /// Where it is called.
+    pub addr: SocketAddr,
+}
+
+/// What a store is asked.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreRequest {
+    /// Another store tells what it holds, and whom it knows.
+    Exchange {
+        /// Who asks.
+        from: StoreMember,
+        /// What it holds.
+        summary: Summary,
+        /// Whom it knows.
+        members: Vec<StoreMember>,
+    },
+    /// Another store hands over what this one lacks.
+    Replicate(Update),
+    /// A registry asks for a change, and to be told when it is durable.
+    Propose {
+        /// The change.
+        change: Change,
+        /// How long to wait for that.
+        wait: Millis,
+    },
+    /// A registry asks for what is newer than what it has.
+    Watch {
+        /// What it has.
+        have: Summary,
+        /// How long to wait for news.
+        wait: Millis,
+    },
+    /// A registry asks for the newest configuration anywhere.
+    Read {
+        /// How long to wait for the other stores.
+        wait: Millis,
+    },
+}
+
+/// A change as a registry asks for it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Change {
+    /// A valid configuration.
+    Config(ConfigDocument),
+    /// Evacuate a zone, or take that back.
+    Drain {
+        /// The zone.
+        zone: CompactString,
+        /// Whether it is to be evacuated.
+        drained: bool,
+    },
+    /// Proxies that have been heard of.
+    Proxies(ProxyNames),
+}
+
+/// What a store answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreAnswer {
+    /// What it holds, and whom it knows.
+    Exchanged {
+        /// What it holds.
+        summary: Summary,
+        /// Whom it knows.
+        members: Vec<StoreMember>,
+    },
+    /// The update is on its disk.
+    Replicated(Summary),
+    /// What became of a change.
+    Proposed(Proposed),
+    /// News for a registry.
+    Watched(Box<StoreNews>),
+    /// The newest configuration, where enough stores could be asked.
+    Read(Option<ConfigDocument>, ReadState),
+    /// The disk refuses.
+    Failed,
+}
+
+/// Whether a read reached enough stores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReadState {
+    /// Nothing newer has been acknowledged.
+    Current,
+    /// Too few stores answered.
+    Unknown,
+}
+
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Proposed {
+    /// It outlasts any loss that is to be borne, or something newer does.
+    Durable,
+    /// Not yet.
+    Pending,
+}
+
+/// What a store tells a registry.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// What is in force, in short.
+    pub summary: Summary,
+    /// The configuration in force, where it is newer.
+    pub config: Option<ConfigDocument>,
+    /// The names of proxies, where they are others.
+    pub proxies: Option<ProxyNames>,
+    /// Age of the latest moment at which nothing newer can have been acknowledged anywhere.
+    pub fresh_age: Option<Millis>,
+}
+
+/// One life of a process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessId {
+    /// Name of its machine.
+    pub node: CompactString,
+    /// Grows with each start.
+    pub incarnation: u64,
+}
+
+/// What a proxy tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyStatus {
+    /// Which process.
+    pub id: ProcessId,
+    /// Its zone.
+    pub zone: CompactString,
+    /// Its region.
+    pub region: CompactString,
+    /// Where clients reach it.
+    pub http: SocketAddr,
+    /// Where other proxies reach it.
+    pub peer: SocketAddr,
+    /// Whether clients are to be sent there.
+    pub ready: bool,
+}
+
+/// Version of the list of workers: who read it under which fence, and how often.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WorkersVersion {
+    /// Number of the duty; grows each time it changes hands.
+    pub fence: u64,
+    /// Number of the list under it.
+    pub number: u64,
+}
+
+/// A worker as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// Its id; another at each start.
+    pub id: CompactString,
+    /// Its service.
+    pub service: CompactString,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: CompactString,
+    /// Requests that it works on at a time.
+    pub capacity: u32,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// How much longer it stays cold from when the list was read.
+    pub cold_left: Millis,
+}
+
+/// The list of workers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerList {
+    /// Its version.
+    pub version: WorkersVersion,
+    /// All workers.
+    pub workers: Vec<WorkerRecord>,
+}
+
+/// What a proxy or registry has of the state that registries hand out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Have {
+    /// The configuration.
+    pub config: Option<ConfigVersion>,
+    /// Orders about zones.
+    pub drains: ZoneDrains,
+    /// The list of workers.
+    pub workers: WorkersVersion,
+    /// Digest of the directory of proxies.
+    pub directory: u64,
+}
+
+/// A registry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegistryMember {
+    /// Which process.
+    pub id: ProcessId,
+    /// Its zone.
+    pub zone: CompactString,
+    /// Where it is called.
+    pub addr: SocketAddr,
+    /// Whether the platform answers it.
+    pub reads_list: bool,
+}
+
+/// What a registry is asked.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum RegistryRequest {
+    /// A proxy's heartbeat: answered at once where there is news, else after a while.
+    Watch {
+        /// Who asks.
+        status: ProxyStatus,
+        /// What it has.
+        have: Have,
+        /// How long to wait for news.
+        wait: Millis,
+    },
+    /// Another registry's heartbeat.
+    Meet {
+        /// Who asks.
+        from: RegistryMember,
+        /// Whom it knows.
+        members: Vec<RegistryMember>,
+        /// The newest list of workers that it has.
+        workers: WorkersVersion,
+    },
+    /// The configuration in force.
+    FetchConfig,
+    /// The list of workers.
+    FetchWorkers,
+    /// Something for an operator to read.
+    Status,
+}
+
+/// What a registry answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum RegistryAnswer {
+    /// To a proxy.
+    Watched(Box<Watched>),
+    /// To a registry.
+    Met {
+        /// Who answers.
+        from: RegistryMember,
+        /// Whom it knows.
+        members: Vec<RegistryMember>,
+        /// The newest list of workers that it has.
+        workers: WorkersVersion,
+    },
+    /// The configuration in force, where there is one.
+    Config(Option<ConfigDocument>),
+    /// The list of workers.
+    Workers(WorkerList),
+    /// Text for an operator.
+    Status(String),
+}
+
+/// What a registry tells a proxy.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Watched {
+    /// What the registry has: the proxy fetches what is newer.
+    pub have: Have,
+    /// All proxies, where they are others.
+    pub directory: Option<Vec<ProxyStatus>>,
+    /// All registries.
+    pub registries: Vec<SocketAddr>,
+    /// Age of the latest moment at which nothing newer can have been acknowledged anywhere.
+    pub fresh_age: Option<Millis>,
+    /// Proxies that take part in common limits.
+    pub members: u32,
+    /// Whether the asking proxy is one of them, and settled.
+    pub settled: bool,
+}
