The gateway's connections, pools and driver take their platform's words as a value

Cause: another program with other header names and routing is to run on the same code, which named the relay platform's headers, limits and configuration throughout.

Change: `dialect::Dialect` is what is written to a worker and what its answers mean; `RelayDialect` is today's. A good answer carries status and headers; 204, 304 and answers to HEAD are whole without a length; a worker's `Keep-Alive: timeout=N` bounds the idle time of its connection, less a second. `Driver::new` takes `DriverSettings`. `server.rs` is split into `connections.rs` (generic over `Answers`), `collect.rs` (bodies within bounds) and the reading of requests.

Differs for the old program: a 204 or 304 without a length leaves its connection pooled, `Keep-Alive` is heeded, and a client's times are looked at every 2.2 s at the latest rather than only at the last known end. Ruled out: a generic parameter in place of `Rc<dyn Dialect>`, which every holder of the driver would have to name.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -12,17 +12,22 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// The longest body, of a request or an answer, in bytes: what is said to be longer is nonsense.
-pub const LONGEST: u64 = 40 << 20;
 /// The longest that is held whole in any case, bytes; each attempt can send it anew.
 pub const HELD: usize = 64 * 1024;
-/// How long a peer may keep a body waiting for its next piece. More than the 2 s that a slow one may take.
-pub const PIECE_TIME: Duration = Duration::from_millis(2_200);
-/// Bytes a second that a client must keep up with, once it has had `PIECE_TIME`: half of what the slowest sends.
-pub const SLOWEST: f64 = 32_000.0;
 /// How long the rest of a body is read for nothing, so that its client can read why it was turned away.
 const WASTED: Duration = Duration::from_secs(5);
 
+/// How long a request's body may be, and how slowly it may come.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// The longest body, bytes.
+    pub longest: u64,
+    /// How long a body may keep its reader waiting for the next piece.
+    pub piece_timeout: Duration,
+    /// Bytes a second that a client must keep up with, once it has had `piece_timeout`.
+    pub slowest: f64,
+}
+
 /// Pieces of a body, joined. Most bodies come in one, which is not copied.
 #[derive(Default)]
 pub struct Joined {
@@ -153,22 +158,30 @@
     over: Cell<bool>,
     /// Told when it is over, and when what remains of it has been given back.
     changed: Notify,
+    limits: BodyLimits,
     /// How long its client waits for the answer, from its last byte on.
     pub patience: Duration,
 }
 
 impl Flow {
     /// A body of which `begun` has been read.
-    pub fn new(begun: Bytes, rest: Incoming, length: Option<u64>, patience: Duration) -> Rc<Self> {
+    pub fn new(
+        begun: Bytes,
+        rest: Incoming,
+        length: Option<u64>,
+        patience: Duration,
+        limits: BodyLimits,
+    ) -> Rc<Self> {
         let source = RefCell::new(Some(Source::new(begun, rest, length)));
         let (passed, over) = (Cell::new(0), Cell::new(false));
-        Rc::new(Flow { source, length, passed, over, changed: Notify::new(), patience })
+        Rc::new(Flow { source, length, passed, over, changed: Notify::new(), limits, patience })
     }
 
     /// The longest that it may take to come whole.
     pub fn longest(&self) -> Duration {
-        let left = self.length.unwrap_or(LONGEST).min(LONGEST) as f64;
-        PIECE_TIME + Duration::from_secs_f64(left / SLOWEST)
+        let BodyLimits { longest, piece_timeout, slowest } = self.limits;
+        let left = self.length.unwrap_or(longest).min(longest) as f64;
+        piece_timeout + Duration::from_secs_f64(left / slowest)
     }
 
     /// Ends once it is over: true; or once its client has sent nothing for long: false.
@@ -178,7 +191,7 @@
             if self.over.get() {
                 return true;
             }
-            let waited = platform.timeout(2 * PIECE_TIME, self.changed.notified()).await;
+            let waited = platform.timeout(2 * self.limits.piece_timeout, self.changed.notified()).await;
             if waited.is_err() && self.passed.get() == before {
                 return false;
             }
@@ -200,7 +213,7 @@
         let mut wasted = 0;
         while let Ok(Some(Ok(frame))) = platform.timeout_at(until, source.rest.frame()).await {
             wasted += frame.data_ref().map_or(0, Bytes::len) as u64;
-            if wasted > LONGEST {
+            if wasted > self.limits.longest {
                 return;
             }
         }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,23 +1,38 @@
 //! One client's connection as its server and an answer that passes through both see it.
 
+use crate::body::Flow;
 use crate::heads::Kept;
+use hingestage_platform::Platform;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// How long an answer may stand still, because of either side, before both are let go. The system takes up to
-/// half a megabyte ahead of a client, which a slow one reads in eight seconds.
-pub const STUCK_TIME: Duration = Duration::from_secs(20);
-/// How long a client may take over a request's head, from its first byte on, or be silent between two requests.
-/// Less than the 3 s in which one that never asks properly is owed an end, more than the 2 s of a slow one.
-/// The library's own time would count from the last answer on, and cut off who was silent a while first.
-pub const HEAD_TIME: Duration = Duration::from_millis(2_200);
-/// How long a client may take from connecting to the end of its first head.
-pub const FIRST_TIME: Duration = Duration::from_millis(2_600);
+/// How long a client may take over what.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientTimes {
+    /// From connecting to the end of the first head.
+    pub first_head_timeout: Duration,
+    /// From the first byte of a later head to its end. The library's own time would count from the last answer on,
+    /// and cut off who was silent a while first.
+    pub header_timeout: Duration,
+    /// Silent between two requests.
+    pub idle_timeout: Duration,
+    /// How long an answer may stand still, because of either side, before both are let go.
+    pub write_timeout: Duration,
+}
+
+impl ClientTimes {
+    /// The shortest of them: looked at so often, no connection outlives its time.
+    pub fn shortest(&self) -> Duration {
+        let later = self.header_timeout.min(self.idle_timeout).min(self.write_timeout);
+        self.first_head_timeout.min(later)
+    }
+}
 
 /// One client's connection, as far as closing it goes.
 pub struct Client {
+    times: ClientTimes,
     /// Whether a request of it has been read whole and not been answered.
     pub busy: Cell<bool>,
     served: Cell<bool>,
@@ -38,12 +53,13 @@
 }
 
 impl Client {
-    /// One that has just connected.
-    pub fn new(now: Instant, left: Rc<Notify>) -> Rc<Client> {
+    /// One that has just connected. `left` is told each time a client has been answered; `largest_head` is the
+    /// largest head of a request, bytes.
+    pub fn new(now: Instant, times: ClientTimes, largest_head: usize, left: Rc<Notify>) -> Rc<Client> {
         let (busy, served, drop) = (Cell::new(false), Cell::new(false), Cell::new(false));
         let (since, flows, wastes) = (Cell::new(now), Cell::new(false), Cell::new(false));
-        let (close, kept) = (Notify::new(), Rc::default());
-        Rc::new(Client { busy, served, since, drop, flows, wastes, close, kept, left })
+        let (close, kept) = (Notify::new(), Rc::new(Kept::new(largest_head)));
+        Rc::new(Client { times, busy, served, since, drop, flows, wastes, close, kept, left })
     }
 
     /// Whether nothing is under way on it in either direction, as far as it is known.
@@ -67,27 +83,42 @@
     pub fn overdue_at(&self) -> Option<Instant> {
         let head = self.kept.head.borrow();
         if let Some(blocked) = self.kept.blocked.get() {
-            return Some(blocked + STUCK_TIME);
+            return Some(blocked + self.times.write_timeout);
         }
         let asks = self.busy.get() || self.flows.get() || self.wastes.get() || head.is_whole();
         let since = self.since.get();
         let due = match self.served.get() {
-            true => head.reading_since().unwrap_or(since) + HEAD_TIME,
-            false => since + FIRST_TIME,
+            true => match head.reading_since() {
+                Some(began) => began + self.times.header_timeout,
+                None => since + self.times.idle_timeout,
+            },
+            false => since + self.times.first_head_timeout,
         };
         (!asks).then_some(due)
     }
 
+    /// Whether a long answer has stood still for too long.
+    pub fn stuck(&self, now: Instant) -> bool {
+        self.flows.get() && now.saturating_duration_since(self.since.get()) > self.times.write_timeout
+    }
+
+    /// Reads what remains of a request that has been answered, which is no idling.
+    pub fn waste_rest<P: Platform>(self: &Rc<Self>, platform: &P, flow: Rc<Flow>) {
+        let (client, clock) = (self.clone(), platform.clone());
+        self.wastes.set(true);
+        platform.spawn(async move {
+            flow.waste(clock.clone()).await;
+            client.wastes.set(false);
+            client.moves(clock.now());
+            client.kept.head.borrow_mut().next();
+        });
+    }
+
     /// Whether it has been answered at all.
     pub fn was_served(&self) -> bool {
         self.served.get()
     }
 
-    /// When something of it last moved.
-    pub fn moved(&self) -> Instant {
-        self.since.get()
-    }
-
     /// Something of a long answer has passed.
     pub fn moves(&self, now: Instant) {
         self.since.set(now);
@@ -115,16 +146,24 @@
 mod tests {
     use super::*;
 
+    const TIMES: ClientTimes = ClientTimes {
+        first_head_timeout: Duration::from_millis(2_600),
+        header_timeout: Duration::from_millis(2_200),
+        idle_timeout: Duration::from_millis(2_200),
+        write_timeout: Duration::from_secs(20),
+    };
+    const LARGEST_HEAD: usize = 16 * 1024;
+
     /// The end of a long answer may lie in the library's hands while its client reads slowly: it is neither idle
     /// nor silent then, and closing on it would cut the answer off.
     #[test]
     fn a_client_that_has_not_taken_its_answer_does_not_idle() {
         let now = Instant::now();
-        let client = Client::new(now, Rc::default());
+        let client = Client::new(now, TIMES, LARGEST_HEAD, Rc::default());
         client.served.set(true);
-        assert_eq!((client.idles(), client.overdue_at()), (true, Some(now + HEAD_TIME)));
+        assert_eq!((client.idles(), client.overdue_at()), (true, Some(now + TIMES.idle_timeout)));
         client.kept.blocked.set(Some(now));
-        assert_eq!((client.idles(), client.overdue_at()), (false, Some(now + STUCK_TIME)));
+        assert_eq!((client.idles(), client.overdue_at()), (false, Some(now + TIMES.write_timeout)));
         client.kept.blocked.set(None);
         client.busy.set(true);
         assert_eq!((client.idles(), client.overdue_at()), (false, None));
@@ -134,11 +173,11 @@
     #[test]
     fn a_heads_time_counts_from_its_first_byte_once_a_client_has_been_served() {
         let (now, pause) = (Instant::now(), Duration::from_secs(2));
-        let client = Client::new(now, Rc::default());
+        let client = Client::new(now, TIMES, LARGEST_HEAD, Rc::default());
         client.kept.head.borrow_mut().saw(now + pause, b"GET ");
-        assert_eq!(client.overdue_at(), Some(now + FIRST_TIME));
+        assert_eq!(client.overdue_at(), Some(now + TIMES.first_head_timeout));
         client.served.set(true);
-        assert_eq!(client.overdue_at(), Some(now + pause + HEAD_TIME));
+        assert_eq!(client.overdue_at(), Some(now + pause + TIMES.header_timeout));
         client.kept.head.borrow_mut().saw(now + pause, b"/ HTTP/1.1\r\n\r\n");
         assert_eq!(client.overdue_at(), None);
     }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,7 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
+use crate::driver::DriverSettings;
+use crate::relay_dialect::RelayDialect;
 use crate::sites::Planned;
 use hingestage_membership::hosts::HostList;
 use hingestage_operator::{Fleet, Policy, Srv};
@@ -7,6 +9,7 @@
 use hingestage_policy::{Micros, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The configuration as it is written down.
@@ -111,6 +114,21 @@
         Duration::from_micros(longest.unwrap_or(0))
     }
 
+    /// What the driver goes by.
+    pub fn driver_settings(&self) -> DriverSettings {
+        DriverSettings {
+            policy: self.settings.clone(),
+            seed: self.seed,
+            class_names: self.names.classes.clone(),
+            workers_max: self.workers_max,
+            connect_timeout: self.connect_timeout,
+            worker_idle: self.worker_idle,
+            counter: self.counter,
+            counter_timeout: self.settings.counter_timeout,
+            dialect: Rc::new(RelayDialect),
+        }
+    }
+
     /// Checks a configuration. The message of an error names the field.
     pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,12 +2,12 @@
 
 use crate::body::RequestBody;
 use crate::changes::Changes;
-use crate::config::Config;
 use crate::counter::{Asker, Counter, Tell};
+use crate::dialect::{Dialect, Parts};
 use crate::fleet::Fleet;
 use crate::sites::Sites;
 use crate::turns::Turns;
-use crate::workers::{Attempted, Parts, Progress, Served, ServedBody, Times, Workers};
+use crate::workers::{Attempted, Progress, Served, ServedBody, Times, Workers};
 use hingestage_operate::{Ending, Figures, Gauges, SrvFigures};
 use hingestage_platform::{Clock, Platform, Stream, Task};
 use hingestage_policy::{
@@ -17,6 +17,7 @@
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -82,6 +83,28 @@
     Box::new(Gatekeeper::new(settings, seed, now))
 }
 
+/// What a driver goes by.
+pub struct DriverSettings {
+    /// What the decisions go by.
+    pub policy: Settings,
+    /// For the decisions' random numbers.
+    pub seed: u64,
+    /// The names of the classes, for the figures.
+    pub class_names: Vec<String>,
+    /// Most connections to workers.
+    pub workers_max: usize,
+    /// A connection to a worker not established by then never is.
+    pub connect_timeout: Duration,
+    /// A worker closes a connection that has been idle for so long.
+    pub worker_idle: Duration,
+    /// The counter, where there is one.
+    pub counter: Option<SocketAddr>,
+    /// How long an answer of the counter is waited for.
+    pub counter_timeout: Micros,
+    /// What is written to workers, and what their answers mean.
+    pub dialect: Rc<dyn Dialect>,
+}
+
 /// The gateway's heart.
 pub struct Driver<P: Platform> {
     /// What all of it runs on.
@@ -117,20 +140,21 @@
 
 impl<P: Platform> Driver<P> {
     /// A driver that has heard nothing yet.
-    pub fn new(platform: P, config: &Config, decide: MakeDecisions) -> Rc<Self> {
+    pub fn new(platform: P, settings: DriverSettings, decide: MakeDecisions) -> Rc<Self> {
         let clock = Clock::new(&platform);
         let now = clock.micros(platform.now());
-        let settings = config.settings.clone();
+        let most_units = settings.policy.most_units;
         Rc::new_cyclic(|this: &Weak<Self>| Driver {
             workers: Workers::new(
                 platform.clone(),
-                config.workers_max,
-                config.connect_timeout,
-                config.worker_idle,
+                settings.workers_max,
+                settings.connect_timeout,
+                settings.worker_idle,
+                settings.dialect,
             ),
             counter: Counter::new(
                 platform.clone(),
-                config.counter,
+                settings.counter,
                 settings.counter_timeout,
                 tell_counter(this.clone()),
             ),
@@ -138,15 +162,15 @@
             turns: RefCell::default(),
             changes: RefCell::default(),
             sites: RefCell::default(),
-            decisions: RefCell::new(decide(settings, config.seed, now)),
+            decisions: RefCell::new(decide(settings.policy, settings.seed, now)),
             clock,
             platform,
             open: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
-            figures: RefCell::new(Figures::new(&config.names.classes)),
+            figures: RefCell::new(Figures::new(&settings.class_names)),
             inflight: Cell::new(0),
-            most_units: config.settings.most_units,
+            most_units,
             events: RefCell::default(),
             feeding: Cell::new(false),
         })
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,10 +3,11 @@
 use crate::admin::Admin;
 use crate::changes::Changes;
 use crate::config::Config;
+use crate::connections::Connections;
 use crate::discovery::{Book, Watcher};
 use crate::driver::{Driver, MakeDecisions};
 use crate::fleet::Fleet;
-use crate::server::Server;
+use crate::server::{connection_settings, Server};
 use crate::sites::Sites;
 use crate::srv::{Follower, Hears};
 use crate::turns::Turns;
@@ -81,8 +82,9 @@
     controls: mpsc::Receiver<Control>,
 ) -> Result<(), String> {
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
-    let driver = Driver::new(platform.clone(), &config, decide);
+    let driver = Driver::new(platform.clone(), config.driver_settings(), decide);
     let server = Server::new(driver.clone(), &config);
+    let connections = Connections::new(platform.clone(), server.clone(), connection_settings(&config));
     let sites = Sites::new(&driver, config.sites.clone(), config.settings.instances, &config.settings.rules);
     *driver.sites.borrow_mut() = Some(sites.clone());
     platform.spawn(sites.run());
@@ -135,14 +137,14 @@
         driver.feed(Event::Terms(None));
         platform.spawn(changes.run());
     }
-    platform.spawn(tidy(driver.clone(), server.clone()));
+    platform.spawn(tidy(driver.clone(), connections.clone()));
     tokio::select! {
         biased;
         _ = stop => {}
-        () = server.accept(&listener) => {}
+        () = connections.accept(&listener) => {}
     }
     let longest = driver.longest().map_or(config.longest_deadline(), |l| l.max(config.longest_deadline()));
-    server.stop(listener, longest + STOP_SPARE).await;
+    connections.stop(listener, server.stopping(longest + STOP_SPARE)).await;
     let fleet = driver.fleet.borrow().clone();
     if let Some(fleet) = fleet {
         fleet.last_words().await;
@@ -207,12 +209,12 @@
     follower
 }
 
-async fn tidy<P: Platform>(driver: Rc<Driver<P>>, server: Rc<Server<P>>) {
+async fn tidy<P: Platform>(driver: Rc<Driver<P>>, connections: Rc<Connections<P, Server<P>>>) {
     loop {
         driver.platform.sleep(TIDY).await;
         driver.workers.retire_idle();
         driver.gauge();
-        server.close_stuck();
+        connections.close_stuck();
     }
 }
 
--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -13,26 +13,30 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The head being read, bounded by what the library takes for one.
-#[derive(Default)]
 pub struct Head {
+    /// The largest head kept, bytes. The library refuses larger ones.
+    largest: usize,
     bytes: Vec<u8>,
     whole: bool,
     began: Option<Instant>,
 }
 
 impl Head {
-    /// The largest head kept, bytes. The library refuses larger ones.
-    const MAX: usize = 16 * 1024;
     /// Space kept for the next head.
     const KEPT: usize = 1024;
 
+    /// Nothing has come yet. Of heads over `largest` bytes the rest is not kept.
+    pub fn new(largest: usize) -> Self {
+        Head { largest, bytes: Vec::new(), whole: false, began: None }
+    }
+
     /// Takes in what has come: of a head, up to its empty line.
     pub fn saw(&mut self, now: Instant, bytes: &[u8]) {
         if !bytes.is_empty() {
             self.began.get_or_insert(now);
         }
         for byte in bytes {
-            if self.whole || self.bytes.len() >= Self::MAX {
+            if self.whole || self.bytes.len() >= self.largest {
                 return;
             }
             self.bytes.push(*byte);
@@ -57,13 +61,13 @@
         self.whole
     }
 
-    /// Whether this is the head of a request with that id, and names no length. A head that came together with
-    /// the request before it was not kept, and nothing is known of it.
-    pub fn names_no_length(&self, id: &[u8]) -> bool {
+    /// Whether this is the head of a request with that id in the header `id_name`, and names no length. A head that
+    /// came together with the request before it was not kept, and nothing is known of it.
+    pub fn names_no_length(&self, id_name: &str, id: &[u8]) -> bool {
         let mut lines = self.bytes.split(|b| *b == b'\n').map(|line| line.split_at(colon(line)));
         let named = |line: &[u8], name: &[u8]| line.trim_ascii().eq_ignore_ascii_case(name);
         let same = lines.clone().any(|(name, value)| {
-            named(name, b"request-id") && value.get(1..).is_some_and(|value| value.trim_ascii() == id)
+            named(name, id_name.as_bytes()) && value.get(1..).is_some_and(|value| value.trim_ascii() == id)
         });
         self.whole && same && !lines.any(|(name, _)| named(name, b"content-length"))
     }
@@ -74,7 +78,6 @@
 }
 
 /// What is kept of a client's connection.
-#[derive(Default)]
 pub struct Kept {
     /// The head being read.
     pub head: RefCell<Head>,
@@ -86,6 +89,12 @@
 }
 
 impl Kept {
+    /// Nothing has come yet. `largest_head` is the largest head that is kept, bytes.
+    pub fn new(largest_head: usize) -> Self {
+        let head = RefCell::new(Head::new(largest_head));
+        Kept { head, blocked: Cell::new(None), heard: Cell::new(None) }
+    }
+
     fn wrote<T>(&self, now: impl FnOnce() -> Instant, polled: Poll<T>) -> Poll<T> {
         let since = self.blocked.get();
         self.blocked.set(if polled.is_pending() { since.or_else(|| Some(now())) } else { None });
@@ -155,11 +164,13 @@
 mod tests {
     use super::*;
 
+    const LARGEST: usize = 16 * 1024;
+
     fn knows(text: &str) -> bool {
-        let mut head = Head::default();
+        let mut head = Head::new(LARGEST);
         // Piece by piece or at once is the same.
         text.as_bytes().chunks(3).for_each(|piece| head.saw(Instant::now(), piece));
-        head.names_no_length(b"r-1")
+        head.names_no_length("request-id", b"r-1")
     }
 
     #[test]
@@ -178,9 +189,9 @@
 
     #[test]
     fn a_head_without_end_takes_no_more_than_its_bound() {
-        let mut head = Head::default();
+        let mut head = Head::new(LARGEST);
         (0..100).for_each(|_| head.saw(Instant::now(), &[b'x'; 1000]));
-        assert_eq!(head.bytes.len(), Head::MAX);
+        assert_eq!(head.bytes.len(), LARGEST);
         head.next();
         assert!(head.bytes.capacity() <= Head::KEPT);
     }
--- a/crates/gateway/src/passing.rs
+++ b/crates/gateway/src/passing.rs
@@ -3,7 +3,7 @@
 use crate::body::{poll_whole, Piece, Source};
 use crate::client::Client;
 use crate::driver::{Driver, Ticket};
-use crate::workers::Rest;
+use crate::workers::{Rest, ServedBody};
 use bytes::Bytes;
 use hingestage_operate::Ending;
 use hingestage_platform::Platform;
@@ -22,6 +22,26 @@
     Flow(Box<Passed<P>>),
 }
 
+impl<P: Platform> Written<P> {
+    /// The body of a worker's good answer on its way to its client. The ticket lives as long as a long one.
+    pub fn served(
+        driver: Rc<Driver<P>>,
+        client: Rc<Client>,
+        class: ClassId,
+        ticket: Ticket<P>,
+        body: ServedBody<P::Stream>,
+    ) -> Self {
+        match body {
+            ServedBody::Whole(bytes) => Written::Whole(Full::new(bytes)),
+            ServedBody::Flow(rest) => {
+                client.flows.set(true);
+                client.moves(driver.platform.now());
+                Written::Flow(Box::new(Passed::new(driver, client, class, ticket, *rest)))
+            }
+        }
+    }
+}
+
 /// A worker's long answer on its way. Dropped before its end it is cut off, and its client can tell: the length
 /// said, or the last chunk, is missing.
 pub struct Passed<P: Platform> {
--- /dev/null
+++ b/crates/gateway/src/relay_dialect.rs
@@ -0,0 +1,56 @@
+//! The headers of the relay platform: `Request-Id`, `Request-Timeout`, `Not-Started`, `X-Cost-Units`.
+
+use crate::decimal;
+use crate::dialect::{Dialect, Judgement, Parts};
+use hingestage_policy::{Outcome, WorkerId};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::StatusCode;
+use std::time::Duration;
+
+/// The name under which workers serve.
+const SERVICE: &str = "backend.local";
+/// Identifies a request, on the client's side and on the worker's.
+pub const REQUEST_ID: &str = "request-id";
+/// Seconds within which an answer is of use, on both sides.
+pub const REQUEST_TIMEOUT: &str = "request-timeout";
+/// Set to `1` by a worker that turned a request away before any of it ran.
+const NOT_STARTED: &str = "not-started";
+/// The true units of a request that ran.
+const COST_UNITS: &str = "x-cost-units";
+
+/// The dialect of the relay platform.
+pub struct RelayDialect;
+
+impl Dialect for RelayDialect {
+    fn write_head(&self, parts: &Parts, _worker: WorkerId, left: Duration, headers: &mut HeaderMap) {
+        let passed = std::mem::take(headers);
+        headers.insert(HOST, HeaderValue::from_static(SERVICE));
+        headers.insert(REQUEST_ID, parts.id.clone());
+        if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64())) {
+            headers.insert(REQUEST_TIMEOUT, value);
+        }
+        headers.extend(passed);
+    }
+
+    fn judge(&self, _parts: &Parts, status: StatusCode, headers: &HeaderMap) -> Judgement {
+        let not_started = headers.get(NOT_STARTED).is_some_and(|value| value == "1");
+        let outcome = match status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => Outcome::Full,
+            // Without the word that it never began, it may have run.
+            _ => Outcome::Error,
+        };
+        let told = headers.get(COST_UNITS).filter(|_| outcome == Outcome::Ok);
+        let true_units = told.and_then(|value| decimal(value.to_str().ok()?));
+        Judgement { outcome, true_units }
+    }
+
+    fn passed_on(&self, headers: &HeaderMap) -> HeaderMap {
+        content_type(headers)
+    }
+}
+
+/// Of these headers the one that says what a body is: all that passes through besides the body.
+pub fn content_type(headers: &HeaderMap) -> HeaderMap {
+    headers.get(CONTENT_TYPE).map(|value| (CONTENT_TYPE, value.clone())).into_iter().collect()
+}
--- a/crates/gateway/src/workers.rs
+++ b/crates/gateway/src/workers.rs
@@ -1,16 +1,17 @@
 //! The workers' side: pooled connections, attempts, and what an attempt's end proves.
 
-use crate::body::{Joined, Passing, RequestBody, Source, HELD, LONGEST};
+use crate::body::{Joined, Passing, RequestBody, Source, HELD};
+use crate::dialect::{Dialect, Judgement, Parts};
+use crate::note;
 use crate::wire::{Place, Wire, WireIo};
-use crate::{decimal, note};
 use bytes::Bytes;
 use hingestage_platform::{Elapsed, Platform, Stream};
 use hingestage_policy::{Outcome, WorkerId};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -22,12 +23,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The name under which workers serve.
-const SERVICE: &str = "backend.local";
 /// Idle connections kept to one worker.
 const IDLE_MAX: usize = 32;
 /// The largest head of an answer, bytes.
 const HEAD_MAX: usize = 16 * 1024;
+/// The longest answer, bytes: what is said to be longer is nonsense.
+const LONGEST: u64 = 40 << 20;
 /// Bytes of an answer without a length that are held before it is taken for a long one: it may be spoilt, and
 /// then another attempt can still be made, but the first bytes of a long one are waited for.
 const HELD_CHUNKED: usize = 8 * 1024;
@@ -39,20 +40,8 @@
 const RESTED: Duration = Duration::from_millis(2);
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE: Duration = Duration::from_millis(250);
-
-/// What goes on to a worker unchanged.
-pub struct Parts {
-    /// `GET` or `POST`.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The client's id for it.
-    pub id: HeaderValue,
-    /// The client's word on what the body is.
-    pub content_type: Option<HeaderValue>,
-    /// The body.
-    pub body: RequestBody,
-}
+/// Time kept back from the idle time that a worker tells: a request on its way must not cross the closing.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// By when an attempt must have come how far.
 #[derive(Clone, Copy, Debug)]
@@ -65,10 +54,12 @@
 
 /// A worker's good answer.
 pub struct Served<S: Stream> {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers that go to the client.
+    pub headers: HeaderMap,
     /// The body, unchanged.
     pub body: ServedBody<S>,
-    /// What it is.
-    pub content_type: Option<HeaderValue>,
 }
 
 /// The body of a good answer.
@@ -91,7 +82,7 @@
 impl<S: Stream> Rest<S> {
     /// The end of an attempt whose answer has come whole: its connection can serve again.
     pub fn over(self) -> Attempted<S> {
-        Attempted { conn: Some(self.conn), ..Outcome::Ok.into() }
+        Attempted { conn: Some(self.conn).filter(|conn| conn.reusable), ..Outcome::Ok.into() }
     }
 }
 
@@ -176,7 +167,18 @@
     /// Where it leads, and to which life of the worker.
     life: Life,
     idle_since: Instant,
+    /// How long it may stay idle.
+    idle_limit: Duration,
     used: bool,
+    /// Whether it may serve again after the answer that it carries.
+    reusable: bool,
+}
+
+impl<S: Stream> Conn<S> {
+    /// Whether it has been idle for so long that the worker may be about to close it.
+    fn expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.idle_since) >= self.idle_limit
+    }
 }
 
 /// Address and start of a worker.
@@ -203,6 +205,7 @@
     most: usize,
     connect_timeout: Duration,
     keep_idle: Duration,
+    dialect: Rc<dyn Dialect>,
     odd: Cell<u64>,
     /// Who wants to know that nobody listens at a worker's address.
     on_refused: RefCell<Option<OnRefused>>,
@@ -213,11 +216,17 @@
 impl<P: Platform> Workers<P> {
     /// None known yet. Connections are retired at half the time after which workers close them: a request
     /// that crosses the closing would be a reset, which may have run.
-    pub fn new(platform: P, most: usize, connect_timeout: Duration, worker_idle: Duration) -> Self {
+    pub fn new(
+        platform: P,
+        most: usize,
+        connect_timeout: Duration,
+        worker_idle: Duration,
+        dialect: Rc<dyn Dialect>,
+    ) -> Self {
         let (pools, open) = (RefCell::default(), Rc::default());
         let keep_idle = worker_idle / 2;
         let (odd, on_refused) = (Cell::new(0), RefCell::default());
-        Workers { platform, pools, open, most, connect_timeout, keep_idle, odd, on_refused }
+        Workers { platform, pools, open, most, connect_timeout, keep_idle, dialect, odd, on_refused }
     }
 
     /// Tells somebody from now on when nobody listens at a worker's address.
@@ -270,9 +279,7 @@
     pub fn retire_idle(&self) {
         let now = self.platform.now();
         for pool in self.pools.borrow_mut().values_mut() {
-            pool.idle.retain(|conn| {
-                now.saturating_duration_since(conn.idle_since) < self.keep_idle && !conn.sender.is_closed()
-            });
+            pool.idle.retain(|conn| !conn.expired(now) && !conn.sender.is_closed());
         }
     }
 
@@ -297,13 +304,14 @@
             progress.begin(&conn.wire, conn.used, parts);
             let limit = self.limit(parts, times.deadline);
             let heard = Cell::new(None);
+            let exchange = self.exchange(worker, &mut conn, parts, body, times.deadline, &heard);
             let ended = tokio::select! {
                 biased;
-                ended = exchange(&self.platform, &mut conn, parts, body, times.deadline, &heard) => Ok(ended),
+                ended = exchange => Ok(ended),
                 () = limit => Err(Elapsed),
             };
             if let Ok(Ok(answer)) = ended {
-                return Attempted { heard: heard.get(), ..judge(worker, answer, conn) };
+                return Attempted { heard: heard.get(), ..self.attempted(worker, answer, conn) };
             }
             let (used, whole) = (conn.used, progress.give_up());
             drop(conn);
@@ -321,6 +329,99 @@
         }
     }
 
+    /// Writes a request and reads its answer. An answer that begins and does not go on has been spoilt: the rest
+    /// will never come, and the time that is left is better spent on another attempt.
+    async fn exchange(
+        &self,
+        worker: WorkerId,
+        conn: &mut Conn<P::Stream>,
+        parts: &Parts,
+        body: Passing,
+        deadline: Instant,
+        heard: &Cell<Option<Instant>>,
+    ) -> Result<Answer, Broken> {
+        let skipped = Arc::new(AtomicUsize::new(0));
+        let left = match &parts.body {
+            RequestBody::Whole(_) => deadline.saturating_duration_since(self.platform.now()),
+            RequestBody::Flow(flow) => flow.patience,
+        };
+        let request = self.request(worker, parts, body, left, skipped.clone());
+        let (wire, mark) = (conn.wire.clone(), conn.wire.read());
+        tokio::select! {
+            biased;
+            answer = self.read_answer(worker, parts, &mut conn.sender, request) => answer,
+            () = stalled(&self.platform, &wire, mark, &skipped, heard) => {
+                Err(Broken::Spoilt("an answer without an end"))
+            }
+        }
+    }
+
+    /// What goes on to a worker. `skipped` counts the interim answers (1xx) ahead of the final one.
+    fn request(
+        &self,
+        worker: WorkerId,
+        parts: &Parts,
+        body: Passing,
+        left: Duration,
+        skipped: Arc<AtomicUsize>,
+    ) -> Request<Passing> {
+        let mut request = Request::new(body);
+        *request.method_mut() = parts.method.clone();
+        *request.uri_mut() = parts.uri.clone();
+        *request.headers_mut() = parts.headers.clone();
+        self.dialect.write_head(parts, worker, left, request.headers_mut());
+        hyper::ext::on_informational(&mut request, move |_| {
+            skipped.fetch_add(1, Ordering::Relaxed);
+        });
+        request
+    }
+
+    async fn read_answer(
+        &self,
+        worker: WorkerId,
+        parts: &Parts,
+        sender: &mut SendRequest<Passing>,
+        request: Request<Passing>,
+    ) -> Result<Answer, Broken> {
+        let answer: Response<Incoming> =
+            sender.send_request(request).await.map_err(|e| match e.is_parse() {
+                true => Broken::Spoilt("an answer that can't be read"),
+                false => Broken::Connection,
+            })?;
+        let (head, body) = answer.into_parts();
+        let (status, headers) = (head.status, head.headers);
+        self.dialect.listen(worker, &headers);
+        let judgement = self.dialect.judge(parts, status, &headers);
+        let body = answer_body(parts, status, &headers, judgement.outcome, body).await?;
+        Ok(Answer { judgement, status, headers, body })
+    }
+
+    /// The end of an attempt that was answered. One whose answer has no end of its own is read no further, and
+    /// its connection not kept.
+    fn attempted(&self, worker: WorkerId, answer: Answer, mut conn: Conn<P::Stream>) -> Attempted<P::Stream> {
+        let Answer { judgement, status, headers, body } = answer;
+        conn.reusable = self.dialect.may_reuse(&headers);
+        if let Some(told) = told_idle(&headers) {
+            conn.idle_limit = self.keep_idle.min(told.saturating_sub(IDLE_MARGIN));
+        }
+        let (body, conn) = match body {
+            AnswerBody::Whole(bytes) => (Some(ServedBody::Whole(bytes)), Some(conn)),
+            AnswerBody::Flow(source) => {
+                (Some(ServedBody::Flow(Box::new(Rest { source, worker, conn }))), None)
+            }
+            AnswerBody::Endless => (None, None),
+        };
+        let body = body.filter(|_| judgement.outcome == Outcome::Ok);
+        let served = body.map(|body| Served { status, headers: self.dialect.passed_on(&headers), body });
+        Attempted {
+            outcome: judgement.outcome,
+            true_units: judgement.true_units,
+            heard: None,
+            served,
+            conn: conn.filter(|conn| conn.reusable),
+        }
+    }
+
     /// Ends when an attempt has taken too long. A long body's time counts from its last byte.
     async fn limit(&self, parts: &Parts, deadline: Instant) {
         match &parts.body {
@@ -364,7 +465,7 @@
             let kept = matches!(parts.body, RequestBody::Whole(_));
             while let Some(place) = pool.idle.iter().rposition(rested).filter(|_| kept) {
                 let conn = pool.idle.remove(place);
-                if now.saturating_duration_since(conn.idle_since) < self.keep_idle && conn.sender.is_ready() {
+                if !conn.expired(now) && conn.sender.is_ready() {
                     return Ok(conn);
                 }
             }
@@ -399,7 +500,8 @@
             let _ = driver.await;
         });
         wire.driven_by(task);
-        Ok(Conn { sender, wire, life, idle_since: self.platform.now(), used: false })
+        let (idle_since, idle_limit) = (self.platform.now(), self.keep_idle);
+        Ok(Conn { sender, wire, life, idle_since, idle_limit, used: false, reusable: true })
     }
 
     fn close_an_idle_one(&self) {
@@ -412,29 +514,14 @@
     }
 }
 
-/// What an answer says. One without an end of its own is read no further, and its connection not kept.
-fn judge<S: Stream>(worker: WorkerId, (status, headers, body): Answer, conn: Conn<S>) -> Attempted<S> {
-    let not_started = headers.get("not-started").is_some_and(|value| value == "1");
-    let outcome = match status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => Outcome::Full,
-        // Without the word that it never began, it may have run.
-        _ => Outcome::Error,
-    };
-    let good = outcome == Outcome::Ok;
-    let (body, conn) = match body {
-        AnswerBody::Whole(bytes) => (Some(ServedBody::Whole(bytes)), Some(conn)),
-        AnswerBody::Flow(source) => (Some(ServedBody::Flow(Box::new(Rest { source, worker, conn }))), None),
-        AnswerBody::Endless => (None, None),
-    };
-    let body = body.filter(|_| good);
-    let served = body.map(|body| Served { body, content_type: headers.get(CONTENT_TYPE).cloned() });
-    let true_units = headers.get("x-cost-units").filter(|_| good).and_then(|v| decimal(v.to_str().ok()?));
-    Attempted { outcome, true_units, heard: None, served, conn }
+/// An answer as far as it has been read.
+struct Answer {
+    judgement: Judgement,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
 }
 
-type Answer = (StatusCode, HeaderMap, AnswerBody);
-
 enum AnswerBody {
     Whole(Bytes),
     /// A long one.
@@ -449,70 +536,41 @@
     Spoilt(&'static str),
 }
 
-/// Writes a request and reads its answer. An answer that begins and does not go on has been spoilt: the rest
-/// will never come, and the time that is left is better spent on another attempt.
-async fn exchange<P: Platform>(
-    platform: &P,
-    conn: &mut Conn<P::Stream>,
-    parts: &Parts,
-    body: Passing,
-    deadline: Instant,
-    heard: &Cell<Option<Instant>>,
-) -> Result<Answer, Broken> {
-    let skipped = Arc::new(AtomicUsize::new(0));
-    let left = match &parts.body {
-        RequestBody::Whole(_) => deadline.saturating_duration_since(platform.now()),
-        RequestBody::Flow(flow) => flow.patience,
-    };
-    let request = request(parts, body, left, skipped.clone());
-    let (wire, mark) = (conn.wire.clone(), conn.wire.read());
-    tokio::select! {
-        biased;
-        answer = read_answer(&mut conn.sender, request) => answer,
-        () = stalled(platform, &wire, mark, &skipped, heard) => Err(Broken::Spoilt("an answer without an end")),
-    }
+/// The idle time that a worker tells: `Keep-Alive: timeout=5`, seconds.
+fn told_idle(headers: &HeaderMap) -> Option<Duration> {
+    let values = headers.get_all("keep-alive").iter().filter_map(|value| value.to_str().ok());
+    let mut parameters = values.flat_map(|value| value.split(',')).filter_map(|one| one.split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// What goes on to a worker. `skipped` counts the interim answers (1xx) ahead of the final one.
-fn request(parts: &Parts, body: Passing, left: Duration, skipped: Arc<AtomicUsize>) -> Request<Passing> {
-    let mut request = Request::new(body);
-    *request.method_mut() = parts.method.clone();
-    *request.uri_mut() = parts.uri.clone();
-    let headers = request.headers_mut();
-    headers.insert(HOST, HeaderValue::from_static(SERVICE));
-    headers.insert("request-id", parts.id.clone());
-    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64())) {
-        headers.insert("request-timeout", value);
-    }
-    if let Some(value) = &parts.content_type {
-        headers.insert(CONTENT_TYPE, value.clone());
-    }
-    hyper::ext::on_informational(&mut request, move |_| {
-        skipped.fetch_add(1, Ordering::Relaxed);
-    });
-    request
+/// Whether an answer has no body whatever its headers say (RFC 9110, 6.4.1).
+fn has_no_body(method: &Method, status: StatusCode) -> bool {
+    method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
-async fn read_answer(sender: &mut SendRequest<Passing>, request: Request<Passing>) -> Result<Answer, Broken> {
-    let answer: Response<Incoming> = sender.send_request(request).await.map_err(|e| match e.is_parse() {
-        true => Broken::Spoilt("an answer that can't be read"),
-        false => Broken::Connection,
-    })?;
-    let (head, body) = answer.into_parts();
+/// Reads the body that belongs to a head.
+async fn answer_body(
+    parts: &Parts,
+    status: StatusCode,
+    headers: &HeaderMap,
+    outcome: Outcome,
+    body: Incoming,
+) -> Result<AnswerBody, Broken> {
+    if has_no_body(&parts.method, status) {
+        return Ok(AnswerBody::Whole(Bytes::new()));
+    }
     // Said to be too long, it is not worth waiting for.
     if body.size_hint().lower() > LONGEST {
         return Err(Broken::Spoilt("an answer too large"));
     }
-    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-    if !framed {
-        // It would end where the connection does, and might be cut there without a sign.
-        return match head.status {
-            StatusCode::OK => Err(Broken::Spoilt("an answer without a length")),
-            status => Ok((status, head.headers, AnswerBody::Endless)),
-        };
+    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| headers.contains_key(name));
+    // Without a length it would end where the connection does, and might be cut there without a sign.
+    match (framed, outcome) {
+        (true, _) => read_body(body).await,
+        (false, Outcome::Ok) => Err(Broken::Spoilt("an answer without a length")),
+        (false, _) => Ok(AnswerBody::Endless),
     }
-    let body = read_body(body).await?;
-    Ok((head.status, head.headers, body))
 }
 
 /// Reads a body whole, or so far that it turns out to be a long one.
