Common limits of many gateways: leased parts, the table of tenants, counts told to owners

A tenant's limit binds over all gateways together, in touch or not. A counter service or counts alone can't keep that across a cut: who doesn't hear the others would go on admitting. So each gateway holds an even part of every limit under a lease and never gives out more; counts that gateways tell each other only sharpen the ordinary judgement.

Ruled out: buckets that are visited at every change of the part (100,000 of them; a meter lets rare ones catch up), refunds that add a token whatever happened since (the test of sums found windows that pass the limit by it), and owners that add increments (lost or doubled messages would count wrong; cumulative counts with a sequence don't).

--- /dev/null
+++ b/crates/quota/tests/sums.rs
@@ -0,0 +1,230 @@
+//! The sum of what all gateways admit, in worlds of changing parts, restarts, lapsed leases and requests given back.
+
+use hingestage_quota::{
+    Admission, BucketLimit, Incarnation, Micros, Part, PartMeter, SharedBucket, TableSettings, TenantLimits,
+    TenantTable,
+};
+use proptest::prelude::*;
+
+const S: Micros = 1_000_000;
+const GATEWAYS: usize = 5;
+/// What sums of floating-point numbers may be off by.
+const ROUNDING: f64 = 1e-6;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(Micros),
+    /// Grants one gateway a part, where the leases of the others leave room for it.
+    Grant {
+        gateway: usize,
+        gateways: u32,
+        lease: Micros,
+    },
+    Restart(usize),
+    Ask {
+        gateway: usize,
+        requests: usize,
+    },
+    /// Ends the oldest open request of a gateway.
+    End {
+        gateway: usize,
+        ran: bool,
+    },
+    /// Fills the table with other tenants.
+    Crowd(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let gateway = 0..GATEWAYS;
+    prop_oneof![
+        2 => (1..2 * S).prop_map(Step::Wait),
+        1 => (2 * S..40 * S).prop_map(Step::Wait),
+        4 => (gateway.clone(), 1..=GATEWAYS as u32, S..60 * S)
+            .prop_map(|(gateway, gateways, lease)| Step::Grant { gateway, gateways, lease }),
+        1 => gateway.clone().prop_map(Step::Restart),
+        6 => (gateway.clone(), 1_usize..12).prop_map(|(gateway, requests)| Step::Ask { gateway, requests }),
+        4 => (gateway.clone(), any::<bool>()).prop_map(|(gateway, ran)| Step::End { gateway, ran }),
+        1 => gateway.prop_map(Step::Crowd),
+    ]
+}
+
+/// One gateway, and the times at which its open requests were admitted.
+struct Gateway {
+    table: TenantTable,
+    part: Part,
+    open: Vec<Micros>,
+}
+
+struct World {
+    now: Micros,
+    limits: TenantLimits,
+    gateways: Vec<Gateway>,
+    runs: u64,
+    /// When requests were admitted that ran, or may still run.
+    ran: Vec<Micros>,
+}
+
+impl World {
+    fn new(limits: TenantLimits) -> World {
+        let new = || Gateway { table: new_table(0, 0), part: Part::NONE, open: Vec::new() };
+        let gateways = (0..GATEWAYS).map(|_| new()).collect();
+        World { now: 0, limits, gateways, runs: 0, ran: Vec::new() }
+    }
+
+    fn play(&mut self, step: &Step) {
+        match *step {
+            Step::Wait(span) => self.now += span,
+            Step::Grant { gateway, gateways, lease } => self.grant(gateway, gateways, lease),
+            Step::Restart(gateway) => self.restart(gateway),
+            Step::Ask { gateway, requests } => (0..requests).for_each(|_| self.ask(gateway)),
+            Step::End { gateway, ran } => self.end(gateway, ran),
+            Step::Crowd(gateway) => self.crowd(gateway),
+        }
+    }
+
+    fn grant(&mut self, gateway: usize, gateways: u32, lease: Micros) {
+        let part = Part { gateways, valid_until: self.now + lease };
+        let others = self.gateways.iter().enumerate().filter(|(other, _)| *other != gateway);
+        let taken: f64 = others.map(|(_, other)| other.part.share(self.now)).sum();
+        if taken + part.share(self.now) <= 1.0 + ROUNDING / 100.0 {
+            self.gateways[gateway].part = part;
+            self.gateways[gateway].table.observe_part(self.now, part);
+        }
+    }
+
+    fn restart(&mut self, gateway: usize) {
+        self.runs += 1;
+        let restarted = &mut self.gateways[gateway];
+        self.ran.append(&mut restarted.open);
+        restarted.table = new_table(self.now, self.runs);
+    }
+
+    fn ask(&mut self, gateway: usize) {
+        let Gateway { table, part, open } = &mut self.gateways[gateway];
+        if table.admit(self.now, "acme", self.limits, *part, 0) == Admission::Admitted {
+            open.push(self.now);
+        }
+    }
+
+    fn end(&mut self, gateway: usize, ran: bool) {
+        let ended = &mut self.gateways[gateway];
+        if ended.open.is_empty() {
+            return;
+        }
+        let admitted_at = ended.open.remove(0);
+        ended.table.ended(self.now, "acme", ran);
+        if ran {
+            self.ran.push(admitted_at);
+        }
+    }
+
+    fn crowd(&mut self, gateway: usize) {
+        let Gateway { table, part, .. } = &mut self.gateways[gateway];
+        for name in ["one", "two", "three"] {
+            if table.admit(self.now, name, self.limits, *part, 0) == Admission::Admitted {
+                table.ended(self.now, name, true);
+            }
+        }
+    }
+
+    /// The most that any window has beyond what the rate gives in it.
+    fn worst(mut self) -> f64 {
+        self.gateways.iter_mut().for_each(|gateway| self.ran.append(&mut gateway.open));
+        self.ran.sort_unstable();
+        let beyond = |from: usize, to: usize| {
+            let window = (self.ran[to] - self.ran[from]) as f64 / S as f64;
+            (to - from + 1) as f64 - window * self.limits.rate_per_s
+        };
+        let windows = (0..self.ran.len()).flat_map(|from| (from..self.ran.len()).map(move |to| (from, to)));
+        windows.map(|(from, to)| beyond(from, to)).fold(0.0, f64::max)
+    }
+}
+
+fn new_table(now: Micros, run: u64) -> TenantTable {
+    TenantTable::new(now, Incarnation(run), TableSettings { entries: 2, ..TableSettings::default() })
+}
+
+fn worst(limits: TenantLimits, steps: &[Step]) -> f64 {
+    let mut world = World::new(limits);
+    steps.iter().for_each(|step| world.play(step));
+    world.worst()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn the_sum_of_all_gateways_stays_within_rate_burst_and_slack(
+        steps in prop::collection::vec(step(), 1..120),
+        (rate, burst, slack) in (1_u32..20, 10_u32..30, 0_u32..10),
+        exempt: bool,
+    ) {
+        let (rate_per_s, burst, slack) = (rate.into(), burst.into(), slack.into());
+        let limits = TenantLimits { rate_per_s, burst, slack, open_cap: None, exempt };
+        prop_assert!(worst(limits, &steps) <= burst + slack + ROUNDING);
+    }
+
+    /// A bucket that is used rarely never has more than one that is brought up to date at every change of the part.
+    #[test]
+    fn a_bucket_used_rarely_has_no_more_than_one_that_follows_every_change(
+        changes in prop::collection::vec((1_u32..12, S / 10..3 * S, S / 10..3 * S), 1..150),
+    ) {
+        let limit = BucketLimit { rate: 8.0, depth: 30.0 };
+        let (mut now, mut meter) = (0, PartMeter::new(0));
+        meter.observe(0, Part { gateways: 1, valid_until: 10 * S });
+        let mut follows = SharedBucket::new(&meter, limit, 30.0);
+        let mut rare = follows.clone();
+        for (gateways, lease, span) in changes {
+            meter.observe(now, Part { gateways, valid_until: now + lease });
+            follows.refresh(&meter, limit);
+            meter.advance(now + span.min(lease));
+            follows.refresh(&meter, limit);
+            now += span;
+            meter.advance(now);
+            let mut rare = rare.clone();
+            rare.refresh(&meter, limit);
+            prop_assert!(rare.level() <= follows.level() + ROUNDING);
+        }
+        rare.refresh(&meter, limit);
+        prop_assert!(rare.level() <= 30.0 * meter.share().max(1.0 / 30.0));
+    }
+
+    #[test]
+    fn parts_below_one_token_cost_at_most_one_for_each_gateway(
+        steps in prop::collection::vec(step(), 1..120),
+        (rate, burst) in (0.05_f64..2.0, 0.0_f64..5.0),
+    ) {
+        let limits = TenantLimits { rate_per_s: rate, burst, slack: 0.0, open_cap: None, exempt: true };
+        prop_assert!(worst(limits, &steps) <= burst + GATEWAYS as f64 + ROUNDING);
+    }
+}
+
+#[test]
+fn even_parts_come_to_the_whole_and_not_less() {
+    let limits = TenantLimits { rate_per_s: 10.0, burst: 20.0, slack: 0.0, open_cap: None, exempt: true };
+    let mut steps = Vec::new();
+    let all = 0..GATEWAYS;
+    steps.extend(all.clone().map(|gateway| Step::Grant { gateway, gateways: 5, lease: 1_000 * S }));
+    for _ in 0..100 {
+        steps.push(Step::Wait(S));
+        steps.extend(all.clone().map(|gateway| Step::Ask { gateway, requests: 9 }));
+    }
+    let mut world = World::new(limits);
+    steps.iter().for_each(|step| world.play(step));
+    let admitted: usize = world.gateways.iter().map(|gateway| gateway.open.len()).sum();
+    assert!((995..=1_020).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn a_part_below_one_token_gives_out_its_rate_in_the_long_run() {
+    let limits = TenantLimits { rate_per_s: 0.5, burst: 1.0, slack: 0.0, open_cap: None, exempt: true };
+    let mut world = World::new(limits);
+    world.play(&Step::Grant { gateway: 0, gateways: 5, lease: 100_000 * S });
+    for _ in 0..1_000 {
+        world.play(&Step::Wait(S));
+        world.play(&Step::Ask { gateway: 0, requests: 2 });
+    }
+    let admitted = world.gateways[0].open.len();
+    assert!((99..=101).contains(&admitted), "{admitted}");
+    assert_eq!(SharedBucket::worst_depth(1.0, 5), 5.0);
+}
--- /dev/null
+++ b/crates/quota/tests/table.rs
@@ -0,0 +1,270 @@
+//! The judgement of tenants at one gateway, and the table's bounds.
+
+use hingestage_quota::{
+    Admission, GatewayId, Incarnation, Micros, Part, PartMeter, RefusalReason, TableSettings, TenantLimits,
+    TenantTable, TenantTotal, Totals,
+};
+
+const S: Micros = 1_000_000;
+const ALONE: Part = Part { gateways: 1, valid_until: 10_000 * S };
+const HALF: Part = Part { gateways: 2, valid_until: 10_000 * S };
+/// A window of two seconds.
+const LIMITS: TenantLimits =
+    TenantLimits { rate_per_s: 5.0, burst: 10.0, slack: 0.0, open_cap: None, exempt: false };
+
+/// A table that has held a part for long enough to have gathered every burst.
+fn table_with(part: Part, settings: TableSettings) -> TenantTable {
+    let mut table = TenantTable::new(0, Incarnation(1), settings);
+    table.observe_part(0, part);
+    table
+}
+
+fn table(part: Part) -> TenantTable {
+    table_with(part, TableSettings::default())
+}
+
+fn reason(admission: Admission) -> Option<RefusalReason> {
+    match admission {
+        Admission::Admitted => None,
+        Admission::Refused { reason, .. } => Some(reason),
+    }
+}
+
+/// Admits and ends so many requests at one moment, and tells how many were admitted.
+fn burst(table: &mut TenantTable, now: Micros, limits: TenantLimits, part: Part, requests: u64) -> u64 {
+    let ask = |spread: &u64| table.admit(now, "acme", limits, part, *spread) == Admission::Admitted;
+    let admitted = (0..requests).filter(ask).count() as u64;
+    (0..admitted).for_each(|_| table.ended(now, "acme", true));
+    admitted
+}
+
+#[test]
+fn an_unseen_tenant_starts_with_its_part_of_the_burst() {
+    assert_eq!(burst(&mut table(ALONE), 60 * S, LIMITS, ALONE, 30), 10);
+    assert_eq!(burst(&mut table(HALF), 60 * S, LIMITS, HALF, 30), 5);
+}
+
+#[test]
+fn a_gateway_that_just_started_has_an_empty_bucket() {
+    assert_eq!(burst(&mut table(ALONE), 0, LIMITS, ALONE, 30), 0);
+    assert_eq!(burst(&mut table(ALONE), S, LIMITS, ALONE, 30), 5);
+}
+
+#[test]
+fn a_part_that_grows_raises_the_rate_but_not_the_level() {
+    let mut table = table(HALF);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, HALF, 3), 3);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, ALONE, 30), 2);
+    assert_eq!(burst(&mut table, 61 * S, LIMITS, ALONE, 30), 5);
+}
+
+#[test]
+fn a_limit_that_grows_raises_the_rate_but_not_the_level() {
+    let raised = TenantLimits { rate_per_s: 50.0, burst: 100.0, ..LIMITS };
+    let mut table = table(ALONE);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, ALONE, 10), 10);
+    assert_eq!(burst(&mut table, 61 * S, raised, ALONE, 99), 5);
+    assert_eq!(burst(&mut table, 62 * S, raised, ALONE, 99), 50);
+    assert_eq!(burst(&mut table, 99 * S, LIMITS, ALONE, 1), 1);
+    assert_eq!(burst(&mut table, 200 * S, raised, ALONE, 99), 10);
+}
+
+#[test]
+fn nothing_is_earned_after_a_lease() {
+    let mut meter = PartMeter::new(0);
+    meter.observe(0, Part { gateways: 2, valid_until: 10 * S });
+    meter.advance(30 * S);
+    assert_eq!((meter.share(), meter.earned()), (0.0, 5.0));
+}
+
+#[test]
+fn a_lease_that_lapsed_leaves_what_was_gathered_after_it() {
+    let lapsed = Part { gateways: 1, valid_until: 20 * S };
+    let mut table = table(lapsed);
+    assert_eq!(burst(&mut table, 10 * S, LIMITS, lapsed, 1), 1);
+    let refusal = table.admit(20 * S, "acme", LIMITS, lapsed, 1);
+    assert!(matches!(refusal, Admission::Refused { retry_after, reason: RefusalReason::NoLease }
+        if (250_000..=375_000).contains(&retry_after)));
+    table.observe_part(30 * S, ALONE);
+    assert_eq!(burst(&mut table, 31 * S, LIMITS, ALONE, 30), 5);
+}
+
+#[test]
+fn tenants_without_a_rate_need_no_lease() {
+    let unlimited = TenantLimits { rate_per_s: 0.0, ..LIMITS };
+    assert_eq!(burst(&mut table(Part::NONE), 60 * S, unlimited, Part::NONE, 300), 300);
+}
+
+#[test]
+fn a_fast_refresher_is_boxed_for_one_window_except_for_its_rate() {
+    let slack = TenantLimits { slack: 10.0, ..LIMITS };
+    let mut table = table(ALONE);
+    assert_eq!(burst(&mut table, 60 * S, slack, ALONE, 10), 10);
+    assert!(!table.is_boxed(60 * S, "acme"));
+    table.observe_part(62 * S, ALONE);
+    assert_eq!(burst(&mut table, 61 * S, slack, ALONE, 1), 1);
+    assert!(table.is_boxed(61 * S, "acme"));
+    let refusal = table.admit(61 * S, "acme", slack, ALONE, 0);
+    assert!(matches!(refusal, Admission::Refused { retry_after, reason: RefusalReason::PenaltyBox }
+        if (200_000..=300_000).contains(&retry_after)));
+    assert_eq!(burst(&mut table, 61 * S + S / 5, slack, ALONE, 9), 1, "the rate's part");
+    assert!(table.is_boxed(63 * S - 1, "acme"));
+    assert!(!table.is_boxed(63 * S, "acme"), "the box ends after one window");
+    assert!(burst(&mut table, 64 * S, slack, ALONE, 5) > 1, "several at once again");
+}
+
+#[test]
+fn an_exempt_tenant_is_never_boxed_but_stays_inside_its_bound() {
+    let exempt = TenantLimits { exempt: true, slack: 10.0, ..LIMITS };
+    let mut table = table(ALONE);
+    let mut admitted = 0;
+    for tenth in 600..700 {
+        let now = tenth * S / 10;
+        admitted += burst(&mut table, now, exempt, ALONE, 3);
+        assert!(!table.is_boxed(now, "acme"));
+        assert_ne!(reason(table.admit(now, "acme", exempt, ALONE, 0)), Some(RefusalReason::PenaltyBox));
+    }
+    assert!((10..=70).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn open_requests_are_capped_by_the_share_of_recent_counts() {
+    let capped = TenantLimits { open_cap: Some(8), rate_per_s: 100.0, burst: 1_000.0, ..LIMITS };
+    let mut table = table(HALF);
+    let now = 60 * S;
+    let admit = |table: &mut TenantTable| reason(table.admit(now, "acme", capped, HALF, 0));
+    for _ in 0..4 {
+        assert_eq!(admit(&mut table), None, "half of eight by the part alone");
+    }
+    assert_eq!(admit(&mut table), Some(RefusalReason::OpenCap));
+    table.apply_totals(now, &totals(4, 4.0, 4.0));
+    assert_eq!(admit(&mut table), None, "all of eight, as nobody else counts any");
+    table.apply_totals(now, &totals(4, 400.0, 4.0));
+    assert_eq!(admit(&mut table), Some(RefusalReason::OpenCap));
+    (0..5).for_each(|_| table.ended(now, "acme", true));
+    assert_eq!(admit(&mut table), None, "at least one");
+}
+
+fn totals(counted: u64, total: f64, yours: f64) -> Totals {
+    let tenant = TenantTotal { tenant: "acme".into(), counted, total, yours, open: 0, gateways: 2 };
+    Totals { incarnation: Incarnation(1), sequence: 1, tenants: vec![tenant] }
+}
+
+#[test]
+fn counts_of_the_others_box_a_tenant_until_they_are_two_windows_old() {
+    let others = |age: Micros| {
+        let mut table = table(HALF);
+        assert_eq!(burst(&mut table, 60 * S, LIMITS, HALF, 1), 1);
+        table.apply_totals(60 * S, &totals(1, 12.0, 1.0));
+        burst(&mut table, 60 * S + age, LIMITS, HALF, 1);
+        table.is_boxed(60 * S + age, "acme")
+    };
+    assert!(others(0));
+    assert!(others(4 * S - 1));
+    assert!(!others(4 * S));
+}
+
+#[test]
+fn totals_are_predicted_forward() {
+    let mut table = table(HALF);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, HALF, 1), 1);
+    table.apply_totals(60 * S, &totals(1, 5.0, 1.0));
+    table.apply_totals(60 * S + S / 4, &totals(1, 6.0, 1.0));
+    burst(&mut table, 60 * S + S / 2, LIMITS, HALF, 1);
+    assert!(!table.is_boxed(60 * S + S / 2, "acme"));
+    burst(&mut table, 61 * S + S / 2, LIMITS, HALF, 1);
+    assert!(table.is_boxed(61 * S + S / 2, "acme"), "three and ten");
+}
+
+#[test]
+fn totals_of_another_run_are_ignored() {
+    let mut table = table(HALF);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, HALF, 1), 1);
+    let stale = Totals { incarnation: Incarnation(0), ..totals(1, 99.0, 1.0) };
+    table.apply_totals(60 * S, &stale);
+    burst(&mut table, 60 * S, LIMITS, HALF, 1);
+    assert!(!table.is_boxed(60 * S, "acme"));
+}
+
+#[test]
+fn a_request_that_never_ran_is_given_back() {
+    let exempt = TenantLimits { exempt: true, ..LIMITS };
+    let mut table = table(ALONE);
+    let now = 60 * S;
+    for _ in 0..10 {
+        assert_eq!(reason(table.admit(now, "acme", exempt, ALONE, 0)), None);
+    }
+    assert_eq!(reason(table.admit(now, "acme", exempt, ALONE, 0)), Some(RefusalReason::HardBound));
+    (0..3).for_each(|_| table.ended(now, "acme", false));
+    (0..7).for_each(|_| table.ended(now, "acme", true));
+    assert_eq!(burst(&mut table, now, exempt, ALONE, 9), 3);
+    assert_eq!(table.collect_adds(now, |_| Some(GatewayId(1)))[0].1.tenants[0].cumulative, 10);
+}
+
+#[test]
+fn what_a_full_bucket_would_have_lost_is_not_given_back() {
+    let mut table = table(ALONE);
+    assert_eq!(reason(table.admit(60 * S, "acme", LIMITS, ALONE, 0)), None);
+    assert_eq!(burst(&mut table, 80 * S, LIMITS, ALONE, 9), 9);
+    table.ended(80 * S, "acme", false);
+    assert_eq!(burst(&mut table, 80 * S, LIMITS, ALONE, 9), 1);
+}
+
+#[test]
+fn the_table_is_bounded_and_forgets_the_one_used_least_recently_that_is_not_busy() {
+    let settings = TableSettings { entries: 3, ..TableSettings::default() };
+    let mut table = table_with(ALONE, settings);
+    let admit = |table: &mut TenantTable, second: Micros, name: &str| {
+        reason(table.admit(second * S, name, LIMITS, ALONE, 0))
+    };
+    for (second, name) in [(60, "a"), (70, "b"), (80, "c")] {
+        assert_eq!(admit(&mut table, second, name), None);
+    }
+    table.ended(85 * S, "c", true);
+    table.ended(85 * S, "b", true);
+    assert_eq!(admit(&mut table, 90, "d"), None, "c goes");
+    assert_eq!(admit(&mut table, 100, "e"), None, "b goes");
+    assert_eq!(table.len(), 3);
+    assert_eq!(admit(&mut table, 110, "f"), Some(RefusalReason::OpenCap), "all are busy");
+    table.ended(110 * S, "a", true);
+    assert_eq!(admit(&mut table, 120, "f"), None, "a goes");
+    assert_eq!(table.len(), 3);
+}
+
+#[test]
+fn a_tenant_that_was_forgotten_has_no_more_than_it_may_have_left() {
+    let settings = TableSettings { entries: 1, ..TableSettings::default() };
+    let mut table = table_with(ALONE, settings);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, ALONE, 10), 10);
+    let mut admit = |now, name| reason(table.admit(now, name, LIMITS, ALONE, 0));
+    assert_eq!(admit(60 * S, "other"), Some(RefusalReason::HardBound));
+    assert_eq!(admit(60 * S, "acme"), Some(RefusalReason::HardBound));
+    assert_eq!(admit(61 * S, "other"), None, "gathered since");
+}
+
+#[test]
+fn idle_tenants_are_forgotten() {
+    let mut table = table(ALONE);
+    assert_eq!(burst(&mut table, 60 * S, LIMITS, ALONE, 1), 1);
+    assert_eq!(reason(table.admit(299 * S, "busy", LIMITS, ALONE, 0)), None);
+    assert_eq!(table.len(), 2);
+    assert_eq!(reason(table.admit(300 * S, "busy", LIMITS, ALONE, 0)), None);
+    assert_eq!(table.len(), 1);
+    assert_eq!(reason(table.admit(600 * S, "other", LIMITS, ALONE, 0)), None);
+    assert_eq!(table.len(), 2, "busy ones stay");
+}
+
+#[test]
+fn waits_are_spread() {
+    let mut table = table(ALONE);
+    burst(&mut table, 60 * S, LIMITS, ALONE, 10);
+    let mut wait = |spread| match table.admit(60 * S, "acme", LIMITS, ALONE, spread) {
+        Admission::Refused { retry_after, .. } => retry_after,
+        Admission::Admitted => 0,
+    };
+    let mut waits: Vec<Micros> = (0..20).map(&mut wait).collect();
+    assert!(waits.iter().all(|wait| (200_000..=300_000).contains(wait)), "{waits:?}");
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 15);
+}
