--- /dev/null
+++ b/crates/proxy/src/control.rs
@@ -0,0 +1,101 @@
+//! The link to the registries: one watch at each, answered when there is news.
+
+use crate::server::Proxy;
+use eyre::Result;
+use hingestage_node::settings::InnerPort;
+use hingestage_node::Settings;
+use hingestage_rpc::messages::{Have, RegistryAnswer, RegistryRequest, Watched, WorkersVersion};
+use hingestage_rpc::Client;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+
+/// How long a registry waits for news before it answers.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// How long an answer may take beyond that.
+const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+/// Pause after a call that failed.
+const CALL_PAUSE: Duration = Duration::from_millis(200);
+/// Period at which the settings file is read again for other seeds.
+const SEED_PERIOD: Duration = Duration::from_secs(2);
+/// Registries watched at the most.
+const REGISTRIES_MAX: usize = 16;
+
+type Registry = Client<RegistryRequest, RegistryAnswer>;
+
+/// Starts watching registries as they become known.
+pub(crate) async fn run(proxy: Rc<Proxy>) -> Result<()> {
+    let mut watched: BTreeMap<SocketAddr, ()> = BTreeMap::new();
+    loop {
+        let settings = Settings::load().unwrap_or_else(|_| (*proxy.settings).clone());
+        let seeds = settings.seeds.iter().map(|seed| settings.inner_at(seed.ip(), InnerPort::Registry));
+        let known: Vec<SocketAddr> = seeds.chain(proxy.registries.borrow().iter().copied()).collect();
+        for addr in known {
+            if watched.len() < REGISTRIES_MAX && watched.insert(addr, ()).is_none() {
+                spawn_local(keep_watching(proxy.clone(), Registry::new(addr)));
+            }
+        }
+        let changed = proxy.registries_changed.notified();
+        let _ = tokio::time::timeout(SEED_PERIOD, changed).await;
+    }
+}
+
+async fn keep_watching(proxy: Rc<Proxy>, registry: Registry) {
+    // Each registry has a directory of its own making.
+    let mut directory = 0;
+    loop {
+        let have = Have { directory, ..proxy.view.borrow().have() };
+        let asked_at = proxy.now();
+        let wait = WATCH_WAIT.as_millis() as u64;
+        let request = RegistryRequest::Watch { status: proxy.status(), have, wait };
+        match registry.call(&request, WATCH_WAIT + ANSWER_WITHIN).await {
+            Ok(RegistryAnswer::Watched(news)) => {
+                directory = news.have.directory;
+                take(&proxy, &registry, asked_at, *news).await;
+            }
+            _ => tokio::time::sleep(CALL_PAUSE).await,
+        }
+    }
+}
+
+/// Takes news in, and fetches what is newer than what is held.
+async fn take(proxy: &Rc<Proxy>, registry: &Registry, asked_at: u64, news: Watched) {
+    proxy.take_registries(&news.registries);
+    if let Some(peers) = news.directory {
+        proxy.take_peers(peers);
+    }
+    let mut changed = proxy.view.borrow_mut().take_drains(proxy.now(), &news.have.drains);
+    changed |= fetch_workers(proxy, registry, news.have.workers).await;
+    if news.have.config > proxy.view.borrow().have().config {
+        fetch_config(proxy, registry).await;
+    }
+    if changed {
+        proxy.refresh_workers();
+    }
+    {
+        let mut view = proxy.view.borrow_mut();
+        view.take_freshness(asked_at, news.fresh_age, news.have.config);
+        view.take_members(news.members, news.settled);
+    }
+    proxy.part_changed();
+}
+
+async fn fetch_workers(proxy: &Rc<Proxy>, registry: &Registry, version: WorkersVersion) -> bool {
+    if version <= proxy.view.borrow().have().workers || !proxy.fetching_workers.begin(version, proxy.now()) {
+        return false;
+    }
+    match registry.call(&RegistryRequest::FetchWorkers, ANSWER_WITHIN).await {
+        Ok(RegistryAnswer::Workers(list)) => proxy.view.borrow_mut().take_workers(proxy.now(), list),
+        _ => false,
+    }
+}
+
+async fn fetch_config(proxy: &Rc<Proxy>, registry: &Registry) {
+    if let Ok(RegistryAnswer::Config(Some(document))) =
+        registry.call(&RegistryRequest::FetchConfig, ANSWER_WITHIN).await
+    {
+        proxy.take_config(&document);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/dialect.rs
@@ -0,0 +1,123 @@
+//! The headers between proxy and workers.
+
+use compact_str::CompactString;
+use hingestage_gateway::dialect::{Dialect, Judgement, Parts};
+use hingestage_policy::{Outcome, WorkerId};
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING,
+};
+use hyper::StatusCode;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Identifies a try of a client.
+pub const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-hingestage-attempt-id");
+/// Milliseconds that are left.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-hingestage-deadline-ms");
+/// Name of the tenant, set by the system alone.
+pub const TENANT: HeaderName = HeaderName::from_static("x-hingestage-tenant");
+/// A client's key.
+pub const API_KEY: HeaderName = HeaderName::from_static("api-key");
+/// Id of the worker that is meant: any other turns the request away.
+pub const TARGET_WORKER: HeaderName = HeaderName::from_static("x-hingestage-target-worker");
+/// Said by a worker that did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-hingestage-not-run");
+/// A worker's seal on an answer.
+const SEAL: HeaderName = HeaderName::from_static("x-hingestage-server-seal");
+/// A worker's load; for proxies only.
+const LOAD: HeaderName = HeaderName::from_static("x-hingestage-worker-load");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Takes out the headers that concern one connection only, those that `Connection` names among them.
+pub fn drop_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// The headers between proxy and workers.
+#[derive(Default)]
+pub struct WorkerDialect {
+    /// The workers' own ids, by number.
+    ids: RefCell<HashMap<WorkerId, HeaderValue>>,
+}
+
+impl WorkerDialect {
+    /// Notes a worker's id.
+    pub fn name(&self, worker: WorkerId, id: &CompactString) {
+        if let Ok(value) = HeaderValue::from_str(id) {
+            self.ids.borrow_mut().insert(worker, value);
+        }
+    }
+
+    /// Forgets all workers but some.
+    pub fn keep_only(&self, keep: impl Fn(WorkerId) -> bool) {
+        self.ids.borrow_mut().retain(|worker, _| keep(*worker));
+    }
+}
+
+impl Dialect for WorkerDialect {
+    fn write_head(&self, parts: &Parts, worker: WorkerId, left: Duration, headers: &mut HeaderMap) {
+        headers.insert(ATTEMPT_ID, parts.id.clone());
+        headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+        if let Some(id) = self.ids.borrow().get(&worker) {
+            headers.insert(TARGET_WORKER, id.clone());
+        }
+    }
+
+    fn judge(&self, parts: &Parts, status: StatusCode, headers: &HeaderMap) -> Judgement {
+        // A surplus answer to an earlier request may come in the place of the one that is due.
+        let ours = headers.get(ATTEMPT_ID).is_none_or(|id| *id == parts.id);
+        let outcome = if !ours {
+            Outcome::Spoilt
+        } else if status.is_success() {
+            let whole = headers.contains_key(SEAL) && !headers.contains_key(CONTENT_ENCODING);
+            if whole && headers.contains_key(ATTEMPT_ID) {
+                Outcome::Ok
+            } else {
+                Outcome::Spoilt
+            }
+        } else if headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
+            Outcome::Full
+        } else {
+            Outcome::Error
+        };
+        Judgement { outcome, true_units: None }
+    }
+
+    fn passed_on(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut passed = headers.clone();
+        drop_hop_by_hop(&mut passed);
+        for name in [CONTENT_LENGTH, TRANSFER_ENCODING, LOAD, TARGET_WORKER] {
+            passed.remove(name);
+        }
+        passed
+    }
+
+    fn may_reuse(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key(ATTEMPT_ID)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/requests.rs
@@ -0,0 +1,311 @@
+//! What becomes of one request of a client: which route it takes, whose it is, whether it may pass, and the answer.
+
+use crate::classes::Terms;
+use crate::dialect::{drop_hop_by_hop, API_KEY, ATTEMPT_ID, DEADLINE, TARGET_WORKER, TENANT};
+use crate::server::Proxy;
+use crate::services::ServiceKey;
+use crate::view::Active;
+use bytes::Bytes;
+use compact_str::CompactString;
+use hingestage_configuration::{Route, Tenant};
+use hingestage_gateway::body::RequestBody;
+use hingestage_gateway::client::Client;
+use hingestage_gateway::collect::CollectError;
+use hingestage_gateway::connections::Answers;
+use hingestage_gateway::dialect::Parts;
+use hingestage_gateway::driver::{Answer, Taken};
+use hingestage_gateway::passing::Written;
+use hingestage_platform::Platform;
+use hingestage_platform::Tokio;
+use hingestage_policy::{CustomerId, PlanId};
+use hingestage_quota::{Admission, TenantLimits};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, RETRY_AFTER,
+};
+use hyper::{Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The least advice to come again after a refusal.
+const RETRY_LEAST: Duration = Duration::from_millis(20);
+/// Advice where this proxy can't judge for now: another one can.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+/// How long a client waits that doesn't say.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
+/// Time left below which a request isn't begun.
+const TIME_LEAST: Duration = Duration::from_millis(5);
+
+type Reply = Response<Written<Tokio>>;
+
+/// A final answer of the proxy's own.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Refusal {
+    status: StatusCode,
+    message: &'static str,
+    retry_after: Option<Duration>,
+    /// Whether what is left of the request on the connection can't be told from a next one.
+    ends_connection: bool,
+}
+
+impl Refusal {
+    const fn new(status: StatusCode, message: &'static str) -> Refusal {
+        Refusal { status, message, retry_after: None, ends_connection: false }
+    }
+
+    fn after(self, wait: Duration) -> Refusal {
+        Refusal { retry_after: Some(wait.max(RETRY_LEAST)), ..self }
+    }
+
+    const fn ending(self) -> Refusal {
+        Refusal { ends_connection: true, ..self }
+    }
+}
+
+/// A request that has a route.
+struct Routed {
+    active: Rc<Active>,
+    /// Place of the route in its configuration.
+    route: Route,
+    /// Place of the tenant, where the route asks for one.
+    tenant: Option<usize>,
+}
+
+impl Routed {
+    fn tenant(&self) -> Option<&Tenant> {
+        self.tenant.and_then(|place| self.active.configuration.tenants.get(place))
+    }
+
+    fn tenant_name(&self) -> CompactString {
+        self.tenant().map(|tenant| tenant.name.clone()).unwrap_or_default()
+    }
+}
+
+impl Answers for Proxy {
+    type Body = Written<Tokio>;
+
+    async fn answer(self: &Rc<Self>, request: Request<Incoming>, client: &Rc<Client>) -> Reply {
+        match self.serve_request(request, client).await {
+            Ok(reply) => reply,
+            Err(refusal) => respond(refusal),
+        }
+    }
+
+    fn keeps_connections(&self) -> bool {
+        !self.is_stopping()
+    }
+}
+
+impl Proxy {
+    async fn serve_request(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        client: &Rc<Client>,
+    ) -> Result<Reply, Refusal> {
+        let arrived = self.platform.now();
+        let (head, body) = request.into_parts();
+        let routed = self.route(&head.headers, head.uri.path())?;
+        let id = one_header(&head.headers, &ATTEMPT_ID)
+            .ok_or(Refusal::new(StatusCode::BAD_REQUEST, "no attempt id").ending())?
+            .clone();
+        let patience = patience(&head.headers).min(routed.route.timeout);
+        let until = arrived + patience;
+        if self.collector.is_too_long(&body) {
+            return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large").ending());
+        }
+        let body = self.collector.read(body, patience).await.map_err(|error| match error {
+            CollectError::TooSlow => {
+                Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body takes too long").ending()
+            }
+            CollectError::BadFraming => Refusal::new(StatusCode::BAD_REQUEST, "bad framing").ending(),
+        })?;
+        if until <= self.platform.now() + TIME_LEAST {
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no time left").after(RETRY_LEAST));
+        }
+        // The body may have taken its time: what is in force now decides.
+        let routed = self.route(&head.headers, head.uri.path()).unwrap_or(routed);
+        let service = self.service_for(&routed)?;
+        self.admit(&routed)?;
+        let tenant = routed.tenant_name();
+        let class = service.class(Terms::of(&routed.route));
+        let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
+        let uri = uri.ok_or(Refusal::new(StatusCode::BAD_REQUEST, "bad path"))?;
+        let flow = match &body {
+            RequestBody::Flow(flow) => Some(flow.clone()),
+            RequestBody::Whole(_) => None,
+        };
+        let taken = Taken {
+            customer: CustomerId(tenant.to_string()),
+            class,
+            plan: PlanId(0),
+            units: 1.0,
+            gateways: 1,
+            first: 0,
+            until,
+            parts: Parts { method: head.method, uri, id, headers: passed_on(head.headers, &tenant), body },
+        };
+        client.busy.set(true);
+        let admitted = Admitted { proxy: self.clone(), tenant, ran: true };
+        let Some((ticket, answer)) = service.driver.take(taken) else {
+            return Err(Refusal::new(StatusCode::CONFLICT, "a request with this id is open"));
+        };
+        let answer = answer.await;
+        if let Some(flow) = flow {
+            client.waste_rest(&self.platform, flow);
+        }
+        self.finish(answer.ok(), admitted, &service.driver, class, ticket, client)
+    }
+
+    fn finish(
+        &self,
+        answer: Option<Answer<tokio::net::TcpStream>>,
+        mut admitted: Admitted,
+        driver: &Rc<hingestage_gateway::driver::Driver<Tokio>>,
+        class: hingestage_policy::ClassId,
+        ticket: hingestage_gateway::driver::Ticket<Tokio>,
+        client: &Rc<Client>,
+    ) -> Result<Reply, Refusal> {
+        match answer {
+            Some(Answer::Served(served)) => {
+                let body = Written::served(driver.clone(), client.clone(), class, ticket, served.body);
+                let mut reply = Response::new(body);
+                *reply.status_mut() = served.status;
+                *reply.headers_mut() = served.headers;
+                Ok(reply)
+            }
+            Some(Answer::Refused(wait)) => {
+                admitted.ran = false;
+                let refusal =
+                    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "refused: the request has not run");
+                Err(refusal.after(Duration::from_micros(wait)))
+            }
+            Some(Answer::Failed { late: true }) => {
+                Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
+            }
+            _ => Err(Refusal::new(StatusCode::BAD_GATEWAY, "failed")),
+        }
+    }
+
+    /// Finds a request's route and tenant in the configuration in force.
+    fn route(&self, headers: &HeaderMap, path: &str) -> Result<Routed, Refusal> {
+        let active = self.view.borrow().active().cloned();
+        let active = active.ok_or(
+            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet").after(RETRY_ELSEWHERE),
+        )?;
+        let host = one_header(headers, &HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let route = active.routes.find(host, path).cloned();
+        let route = route.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no such route").ending())?;
+        let tenant = self.tenant(&active, &route, headers)?;
+        Ok(Routed { active, route, tenant })
+    }
+
+    fn tenant(&self, active: &Active, route: &Route, headers: &HeaderMap) -> Result<Option<usize>, Refusal> {
+        if route.public || active.configuration.tenants.is_empty() {
+            return Ok(None);
+        }
+        let unknown = Refusal::new(StatusCode::UNAUTHORIZED, "no key that is known").ending();
+        let key = one_header(headers, &API_KEY).and_then(|value| value.to_str().ok()).ok_or(unknown)?;
+        if !self.view.borrow().keys_hold(self.now()) {
+            let cut_off = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "keys can't be checked for now");
+            return Err(cut_off.after(RETRY_ELSEWHERE).ending());
+        }
+        active.keys.find(key).map(Some).ok_or(unknown)
+    }
+
+    fn service_for(&self, routed: &Routed) -> Result<Rc<crate::services::Service>, Refusal> {
+        let tenant_regions = routed.tenant().map_or(&[][..], |tenant| &tenant.allow_regions);
+        let name = routed.route.choose(fastrand::f64());
+        let nowhere =
+            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no region may serve this").after(RETRY_ELSEWHERE);
+        let key = ServiceKey::within(name, &routed.route.allow_regions, tenant_regions).ok_or(nowhere)?;
+        self.services.get(key, &self.view.borrow(), self.now()).ok_or(nowhere)
+    }
+
+    /// Whether the tenant is within its quota.
+    fn admit(&self, routed: &Routed) -> Result<(), Refusal> {
+        let Some(tenant) = routed.tenant() else { return Ok(()) };
+        let bounds = &self.settings.bounds;
+        let part = self.view.borrow().part();
+        let window = bounds.quota_window.as_secs_f64();
+        let excess = bounds.quota_excess * (tenant.rate_per_s * window + tenant.burst) + bounds.quota_slack;
+        // Each proxy's bucket may hold one whole request more than its part.
+        let slack = (excess * SLACK_USED - f64::from(part.gateways)).max(0.0);
+        let limits = TenantLimits {
+            rate_per_s: tenant.rate_per_s,
+            burst: tenant.burst,
+            slack,
+            open_cap: None,
+            exempt: false,
+        };
+        let admission =
+            self.tenants.borrow_mut().admit(self.now(), &tenant.name, limits, part, fastrand::u64(..));
+        match admission {
+            Admission::Admitted => Ok(()),
+            Admission::Refused { retry_after, .. } => {
+                let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "beyond the tenant's quota");
+                Err(refusal.after(Duration::from_micros(retry_after)))
+            }
+        }
+    }
+}
+
+/// Part of a quota's slack that is planned with; the rest is for error.
+const SLACK_USED: f64 = 0.7;
+
+/// A request that its tenant's quota let pass.
+struct Admitted {
+    proxy: Rc<Proxy>,
+    tenant: CompactString,
+    /// Whether it may have run.
+    ran: bool,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if !self.tenant.is_empty() {
+            self.proxy.tenants.borrow_mut().ended(self.proxy.now(), &self.tenant, self.ran);
+        }
+    }
+}
+
+/// A header that is there exactly once.
+fn one_header<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|value| values.next().is_none() && !value.is_empty())
+}
+
+/// How long the client says that it waits.
+fn patience(headers: &HeaderMap) -> Duration {
+    let text = one_header(headers, &DEADLINE).and_then(|value| value.to_str().ok());
+    let millis: Option<f64> = text.and_then(|text| text.trim().parse().ok());
+    let patience = millis.and_then(|millis| Duration::try_from_secs_f64(millis / 1e3).ok());
+    patience.unwrap_or(DEADLINE_DEFAULT)
+}
+
+/// A client's headers as they go on to a worker: without those of the connection, its key, and what only the
+/// system sets.
+fn passed_on(mut headers: HeaderMap, tenant: &str) -> HeaderMap {
+    drop_hop_by_hop(&mut headers);
+    for name in [API_KEY, TENANT, TARGET_WORKER, ATTEMPT_ID, DEADLINE, CONTENT_LENGTH, EXPECT] {
+        headers.remove(name);
+    }
+    if let Some(value) = Some(tenant).filter(|tenant| !tenant.is_empty()) {
+        headers.extend(HeaderValue::from_str(value).map(|value| (TENANT, value)));
+    }
+    headers
+}
+
+fn respond(refusal: Refusal) -> Reply {
+    let body = Full::new(Bytes::from_static(refusal.message.as_bytes()));
+    let mut response = Response::new(Written::Whole(body));
+    *response.status_mut() = refusal.status;
+    if let Some(wait) = refusal.retry_after {
+        let seconds = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()));
+        response.headers_mut().extend(seconds.map(|seconds| (RETRY_AFTER, seconds)));
+    }
+    if refusal.ends_connection {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- /dev/null
+++ b/crates/proxy/src/server.rs
@@ -0,0 +1,271 @@
+//! The proxy put together: serves from its start until all is answered after it is told to end.
+
+use crate::services::Services;
+use crate::view::{Spans, View};
+use crate::{control, readiness};
+use eyre::{eyre, Context, Result};
+use hingestage_gateway::body::BodyLimits;
+use hingestage_gateway::client::ClientTimes;
+use hingestage_gateway::collect::{CollectSettings, Collector};
+use hingestage_gateway::connections::{ConnectionSettings, Connections, Stopping};
+use hingestage_node::settings::InnerPort;
+use hingestage_node::{Settings, Signals};
+use hingestage_platform::Platform;
+use hingestage_platform::Tokio;
+use hingestage_quota::{Incarnation, TableSettings, TenantTable};
+use hingestage_replication::Micros;
+use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus, WorkersVersion};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Age of news from the registries up to which a part of a common limit may be used. Registries settle a proxy
+/// that is new only when this has passed.
+const PART_LEASE: Duration = Duration::from_secs(11);
+/// Kept back of the time within which a key that was taken away has to be refused.
+const KEY_MARGIN: Duration = Duration::from_millis(500);
+/// How long workers of a zone that is taken back wait.
+const RETURN_AFTER: Duration = Duration::from_millis(2_500);
+/// Added to the time for which a worker is said to stay cold.
+const COLD_MARGIN: Duration = Duration::from_millis(300);
+/// Period of housekeeping.
+const TIDY_PERIOD: Duration = Duration::from_secs(1);
+/// The largest head of a request, bytes.
+const HEAD_MAX: usize = 32 * 1024;
+/// The longest body, bytes.
+const BODY_MAX: u64 = 64 << 20;
+/// The longest body that is collected where there is memory for it, bytes.
+const COLLECT_MAX: usize = 2 << 20;
+/// Part of the memory limit that bodies may take together while they are collected.
+const COLLECT_SHARE: usize = 8;
+/// Part of the descriptors that clients' connections may take.
+const CLIENT_SHARE: usize = 2;
+/// Part of the descriptors that connections between two requests may take.
+const IDLE_SHARE: usize = 4;
+/// How long a client may take over the next piece of a body.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Bytes a second that a client must keep up with.
+const SLOWEST: f64 = 8_000.0;
+/// How long a client may be silent between two requests, or over a head.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a client may take over a head once it has begun.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long an answer may stand still because of its reader.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Kept back of the time between SIGTERM and SIGKILL.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// How long a fetch of a version keeps others from fetching it, too.
+const FETCH_TIMEOUT: Micros = 400_000;
+
+/// Keeps the same version from being fetched from several registries at a time.
+#[derive(Default)]
+pub(crate) struct Fetching(Cell<(WorkersVersion, Micros)>);
+
+impl Fetching {
+    /// Whether to fetch a version now.
+    pub fn begin(&self, version: WorkersVersion, now: Micros) -> bool {
+        let (under_way, since) = self.0.get();
+        if version <= under_way && now < since + FETCH_TIMEOUT {
+            return false;
+        }
+        self.0.set((version, now));
+        true
+    }
+}
+
+/// The proxy.
+pub struct Proxy {
+    pub(crate) settings: Rc<Settings>,
+    pub(crate) platform: Tokio,
+    pub(crate) view: RefCell<View>,
+    pub(crate) services: Services,
+    pub(crate) tenants: RefCell<TenantTable>,
+    pub(crate) collector: Collector<Tokio>,
+    pub(crate) registries: RefCell<Vec<SocketAddr>>,
+    pub(crate) registries_changed: Notify,
+    pub(crate) fetching_workers: Fetching,
+    id: ProcessId,
+    http: SocketAddr,
+    started: Instant,
+    stopping: Cell<bool>,
+    /// Told when time alone will make workers usable earlier than was known.
+    workers_changed: Notify,
+}
+
+/// Runs the program until it is told to end.
+///
+/// # Errors
+/// An address can't be had.
+pub async fn serve(settings: Rc<Settings>) -> Result<()> {
+    let mut signals = Signals::listen()?;
+    let http = settings.listen.http.ok_or_else(|| eyre!("settings: `listen.http` is missing"))?;
+    let proxy = Rc::new(Proxy::new(settings.clone(), http));
+    let connections = Connections::new(proxy.platform, proxy.clone(), connection_settings(&settings));
+    let listener = proxy.platform.listen(http).await.wrap_err_with(|| format!("listen.http: {http}"))?;
+    if let Some(at) = settings.listen.readiness {
+        let listener = TcpListener::bind(at).await.wrap_err_with(|| format!("listen.readiness: {at}"))?;
+        spawn_local(readiness::serve(listener, proxy.clone()));
+    }
+    spawn_local(control::run(proxy.clone()));
+    spawn_local(proxy.clone().follow_time());
+    spawn_local(proxy.clone().tidy());
+    tokio::select! {
+        _ = signals.terminate.recv() => {}
+        () = connections.accept(&listener) => {}
+    }
+    log::info!("told to end: {} connections", connections.open());
+    proxy.stopping.set(true);
+    let now = proxy.platform.now();
+    let until = now + settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let accepts_until = now + settings.bounds.grace / 2;
+    connections.stop(listener, Stopping { accepts_until, closes_idle: false, until }).await;
+    log::info!("ended with {} connections", connections.open());
+    Ok(())
+}
+
+fn connection_settings(settings: &Settings) -> ConnectionSettings {
+    ConnectionSettings {
+        clients_max: settings.limits.max_fds / CLIENT_SHARE,
+        idle_max: settings.limits.max_fds / IDLE_SHARE,
+        times: ClientTimes {
+            first_head_timeout: IDLE_TIMEOUT,
+            header_timeout: HEADER_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            write_timeout: WRITE_TIMEOUT,
+        },
+        largest_head: HEAD_MAX,
+    }
+}
+
+fn collect_settings(settings: &Settings) -> CollectSettings {
+    CollectSettings {
+        limits: BodyLimits { longest: BODY_MAX, piece_timeout: PIECE_TIMEOUT, slowest: SLOWEST },
+        each_max: COLLECT_MAX,
+        together_max: (settings.limits.mem_mb as usize * (1 << 20)) / COLLECT_SHARE,
+    }
+}
+
+fn micros(span: Duration) -> Micros {
+    span.as_micros() as Micros
+}
+
+impl Proxy {
+    fn new(settings: Rc<Settings>, http: SocketAddr) -> Proxy {
+        let bounds = &settings.bounds;
+        let key_lease = bounds.revoke_strict.then(|| micros(bounds.revoke.saturating_sub(KEY_MARGIN)));
+        let spans = Spans {
+            return_after: micros(RETURN_AFTER),
+            cold_margin: micros(COLD_MARGIN),
+            key_lease,
+            part_lease: micros(PART_LEASE),
+        };
+        let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        Proxy {
+            platform: Tokio,
+            view: RefCell::new(View::new(spans)),
+            services: Services::new(settings.clone(), Tokio),
+            tenants: RefCell::new(TenantTable::new(0, Incarnation(incarnation), TableSettings::default())),
+            collector: Collector::new(Tokio, collect_settings(&settings)),
+            registries: RefCell::default(),
+            registries_changed: Notify::new(),
+            fetching_workers: Fetching::default(),
+            id: ProcessId { node: settings.node.as_str().into(), incarnation },
+            http,
+            started: Instant::now(),
+            stopping: Cell::new(false),
+            workers_changed: Notify::new(),
+            settings,
+        }
+    }
+
+    /// Microseconds since the start.
+    pub(crate) fn now(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Whether the process has been told to end.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Whether clients are to be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.view.borrow().can_serve()
+    }
+
+    /// What this proxy tells registries of itself.
+    pub(crate) fn status(&self) -> ProxyStatus {
+        ProxyStatus {
+            id: self.id.clone(),
+            zone: self.settings.zone.as_str().into(),
+            region: self.settings.region.as_str().into(),
+            http: self.http,
+            peer: self.settings.inner(InnerPort::Proxy),
+            ready: self.is_ready(),
+        }
+    }
+
+    pub(crate) fn take_registries(&self, addrs: &[SocketAddr]) {
+        let mut known = self.registries.borrow_mut();
+        if *known != addrs {
+            *known = addrs.to_vec();
+            self.registries_changed.notify_waiters();
+        }
+    }
+
+    pub(crate) fn take_peers(&self, peers: Vec<ProxyStatus>) {
+        self.view.borrow_mut().take_peers(peers);
+    }
+
+    pub(crate) fn take_config(&self, document: &ConfigDocument) {
+        if !self.view.borrow_mut().take_config(document) {
+            return;
+        }
+        log::info!("configuration {:08x} in force", document.version.serial);
+        if let Some(active) = self.view.borrow().active() {
+            let backends = &active.configuration.backends;
+            self.services.keep_only(|name| backends.iter().any(|backend| backend.name == name));
+        }
+    }
+
+    /// Tells all services of workers that came, left or changed.
+    pub(crate) fn refresh_workers(&self) {
+        self.services.refresh(&self.view.borrow(), self.now());
+        self.workers_changed.notify_waiters();
+    }
+
+    /// Notes this proxy's part of common limits.
+    pub(crate) fn part_changed(&self) {
+        let part = self.view.borrow().part();
+        self.services.set_proxies(part.gateways);
+        self.tenants.borrow_mut().observe_part(self.now(), part);
+    }
+
+    /// Workers become usable as time passes.
+    async fn follow_time(self: Rc<Self>) {
+        loop {
+            let changed = self.workers_changed.notified();
+            let next = self.view.borrow().next_change(self.now());
+            match next {
+                None => changed.await,
+                Some(at) => {
+                    let wait = Duration::from_micros(at.saturating_sub(self.now()));
+                    if tokio::time::timeout(wait, changed).await.is_err() {
+                        self.services.refresh(&self.view.borrow(), self.now());
+                    }
+                }
+            }
+        }
+    }
+
+    async fn tidy(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TIDY_PERIOD).await;
+            self.services.retire_idle();
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/services.rs
@@ -0,0 +1,226 @@
+//! One driver of the decisions for each service, and for each set of regions that requests to it are bound to.
+
+use crate::classes::{Classes, Terms};
+use crate::dialect::WorkerDialect;
+use crate::view::{Usability, View};
+use compact_str::CompactString;
+use hingestage_gateway::dialect::Dialect;
+use hingestage_gateway::driver::{gatekeeper, Driver, DriverSettings};
+use hingestage_node::Settings;
+use hingestage_platform::Tokio;
+use hingestage_policy::{
+    Availability, ClassId, Event, Limits, ListScope, Plan, Settings as PolicySettings, WorkerId, WorkerInfo,
+    WorkerList, Zone,
+};
+use hingestage_replication::{digest, Micros};
+use hingestage_rpc::messages::WorkerRecord;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Attempts that one request may have at the most, whatever its route says.
+const ATTEMPTS_MAX: usize = 8;
+/// The longest advice to come again that clients follow, microseconds.
+const RETRY_AFTER_MAX: Micros = 1_000_000;
+/// A connection to a worker not established by then never is.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// A worker closes a connection that has been idle for so long.
+const WORKER_IDLE: Duration = Duration::from_secs(10);
+/// Descriptors that connections to workers may take, as a part of all.
+const WORKER_DESCRIPTORS: usize = 2;
+/// Services, with regions, that are served at the most.
+const SERVICES_MAX: usize = 4_096;
+/// The tier of workers in this proxy's region, and of others.
+const TIERS: (u32, u32) = (0, 1);
+
+/// A service, and the regions that requests to it are bound to (none: any).
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceKey {
+    /// Name of the service.
+    pub service: CompactString,
+    /// Regions, sorted; empty where any will do.
+    pub regions: Vec<CompactString>,
+}
+
+impl ServiceKey {
+    /// A service within the regions that both of two lists allow; an empty list allows all. None where nothing
+    /// is left.
+    pub fn within(service: &str, route: &[CompactString], tenant: &[CompactString]) -> Option<ServiceKey> {
+        let mut regions: Vec<CompactString> = match (route, tenant) {
+            ([], all) | (all, []) => all.to_vec(),
+            (route, tenant) => route.iter().filter(|region| tenant.contains(region)).cloned().collect(),
+        };
+        if regions.is_empty() && !(route.is_empty() && tenant.is_empty()) {
+            return None;
+        }
+        regions.sort_unstable();
+        regions.dedup();
+        Some(ServiceKey { service: service.into(), regions })
+    }
+}
+
+/// The decisions about one service.
+pub struct Service {
+    /// Carries them out.
+    pub driver: Rc<Driver<Tokio>>,
+    dialect: Rc<WorkerDialect>,
+    classes: RefCell<Classes>,
+}
+
+impl Service {
+    /// The class for some terms.
+    pub fn class(&self, terms: Terms) -> ClassId {
+        let (class, changed) = self.classes.borrow_mut().find(terms);
+        if changed {
+            let classes = self.classes.borrow().all();
+            let terms = hingestage_policy::Terms { classes, plans: vec![Plan::default()] };
+            self.driver.feed(Event::Terms(Some(terms)));
+        }
+        class
+    }
+}
+
+/// All services.
+pub struct Services {
+    settings: Rc<Settings>,
+    platform: Tokio,
+    services: RefCell<BTreeMap<ServiceKey, Rc<Service>>>,
+    /// Numbers of workers by id.
+    numbers: RefCell<HashMap<CompactString, WorkerId>>,
+    next: Cell<u64>,
+    /// How many proxies there are.
+    proxies: Cell<u32>,
+}
+
+impl Services {
+    /// None is known.
+    pub fn new(settings: Rc<Settings>, platform: Tokio) -> Self {
+        Services {
+            settings,
+            platform,
+            services: RefCell::default(),
+            numbers: RefCell::default(),
+            next: Cell::new(1),
+            proxies: Cell::new(1),
+        }
+    }
+
+    /// The decisions about a service, made when it is first asked for.
+    pub fn get(&self, key: ServiceKey, view: &View, now: Micros) -> Option<Rc<Service>> {
+        if let Some(service) = self.services.borrow().get(&key) {
+            return Some(service.clone());
+        }
+        if self.services.borrow().len() >= SERVICES_MAX {
+            return None;
+        }
+        let service = Rc::new(self.make());
+        self.feed_workers(&key, &service, view, now);
+        self.services.borrow_mut().insert(key, service.clone());
+        Some(service)
+    }
+
+    fn make(&self) -> Service {
+        let dialect = Rc::new(WorkerDialect::default());
+        let settings = DriverSettings {
+            policy: self.policy(),
+            seed: fastrand::u64(..),
+            class_names: (0..crate::classes::CLASSES).map(|class| format!("class-{class}")).collect(),
+            workers_max: self.settings.limits.max_fds / WORKER_DESCRIPTORS,
+            connect_timeout: CONNECT_TIMEOUT,
+            worker_idle: WORKER_IDLE,
+            counter: None,
+            counter_timeout: 1_000_000,
+            dialect: dialect.clone() as Rc<dyn Dialect>,
+        };
+        let driver = Driver::new(self.platform, settings, gatekeeper);
+        Service { driver, dialect, classes: RefCell::default() }
+    }
+
+    fn policy(&self) -> PolicySettings {
+        PolicySettings {
+            instances: self.proxies.get().max(1),
+            me: 0,
+            resolution: 1_000,
+            zone: Zone(self.settings.zone.clone()),
+            most_units: 1.0,
+            classes: Classes::default().all(),
+            plans: vec![Plan::default()],
+            limits: Limits {
+                max_attempts: ATTEMPTS_MAX,
+                second_copies: false,
+                cancel: true,
+                max_retry_after: RETRY_AFTER_MAX,
+            },
+            ..PolicySettings::default()
+        }
+    }
+
+    /// Notes how many proxies there are, for services that are made from now on.
+    pub fn set_proxies(&self, proxies: u32) {
+        self.proxies.set(proxies);
+    }
+
+    /// Brings all services' workers up to date.
+    pub fn refresh(&self, view: &View, now: Micros) {
+        let services: Vec<(ServiceKey, Rc<Service>)> =
+            self.services.borrow().iter().map(|(key, service)| (key.clone(), service.clone())).collect();
+        for (key, service) in services {
+            self.feed_workers(&key, &service, view, now);
+        }
+        self.numbers.borrow_mut().retain(|id, _| view.lists(id));
+    }
+
+    /// Forgets services that no configuration names any more.
+    pub fn keep_only(&self, named: impl Fn(&str) -> bool) {
+        self.services.borrow_mut().retain(|key, _| named(&key.service));
+    }
+
+    /// Closes connections to workers that have been idle for long.
+    pub fn retire_idle(&self) {
+        self.services.borrow().values().for_each(|service| service.driver.workers.retire_idle());
+    }
+
+    fn number(&self, id: &CompactString) -> WorkerId {
+        *self.numbers.borrow_mut().entry(id.clone()).or_insert_with(|| {
+            let number = self.next.replace(self.next.get() + 1);
+            WorkerId(number)
+        })
+    }
+
+    fn feed_workers(&self, key: &ServiceKey, service: &Service, view: &View, now: Micros) {
+        let mut infos = Vec::new();
+        let mut named = HashSet::new();
+        for (worker, usability) in view.workers(now).filter(|(worker, _)| self.serves(key, worker)) {
+            let number = self.number(&worker.id);
+            let ready = usability == Usability::Ready;
+            service.dialect.name(number, &worker.id);
+            service.driver.workers.list(number, worker.addr, number.0, ready);
+            named.insert(number);
+            infos.push(self.info(number, worker, ready));
+        }
+        service.driver.workers.keep_only(&named);
+        service.dialect.keep_only(|worker| named.contains(&worker));
+        service.driver.feed(Event::Workers(WorkerList { scope: ListScope::Full, workers: infos }));
+        service.driver.recall_unwritten();
+    }
+
+    /// Whether a worker may get a service's requests at all.
+    fn serves(&self, key: &ServiceKey, worker: &WorkerRecord) -> bool {
+        let region = self.settings.zones.get(worker.zone.as_str());
+        let allowed = |region: &String| key.regions.iter().any(|allowed| allowed == region);
+        worker.service == key.service && (key.regions.is_empty() || region.is_some_and(allowed))
+    }
+
+    fn info(&self, number: WorkerId, worker: &WorkerRecord, ready: bool) -> WorkerInfo {
+        let near = self.settings.zones.get(worker.zone.as_str()) == Some(&self.settings.region);
+        WorkerInfo {
+            availability: if ready { Availability::Ready } else { Availability::Draining },
+            zone: Zone(worker.zone.to_string()),
+            mark: digest(worker.id.as_bytes()),
+            size: f64::from(worker.capacity),
+            tier: if near { TIERS.0 } else { TIERS.1 },
+            ..WorkerInfo::ready(number)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/view.rs
@@ -0,0 +1,219 @@
+//! What a proxy knows of the system: configuration, evacuated zones, workers, and how recent all that is.
+
+use compact_str::CompactString;
+use hingestage_configuration::{Configuration, KeyTable, RouteTable};
+use hingestage_quota::Part;
+use hingestage_replication::Micros;
+use hingestage_rpc::messages::{
+    ConfigDocument, ConfigVersion, Have, ProxyStatus, WorkerList, WorkerRecord, ZoneDrains,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// Microseconds in a millisecond.
+const MILLI: Micros = 1_000;
+
+/// Spans that the view goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Spans {
+    /// After a zone is taken back, its workers wait for so long: they may be cold, and a list that says so has to
+    /// come first.
+    pub return_after: Micros,
+    /// Added to the time for which a worker is said to stay cold.
+    pub cold_margin: Micros,
+    /// Age of news from the registries up to which keys are believed; none where old news will do.
+    pub key_lease: Option<Micros>,
+    /// Age of news from the registries up to which a part of a common limit may be used.
+    pub part_lease: Micros,
+}
+
+/// A configuration in force.
+pub struct Active {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The document.
+    pub configuration: Configuration,
+    /// Routes by host and path.
+    pub routes: RouteTable,
+    /// Tenants by key.
+    pub keys: KeyTable,
+}
+
+/// Whether a worker may get requests, as far as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Usability {
+    /// It may.
+    Ready,
+    /// It keeps what it has and gets nothing new.
+    Leaving,
+    /// It bears little for now.
+    Cold,
+}
+
+/// What a proxy knows.
+pub struct View {
+    spans: Spans,
+    active: Option<Rc<Active>>,
+    drains: ZoneDrains,
+    returned_at: BTreeMap<CompactString, Micros>,
+    workers: WorkerList,
+    cold_until: HashMap<CompactString, Micros>,
+    /// The latest moment at which nothing newer than `active` can have been acknowledged.
+    fresh_as_of: Option<Micros>,
+    members: u32,
+    settled: bool,
+    peers: Vec<ProxyStatus>,
+}
+
+impl View {
+    /// Nothing is known.
+    pub fn new(spans: Spans) -> Self {
+        View {
+            spans,
+            active: None,
+            drains: ZoneDrains::new(),
+            returned_at: BTreeMap::new(),
+            workers: WorkerList::default(),
+            cold_until: HashMap::new(),
+            fresh_as_of: None,
+            members: 0,
+            settled: false,
+            peers: Vec::new(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn active(&self) -> Option<&Rc<Active>> {
+        self.active.as_ref()
+    }
+
+    /// What is known, in short.
+    pub fn have(&self) -> Have {
+        Have {
+            config: self.active.as_ref().map(|active| active.version),
+            drains: self.drains.clone(),
+            workers: self.workers.version,
+            directory: 0,
+        }
+    }
+
+    /// The other proxies, as last told.
+    pub fn peers(&self) -> &[ProxyStatus] {
+        &self.peers
+    }
+
+    /// Takes in which proxies there are.
+    pub fn take_peers(&mut self, peers: Vec<ProxyStatus>) {
+        self.peers = peers;
+    }
+
+    /// Takes a configuration in, unless the one in force is as new. Tells whether it is in force now.
+    pub fn take_config(&mut self, document: &ConfigDocument) -> bool {
+        if self.active.as_ref().is_some_and(|active| active.version >= document.version) {
+            return false;
+        }
+        // Registries hand out only what they checked; another build of them might have checked less.
+        let Ok(configuration) = Configuration::parse(&document.json) else { return false };
+        let routes = RouteTable::new(&configuration);
+        let keys = KeyTable::new(&configuration);
+        self.active = Some(Rc::new(Active { version: document.version, configuration, routes, keys }));
+        true
+    }
+
+    /// Takes in which zones are evacuated; of two orders about one zone the later holds. Tells whether anything
+    /// changed.
+    pub fn take_drains(&mut self, now: Micros, drains: &ZoneDrains) -> bool {
+        let mut changed = false;
+        for (zone, drain) in drains {
+            let held = self.drains.get(zone).copied();
+            if held >= Some(*drain) {
+                continue;
+            }
+            let returns = held.is_some_and(|held| held.drained) && !drain.drained;
+            if returns {
+                self.returned_at.insert(zone.clone(), now);
+            }
+            self.drains.insert(zone.clone(), *drain);
+            changed = true;
+        }
+        changed
+    }
+
+    /// Takes a list of workers in, unless the one held is as new. Tells whether it was taken.
+    pub fn take_workers(&mut self, now: Micros, list: WorkerList) -> bool {
+        if list.version <= self.workers.version {
+            return false;
+        }
+        self.workers = list;
+        let margin = self.spans.cold_margin;
+        let cold = self.workers.workers.iter().filter(|worker| worker.cold_left > 0);
+        let until = cold.map(|worker| (worker.id.clone(), now + worker.cold_left * MILLI + margin));
+        self.cold_until = until.collect();
+        true
+    }
+
+    /// Takes in how recent the news is: asked for at `asked_at`, and `age` old when it was answered. It counts
+    /// only where what it speaks of is in force here.
+    pub fn take_freshness(&mut self, asked_at: Micros, age: Option<u64>, config: Option<ConfigVersion>) {
+        let up_to_date = self.active.as_ref().map(|active| active.version) >= config;
+        if let Some(age) = age.filter(|_| up_to_date) {
+            let fresh = asked_at.saturating_sub(age * MILLI);
+            self.fresh_as_of = self.fresh_as_of.max(Some(fresh));
+        }
+    }
+
+    /// Takes in how many proxies share common limits, and whether this one may use its part.
+    pub fn take_members(&mut self, members: u32, settled: bool) {
+        self.members = self.members.max(members);
+        self.settled |= settled;
+    }
+
+    /// All workers, and whether each may get requests now.
+    pub fn workers(&self, now: Micros) -> impl Iterator<Item = (&WorkerRecord, Usability)> {
+        self.workers.workers.iter().map(move |worker| (worker, self.usability(now, worker)))
+    }
+
+    fn usability(&self, now: Micros, worker: &WorkerRecord) -> Usability {
+        let drained = self.drains.get(&worker.zone).is_some_and(|drain| drain.drained);
+        let returned = self.returned_at.get(&worker.zone);
+        let returning = returned.is_some_and(|at| now < at + self.spans.return_after);
+        if worker.draining || drained || returning {
+            return Usability::Leaving;
+        }
+        let cold = self.cold_until.get(&worker.id).is_some_and(|until| now < *until);
+        if cold {
+            Usability::Cold
+        } else {
+            Usability::Ready
+        }
+    }
+
+    /// When a worker next becomes usable by mere passing of time.
+    pub fn next_change(&self, now: Micros) -> Option<Micros> {
+        let returns = self.returned_at.values().map(|at| at + self.spans.return_after);
+        returns.chain(self.cold_until.values().copied()).filter(|at| *at > now).min()
+    }
+
+    /// Whether a worker's id is on the list.
+    pub fn lists(&self, id: &str) -> bool {
+        self.workers.workers.iter().any(|worker| worker.id == id)
+    }
+
+    /// Whether keys may be believed: none that was taken away long ago can be unknown to this proxy.
+    pub fn keys_hold(&self, now: Micros) -> bool {
+        let Some(lease) = self.spans.key_lease else { return true };
+        self.fresh_as_of.is_some_and(|at| now < at + lease)
+    }
+
+    /// This proxy's part of what all share.
+    pub fn part(&self) -> Part {
+        let fresh = self.fresh_as_of.filter(|_| self.settled && self.members > 0);
+        let valid_until = fresh.map_or(0, |at| at + self.spans.part_lease);
+        Part { gateways: self.members.max(1), valid_until }
+    }
+
+    /// Whether clients can be served.
+    pub fn can_serve(&self) -> bool {
+        self.active.is_some() && !self.workers.workers.is_empty()
+    }
+}
