--- a/crates/configuration/src/invalid.rs
+++ b/crates/configuration/src/invalid.rs
@@ -1,13 +1,15 @@
 //! Why a configuration is refused.
 
 use compact_str::CompactString;
+use serde::Serialize;
 use std::fmt;
 
 const BAD_REQUEST: u16 = 400;
 const UNPROCESSABLE_CONTENT: u16 = 422;
 
 /// An entry of a configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(tag = "entry", content = "name", rename_all = "lowercase")]
 pub enum Entry {
     /// The route of this name.
     Route(CompactString),
@@ -22,9 +24,9 @@
 impl fmt::Display for Entry {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Entry::Route(name) => write!(formatter, "route `{name}`"),
-            Entry::Backend(name) => write!(formatter, "backend `{name}`"),
-            Entry::Tenant(name) => write!(formatter, "tenant `{name}`"),
+            Entry::Route(name) => write!(formatter, "route `{}`", name.escape_debug()),
+            Entry::Backend(name) => write!(formatter, "backend `{}`", name.escape_debug()),
+            Entry::Tenant(name) => write!(formatter, "tenant `{}`", name.escape_debug()),
             Entry::Limits => formatter.write_str("limits"),
         }
     }
@@ -179,13 +181,16 @@
             Invalid::Field { entry, field, rule } => write!(formatter, "{entry}: `{field}` {rule}"),
             Invalid::DuplicateName { entry } => write!(formatter, "{entry}: `name` is given twice"),
             Invalid::DuplicatePrefix { first, second } => {
-                write!(formatter, "route `{second}`: `host` and `prefix` are those of route `{first}`")
+                let (first, second) = (Entry::Route(first.clone()), Entry::Route(second.clone()));
+                write!(formatter, "{second}: `host` and `prefix` are those of {first}")
             }
             Invalid::UnknownBackend { route, field, backend } => {
-                write!(formatter, "route `{route}`: `{field}` names the unknown backend `{backend}`")
+                let (route, backend) = (Entry::Route(route.clone()), backend.escape_debug());
+                write!(formatter, "{route}: `{field}` names the unknown backend `{backend}`")
             }
             Invalid::SharedKey { first, second } => {
-                write!(formatter, "tenant `{second}`: `api_keys` has a key of tenant `{first}`")
+                let (first, second) = (Entry::Tenant(first.clone()), Entry::Tenant(second.clone()));
+                write!(formatter, "{second}: `api_keys` has a key of {first}")
             }
         }
     }
--- a/crates/configuration/src/text.rs
+++ b/crates/configuration/src/text.rs
@@ -62,7 +62,7 @@
     pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
         let text = CompactString::deserialize(deserializer)?;
         parse(&text).ok_or_else(|| {
-            de::Error::custom(format_args!("`{text}` is not a duration such as `500ms` or `1.5s`"))
+            de::Error::custom(format_args!("{text:?} is not a duration such as `500ms` or `1.5s`"))
         })
     }
 }
