A split of three or more services is tested draw by draw

Of ten faults put in by hand, the tests missed one: shares counted from the start of the draw, not from the end of the share before. With two services, as in the common document, that makes no difference.

A property takes up to five weights and as many evenly spread draws as they sum to, and wants each service chosen as often as its weight says. The test of zero weights builds its shares in the same way; it checks what it did.

--- a/crates/configuration/tests/lookup.rs
+++ b/crates/configuration/tests/lookup.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::document;
-use hingestage_configuration::{Configuration, KeyTable, Route, RouteTable};
+use hingestage_configuration::{Configuration, KeyTable, Route, RouteTable, Share};
 use proptest::prelude::*;
 
 fn configuration() -> Configuration {
@@ -117,24 +117,34 @@
         prop_assert_eq!(table.find(&host, &path), scan(&configuration, &host, &path));
     }
 
+    #[test]
+    fn evenly_spread_draws_choose_by_weight(weights in prop::collection::vec(0..50_u32, 1..6)) {
+        let total: u32 = weights.iter().sum();
+        prop_assume!(total > 0);
+        let shares = weights.iter().enumerate().map(|(index, weight)| Share {
+            backend: index.to_string().into(),
+            weight: f64::from(*weight),
+        });
+        let route = Route { split: shares.collect(), ..configuration().routes[0].clone() };
+        let mut chosen = vec![0; weights.len()];
+        for step in 0..total {
+            let draw = (f64::from(step) + 0.5) / f64::from(total);
+            chosen[route.choose(draw).parse::<usize>().unwrap()] += 1;
+        }
+        prop_assert_eq!(chosen, weights);
+    }
+
     #[test]
     fn no_share_of_weight_zero_is_chosen(
         weights in prop::collection::vec(prop_oneof![Just(0.0), 0.0..1e6_f64], 1..8),
         draw in 0.0..1.0_f64,
     ) {
         prop_assume!(weights.iter().sum::<f64>() > 0.0);
-        let mut route = configuration().routes[0].clone();
-        let template = route.split[0].clone();
-        route.split = weights
-            .iter()
-            .enumerate()
-            .map(|(index, weight)| {
-                let mut share = template.clone();
-                share.backend = index.to_string().into();
-                share.weight = *weight;
-                share
-            })
-            .collect();
+        let shares = weights.iter().enumerate().map(|(index, weight)| Share {
+            backend: index.to_string().into(),
+            weight: *weight,
+        });
+        let route = Route { split: shares.collect(), ..configuration().routes[0].clone() };
         let chosen: usize = route.choose(draw).parse().unwrap();
         prop_assert!(weights[chosen] > 0.0);
     }
