Budgets of further attempts and of sends to cold workers, kept by many gateways

Both limits are sums over all machines, in touch or not, so both go by the parts under a lease.

Further attempts: each first arrival earns 0.8 of the ratio, kept for a quarter of a window, and 0.7 of the slack is shared in buckets. Ruled out: keeping what was earned for a window, as an even load with all of it drawn at once then passes the ratio by 0.6 of it; slack parts below a token that gather to one (as many more as there are gateways). What the sum comes to is in the documentation, also where a load that stops at once can pass the ratio. Cold workers: sends within a second by the smallest share held within it, which makes the sum exact; below one, sends are dealt out by rendezvous hashing over the list of gateways that the parts are of. Ruled out: a bucket (depth and refill give twice the limit in a second), and dealing out without the list (nobody knows how many others have one).

Guards broken by hand on a copy, and what noticed: earned tokens kept or not taken (further_attempts_of_all...), the bucket's depth and slack parts gathered to one (slack_that_comes_to...), the share of now in place of the smallest (sends_of_all_gateways...), sends right after a start, a second cut to half of one, all gateways chosen, sends rounded up (few_sends_are_dealt_out...), a new list or another part's list used at once (a_list_that_is_new...). A retry bucket that starts full was not noticed and does nothing: it is cut to nothing before its first part is known.

--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -14,6 +14,20 @@
     pub rate: f64,
     /// Tokens that may be given out at once, for all gateways together.
     pub depth: f64,
+    /// A level may gather up to this at least, however small the part of the depth is: 1 where every gateway has to
+    /// get a token in the long run, 0 where the sum goes first.
+    pub least_cap: f64,
+}
+
+impl BucketLimit {
+    /// How far a level may gather with a share.
+    fn cap(&self, share: f64) -> f64 {
+        if share > 0.0 {
+            (self.depth * share).max(self.least_cap)
+        } else {
+            0.0
+        }
+    }
 }
 
 /// A token bucket that holds a part of a common limit.
@@ -28,11 +42,12 @@
 /// `rate x W`. A bucket that begins anew (a restart) begins at a level that the one before it had at least.
 ///
 /// # Depths below one
-/// Where the part of the depth is below one token, the level may still gather up to one, as no whole token would ever
-/// be given out otherwise. This costs at most one token for each gateway: all levels come to at most
-/// [`SharedBucket::worst_depth`], which is `max(depth, gateways)` for even parts and below `depth + gateways` for any.
+/// Where the part of the depth is below one token, no whole token would ever be given out. With a `least_cap` of one the
+/// level may still gather up to one. This costs at most one token for each gateway: all levels come to at most
+/// [`SharedBucket::worst_depth`], which is `max(depth, gateways)` for even parts, and below `depth + gateways` for any.
 /// A caller compares this with the depth and the slack that its rule allows, and passes a smaller depth if need be.
-/// Where there are more gateways than slack, even parts can't keep the rule by the bucket alone.
+/// Where there are more gateways than slack, even parts can't both serve every gateway and keep the rule: a `least_cap`
+/// of zero keeps the rule, and gives nothing to gateways with less than a token.
 ///
 /// # Giving back
 /// A token that wasn't used comes back, but no token that the bucket would have lost to overflow had it not been given
@@ -51,12 +66,12 @@
 impl SharedBucket {
     /// A bucket with a level at the start. The level is cut to the limit and part of the first use.
     pub fn new(meter: &PartMeter, limit: BucketLimit, level_at_start: f64) -> SharedBucket {
-        let cap = cap(limit.depth, meter.share());
+        let cap = limit.cap(meter.share());
         let level = level_at_start.clamp(0.0, cap);
         SharedBucket { level, returnable: 0.0, limit, used: meter.mark() }
     }
 
-    /// The most that the levels of so many buckets with even parts come to.
+    /// The most that the levels of so many buckets with even parts and a `least_cap` of one come to.
     pub fn worst_depth(depth: f64, gateways: u32) -> f64 {
         depth.max(f64::from(gateways))
     }
@@ -105,8 +120,11 @@
 
     /// Brings the bucket up to date, with the limit that holds from now on.
     pub fn refresh(&mut self, meter: &PartMeter, limit: BucketLimit) {
-        let lower =
-            BucketLimit { rate: self.limit.rate.min(limit.rate), depth: self.limit.depth.min(limit.depth) };
+        let lower = BucketLimit {
+            rate: self.limit.rate.min(limit.rate),
+            depth: self.limit.depth.min(limit.depth),
+            least_cap: self.limit.least_cap.min(limit.least_cap),
+        };
         let with_returnable = gathered(meter, self.used, self.level + self.returnable, lower);
         self.level = gathered(meter, self.used, self.level, lower);
         self.returnable = self.returnable.min(with_returnable - self.level);
@@ -121,17 +139,8 @@
 /// the smallest share; and at least what an empty bucket would have gathered since any later moment.
 pub(crate) fn gathered(meter: &PartMeter, since: Mark, level: f64, limit: BucketLimit) -> f64 {
     let filled = |level: f64, since: Mark, lowest: f64| {
-        (level + limit.rate * (meter.earned() - since.earned)).min(cap(limit.depth, lowest))
+        (level + limit.rate * (meter.earned() - since.earned)).min(limit.cap(lowest))
     };
     let whole = filled(level, since, meter.lowest_since(since.at));
     meter.ends_after(since.at).map(|(end, lowest)| filled(0.0, end, lowest)).fold(whole, f64::max)
 }
-
-/// How far a level may gather with a share of a depth.
-fn cap(depth: f64, share: f64) -> f64 {
-    if share > 0.0 {
-        (depth * share).max(1.0)
-    } else {
-        0.0
-    }
-}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -10,19 +10,23 @@
 #![warn(missing_docs)]
 
 mod bucket;
+mod cold;
 mod hash;
 mod lru;
 mod messages;
 mod owner;
 mod part;
+mod retry;
 mod sliding;
 mod table;
 
 pub use bucket::{BucketLimit, SharedBucket};
+pub use cold::{ColdBudget, ColdLimit};
 pub use hash::owner;
 pub use messages::{Adds, GatewayId, Incarnation, TenantAdd, TenantTotal, Totals};
 pub use owner::{OwnerSettings, OwnerTable};
 pub use part::{Part, PartMeter};
+pub use retry::{RetryBudget, RetryLimit};
 pub use sliding::SlidingCount;
 pub use table::{Admission, RefusalReason, TableSettings, TenantLimits, TenantTable};
 
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -84,9 +84,9 @@
 
     fn hard_bound(&self) -> BucketLimit {
         if self.is_limited() {
-            BucketLimit { rate: self.rate_per_s, depth: self.burst + self.slack }
+            BucketLimit { rate: self.rate_per_s, depth: self.burst + self.slack, least_cap: 1.0 }
         } else {
-            BucketLimit { rate: 0.0, depth: 0.0 }
+            BucketLimit { rate: 0.0, depth: 0.0, least_cap: 0.0 }
         }
     }
 }
@@ -338,7 +338,7 @@
     /// may last have been seen would have it.
     fn unseen(&self, now: Micros, limits: &TenantLimits) -> Tenant {
         let limit = limits.hard_bound();
-        let start = BucketLimit { rate: limit.rate, depth: limits.burst };
+        let start = BucketLimit { depth: limits.burst, ..limit };
         let level = gathered(&self.meter, self.unseen_since, 0.0, start);
         Tenant {
             count: SlidingCount::new(now, limits.window()),
--- a/crates/quota/tests/sums.rs
+++ b/crates/quota/tests/sums.rs
@@ -1,5 +1,8 @@
 //! The sum of what all gateways admit, in worlds of changing parts, restarts, lapsed leases and requests given back.
 
+mod common;
+
+use common::{Grants, ROUNDING};
 use hingestage_quota::{
     Admission, BucketLimit, Incarnation, Micros, Part, PartMeter, SharedBucket, TableSettings, TenantLimits,
     TenantTable,
@@ -8,8 +11,6 @@
 
 const S: Micros = 1_000_000;
 const GATEWAYS: usize = 5;
-/// What sums of floating-point numbers may be off by.
-const ROUNDING: f64 = 1e-6;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -51,7 +52,6 @@
 /// One gateway, and the times at which its open requests were admitted.
 struct Gateway {
     table: TenantTable,
-    part: Part,
     open: Vec<Micros>,
 }
 
@@ -59,6 +59,7 @@
     now: Micros,
     limits: TenantLimits,
     gateways: Vec<Gateway>,
+    grants: Grants,
     runs: u64,
     /// When requests were admitted that ran, or may still run.
     ran: Vec<Micros>,
@@ -66,9 +67,9 @@
 
 impl World {
     fn new(limits: TenantLimits) -> World {
-        let new = || Gateway { table: new_table(0, 0), part: Part::NONE, open: Vec::new() };
+        let new = || Gateway { table: new_table(0, 0), open: Vec::new() };
         let gateways = (0..GATEWAYS).map(|_| new()).collect();
-        World { now: 0, limits, gateways, runs: 0, ran: Vec::new() }
+        World { now: 0, limits, gateways, grants: Grants::none(GATEWAYS), runs: 0, ran: Vec::new() }
     }
 
     fn play(&mut self, step: &Step) {
@@ -84,10 +85,7 @@
 
     fn grant(&mut self, gateway: usize, gateways: u32, lease: Micros) {
         let part = Part { gateways, valid_until: self.now + lease };
-        let others = self.gateways.iter().enumerate().filter(|(other, _)| *other != gateway);
-        let taken: f64 = others.map(|(_, other)| other.part.share(self.now)).sum();
-        if taken + part.share(self.now) <= 1.0 + ROUNDING / 100.0 {
-            self.gateways[gateway].part = part;
+        if self.grants.grant(self.now, gateway, part) {
             self.gateways[gateway].table.observe_part(self.now, part);
         }
     }
@@ -100,8 +98,8 @@
     }
 
     fn ask(&mut self, gateway: usize) {
-        let Gateway { table, part, open } = &mut self.gateways[gateway];
-        if table.admit(self.now, "acme", self.limits, *part, 0) == Admission::Admitted {
+        let (part, Gateway { table, open }) = (self.grants.0[gateway], &mut self.gateways[gateway]);
+        if table.admit(self.now, "acme", self.limits, part, 0) == Admission::Admitted {
             open.push(self.now);
         }
     }
@@ -119,9 +117,9 @@
     }
 
     fn crowd(&mut self, gateway: usize) {
-        let Gateway { table, part, .. } = &mut self.gateways[gateway];
+        let (part, table) = (self.grants.0[gateway], &mut self.gateways[gateway].table);
         for name in ["one", "two", "three"] {
-            if table.admit(self.now, name, self.limits, *part, 0) == Admission::Admitted {
+            if table.admit(self.now, name, self.limits, part, 0) == Admission::Admitted {
                 table.ended(self.now, name, true);
             }
         }
@@ -169,7 +167,7 @@
     fn a_bucket_used_rarely_has_no_more_than_one_that_follows_every_change(
         changes in prop::collection::vec((1_u32..12, S / 10..3 * S, S / 10..3 * S), 1..150),
     ) {
-        let limit = BucketLimit { rate: 8.0, depth: 30.0 };
+        let limit = BucketLimit { rate: 8.0, depth: 30.0, least_cap: 1.0 };
         let (mut now, mut meter) = (0, PartMeter::new(0));
         meter.observe(0, Part { gateways: 1, valid_until: 10 * S });
         let mut follows = SharedBucket::new(&meter, limit, 30.0);
