--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -84,9 +84,9 @@
 
     fn hard_bound(&self) -> BucketLimit {
         if self.is_limited() {
-            BucketLimit { rate: self.rate_per_s, depth: self.burst + self.slack }
+            BucketLimit { rate: self.rate_per_s, depth: self.burst + self.slack, least_cap: 1.0 }
         } else {
-            BucketLimit { rate: 0.0, depth: 0.0 }
+            BucketLimit { rate: 0.0, depth: 0.0, least_cap: 0.0 }
         }
     }
 }
@@ -272,6 +272,7 @@
         self.pushed_at = Some(now);
         self.sequence += 1;
         let mut by_owner: BTreeMap<GatewayId, Vec<TenantAdd>> = BTreeMap::new();
+        self.drop_forgotten_changes();
         for _ in 0..self.changed.len().min(self.settings.push_batch) {
             let Some((owner, add)) = self.next_add(now, &owner_of) else { continue };
             by_owner.entry(owner).or_default().push(add);
@@ -315,12 +316,21 @@
         Some((owner?, add))
     }
 
+    /// Entries that were forgotten leave handles in the queue that lead nowhere.
+    fn drop_forgotten_changes(&mut self) {
+        let tenants = &self.tenants;
+        self.changed.retain(|handle| tenants.get(*handle).is_some());
+    }
+
     fn note_changed(&mut self, handle: Handle) {
         let Some(entry) = self.tenants.get_mut(handle) else { return };
         if !entry.queued {
             entry.queued = true;
             self.changed.push_back(handle);
         }
+        if self.changed.len() > 2 * self.settings.entries {
+            self.drop_forgotten_changes();
+        }
     }
 
     fn find_or_insert(&mut self, now: Micros, tenant: &str, limits: &TenantLimits) -> Option<Handle> {
@@ -338,7 +348,7 @@
     /// may last have been seen would have it.
     fn unseen(&self, now: Micros, limits: &TenantLimits) -> Tenant {
         let limit = limits.hard_bound();
-        let start = BucketLimit { rate: limit.rate, depth: limits.burst };
+        let start = BucketLimit { depth: limits.burst, ..limit };
         let level = gathered(&self.meter, self.unseen_since, 0.0, start);
         Tenant {
             count: SlidingCount::new(now, limits.window()),
