Shares of a common limit by demand, dealt out by an owner under leases

Even parts refuse what a tenant's limit would allow when its requests come through few gateways, and with thousands of gateways a part is less than a token.

`ShareOwner` deals out uneven shares by the demand reported, `ShareHolder` goes by them under a lease that it counts from its own report; messages may be lost, doubled, reordered and late, clocks may drift. A new owner renews what is held, and raises nothing for one lease. `PartMeter::observe_share` takes any share. Ruled out: times on the wire (clocks would have to agree), and a new owner that starts from the last one's state (it may be dead). Not wired to the table.

--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -17,6 +17,9 @@
 mod owner;
 mod part;
 mod retry;
+mod share_holder;
+mod share_messages;
+mod share_owner;
 mod sliding;
 mod table;
 
@@ -27,6 +30,9 @@
 pub use owner::{OwnerSettings, OwnerTable};
 pub use part::{Part, PartMeter};
 pub use retry::{RetryBudget, RetryLimit};
+pub use share_holder::ShareHolder;
+pub use share_messages::{ShareAnswer, ShareGrant, ShareReport, Term, WHOLE};
+pub use share_owner::{ShareOwner, ShareSettings};
 pub use sliding::SlidingCount;
 pub use table::{Admission, RefusalReason, TableSettings, TenantLimits, TenantTable};
 
--- a/crates/quota/src/part.rs
+++ b/crates/quota/src/part.rs
@@ -20,7 +20,15 @@
 
     /// The share of the whole at a moment: 0 once the lease has ended.
     pub fn share(&self, now: Micros) -> f64 {
-        if now < self.valid_until && self.gateways > 0 {
+        if now < self.valid_until {
+            self.leased_share()
+        } else {
+            0.0
+        }
+    }
+
+    fn leased_share(&self) -> f64 {
+        if self.gateways > 0 {
             1.0 / f64::from(self.gateways)
         } else {
             0.0
@@ -52,7 +60,7 @@
 /// for nothing held.
 #[derive(Clone, Debug)]
 pub struct PartMeter {
-    part: Part,
+    valid_until: Micros,
     at: Micros,
     share: f64,
     earned: f64,
@@ -63,17 +71,19 @@
 impl PartMeter {
     /// Begins without a part.
     pub fn new(now: Micros) -> PartMeter {
-        PartMeter { part: Part::NONE, at: now, share: 0.0, earned: 0.0, lowest: VecDeque::new() }
+        PartMeter { valid_until: 0, at: now, share: 0.0, earned: 0.0, lowest: VecDeque::new() }
     }
 
     /// Takes in the part that holds from now on.
     pub fn observe(&mut self, now: Micros, part: Part) {
+        self.observe_share(now, part.leased_share(), part.valid_until);
+    }
+
+    /// Takes in any share of the whole that holds from now on, until its lease ends.
+    pub fn observe_share(&mut self, now: Micros, share: f64, valid_until: Micros) {
         self.advance(now);
-        if part == self.part {
-            return;
-        }
-        self.part = part;
-        let share = part.share(self.at);
+        self.valid_until = valid_until;
+        let share = if self.at < valid_until { share } else { 0.0 };
         if share != self.share {
             self.change(self.at, share);
         }
@@ -84,9 +94,9 @@
         if now <= self.at {
             return;
         }
-        let held_until = self.part.valid_until.clamp(self.at, now);
+        let held_until = self.valid_until.clamp(self.at, now);
         self.earned += self.share * seconds(held_until - self.at);
-        if self.share > 0.0 && self.part.valid_until <= now {
+        if self.share > 0.0 && self.valid_until <= now {
             self.change(held_until, 0.0);
         }
         self.at = now;
