Fewer bytes between regions; calls give up early on machines without power

Cause: control traffic between regions was half of what goes there (each watch, each exchange of stores and each list of workers, read anew every 0.9 s and handed out though nothing had changed); and after a loss of power the proxies' first calls hung for 0.7 s on core machines that came up 0.1 s later.

Change: registries of other regions are watched with a longer wait while one of the own region answers, stores and registries compare at longer periods between regions, a list that says the same isn't handed out again, a connection is given up after 300 ms.

Ruled out: longer waits everywhere, as keys are believed only for a lease.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -20,7 +20,9 @@
 use tokio::task::spawn_local;
 
 /// Period at which replicas compare what they have.
-const EXCHANGE_PERIOD: Duration = Duration::from_millis(250);
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(300);
+/// The same between regions, where bytes are dear. What is new goes out at once all the same.
+const EXCHANGE_PERIOD_FAR: Duration = Duration::from_millis(700);
 /// How long another replica may take to answer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1_000);
 /// How often replicas look for others at the seeds.
@@ -32,6 +34,7 @@
 
 /// A replica on sockets and a disk.
 pub struct Store {
+    settings: Rc<Settings>,
     replica: RefCell<Replica>,
     files: Files,
     started: Instant,
@@ -61,6 +64,7 @@
     log::info!("configuration {serial:08x} on disk, {} stores known", loaded.members.len());
     let replica = Replica::new(me, loaded.state, loaded.members, recovering, Figures::default());
     let store = Rc::new(Store {
+        settings: settings.clone(),
         replica: RefCell::new(replica),
         files,
         started: Instant::now(),
@@ -126,7 +130,17 @@
             let news = self.news.notified();
             self.exchange(&peer, Some(&name)).await;
             self.hand_over(&peer, &name).await;
-            let _ = tokio::time::timeout(EXCHANGE_PERIOD, news).await;
+            let _ = tokio::time::timeout(self.exchange_period(&name), news).await;
+        }
+    }
+
+    fn exchange_period(&self, name: &CompactString) -> Duration {
+        let members = self.replica.borrow().members();
+        let zone = members.iter().find(|member| member.name == *name).map(|member| &member.zone);
+        let region = zone.and_then(|zone| self.settings.zones.get(zone.as_str()));
+        match region {
+            Some(region) if *region != self.settings.region => EXCHANGE_PERIOD_FAR,
+            _ => EXCHANGE_PERIOD,
         }
     }
 
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -4,6 +4,7 @@
 use eyre::Result;
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
+use hingestage_replication::Micros;
 use hingestage_rpc::messages::{Have, RegistryAnswer, RegistryRequest, Watched, WorkersVersion};
 use hingestage_rpc::Client;
 use std::collections::BTreeMap;
@@ -13,11 +14,15 @@
 use tokio::task::spawn_local;
 
 /// How long a registry waits for news before it answers.
-const WATCH_WAIT: Duration = Duration::from_millis(700);
+const WATCH_WAIT: Duration = Duration::from_millis(800);
+/// The same in other regions, while a registry of this one answers: bytes between regions are dear.
+const WATCH_WAIT_FAR: Duration = Duration::from_millis(2_500);
+/// How long a registry of this region may be silent before those of others are asked as often.
+const NEAR_SILENT: Micros = 1_500_000;
 /// How long an answer may take beyond that.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
 /// Pause after a call that failed.
-const CALL_PAUSE: Duration = Duration::from_millis(200);
+const CALL_PAUSE: Duration = Duration::from_millis(100);
 /// Period at which the settings file is read again for other seeds.
 const SEED_PERIOD: Duration = Duration::from_secs(2);
 /// Registries watched at the most.
@@ -31,7 +36,8 @@
     loop {
         let settings = Settings::load().unwrap_or_else(|_| (*proxy.settings).clone());
         let seeds = settings.seeds.iter().map(|seed| settings.inner_at(seed.ip(), InnerPort::Registry));
-        let known: Vec<SocketAddr> = seeds.chain(proxy.registries.borrow().iter().copied()).collect();
+        let known: Vec<SocketAddr> =
+            seeds.chain(proxy.registries.borrow().iter().map(|registry| registry.addr)).collect();
         for addr in known {
             if watched.len() < REGISTRIES_MAX && watched.insert(addr, ()).is_none() {
                 spawn_local(keep_watching(proxy.clone(), Registry::new(addr)));
@@ -48,10 +54,15 @@
     loop {
         let have = Have { directory, ..proxy.view.borrow().have() };
         let asked_at = proxy.now();
-        let wait = WATCH_WAIT.as_millis() as u64;
-        let request = RegistryRequest::Watch { status: proxy.status(), have, wait };
-        match registry.call(&request, WATCH_WAIT + ANSWER_WITHIN).await {
+        let near = proxy.is_near(registry.addr());
+        let near_answers = asked_at < proxy.near_heard_at.get() + NEAR_SILENT;
+        let wait = if near || !near_answers { WATCH_WAIT } else { WATCH_WAIT_FAR };
+        let request = RegistryRequest::Watch { status: proxy.status(), have, wait: wait.as_millis() as u64 };
+        match registry.call(&request, wait + ANSWER_WITHIN).await {
             Ok(RegistryAnswer::Watched(news)) => {
+                if near {
+                    proxy.near_heard_at.set(proxy.now());
+                }
                 directory = news.have.directory;
                 take(&proxy, &registry, asked_at, *news).await;
             }
@@ -62,7 +73,7 @@
 
 /// Takes news in, and fetches what is newer than what is held.
 async fn take(proxy: &Rc<Proxy>, registry: &Registry, asked_at: u64, news: Watched) {
-    proxy.take_registries(&news.registries);
+    proxy.take_registries(news.registries);
     if let Some(peers) = news.directory {
         proxy.take_peers(peers);
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -14,7 +14,7 @@
 use hingestage_platform::Tokio;
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus, WorkersVersion};
+use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus, RegistryAddress, WorkersVersion};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -85,7 +85,9 @@
     pub(crate) services: Services,
     pub(crate) tenants: RefCell<TenantTable>,
     pub(crate) collector: Collector<Tokio>,
-    pub(crate) registries: RefCell<Vec<SocketAddr>>,
+    pub(crate) registries: RefCell<Vec<RegistryAddress>>,
+    /// When a registry of this region last answered.
+    pub(crate) near_heard_at: Cell<Micros>,
     pub(crate) registries_changed: Notify,
     pub(crate) fetching_workers: Fetching,
     id: ProcessId,
@@ -171,6 +173,7 @@
             tenants: RefCell::new(TenantTable::new(0, Incarnation(incarnation), TableSettings::default())),
             collector: Collector::new(Tokio, collect_settings(&settings)),
             registries: RefCell::default(),
+            near_heard_at: Cell::new(0),
             registries_changed: Notify::new(),
             fetching_workers: Fetching::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
@@ -209,14 +212,24 @@
         }
     }
 
-    pub(crate) fn take_registries(&self, addrs: &[SocketAddr]) {
+    /// Takes in which registries there are.
+    pub(crate) fn take_registries(&self, mut registries: Vec<RegistryAddress>) {
+        registries.sort_unstable();
         let mut known = self.registries.borrow_mut();
-        if *known != addrs {
-            *known = addrs.to_vec();
+        if *known != registries {
+            *known = registries;
             self.registries_changed.notify_waiters();
         }
     }
 
+    /// Whether a registry is in this proxy's region, as far as is known.
+    pub(crate) fn is_near(&self, addr: SocketAddr) -> bool {
+        let registries = self.registries.borrow();
+        let zone = registries.iter().find(|registry| registry.addr == addr).map(|registry| &registry.zone);
+        let region = zone.and_then(|zone| self.settings.zones.get(zone.as_str()));
+        region.is_none_or(|region| *region == self.settings.region)
+    }
+
     pub(crate) fn take_peers(&self, peers: Vec<ProxyStatus>) {
         self.view.borrow_mut().take_peers(peers);
     }
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -9,8 +9,8 @@
 /// Figures of the directory.
 #[derive(Clone, Copy, Debug)]
 pub struct Figures {
-    /// A proxy not heard for so long is not handed out.
-    pub silent_after: Micros,
+    /// A proxy that is so late with its next heartbeat is not handed out.
+    pub late_after: Micros,
     /// A proxy not heard for so long is forgotten.
     pub forget_after: Micros,
     /// Proxies known at the most.
@@ -24,7 +24,7 @@
 impl Default for Figures {
     fn default() -> Self {
         Figures {
-            silent_after: 2_000_000,
+            late_after: 1_300_000,
             forget_after: 60_000_000,
             proxies_max: 8_192,
             enough: 2,
@@ -36,6 +36,8 @@
 struct Entry {
     status: ProxyStatus,
     heard_at: Micros,
+    /// When its next heartbeat is due.
+    due_at: Micros,
 }
 
 /// Proxies by their heartbeats.
@@ -52,25 +54,28 @@
 
     /// A proxy has told of itself. Tells whether anything is new. An older life of it that is still heard, by a
     /// message that was under way, changes nothing.
-    pub fn heard(&mut self, now: Micros, status: ProxyStatus) -> bool {
+    ///
+    /// `next_within` is how long it may take until it tells again.
+    pub fn heard(&mut self, now: Micros, status: ProxyStatus, next_within: Micros) -> bool {
+        let due_at = now + next_within;
         let known = self.proxies.get_mut(&status.id.node);
         if let Some(entry) = known {
             if entry.status.id.incarnation > status.id.incarnation {
                 return false;
             }
-            let revived = now >= entry.heard_at + self.figures.silent_after;
+            let revived = now >= entry.due_at + self.figures.late_after;
             let new = entry.status != status;
-            *entry = Entry { status, heard_at: now };
+            *entry = Entry { status, heard_at: now, due_at };
             return new || revived;
         }
         if self.proxies.len() >= self.figures.proxies_max {
             return false;
         }
-        self.proxies.insert(status.id.node.clone(), Entry { status, heard_at: now });
+        self.proxies.insert(status.id.node.clone(), Entry { status, heard_at: now, due_at });
         true
     }
 
-    /// Forgets those not heard for long. Tells whether the living are others than before `last` was taken.
+    /// Forgets those not heard for long.
     pub fn tidy(&mut self, now: Micros) {
         let keep = self.figures.forget_after;
         self.proxies.retain(|_, entry| now < entry.heard_at + keep);
@@ -78,11 +83,8 @@
 
     /// Those heard lately.
     pub fn living(&self, now: Micros) -> impl Iterator<Item = &ProxyStatus> {
-        let silent_after = self.figures.silent_after;
-        self.proxies
-            .values()
-            .filter(move |entry| now < entry.heard_at + silent_after)
-            .map(|entry| &entry.status)
+        let late_after = self.figures.late_after;
+        self.proxies.values().filter(move |entry| now < entry.due_at + late_after).map(|entry| &entry.status)
     }
 
     /// A digest of the living: another one where they are others.
--- a/crates/registry/src/duty.rs
+++ b/crates/registry/src/duty.rs
@@ -26,7 +26,7 @@
 impl Default for Figures {
     fn default() -> Self {
         Figures {
-            away_after: 1_500_000,
+            away_after: 2_500_000,
             forget_after: 60_000_000,
             failures: 2,
             rests_for: 3_000_000,
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -11,8 +11,9 @@
 use hingestage_node::{Settings, Signals};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
-    Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAnswer, RegistryMember,
-    RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList,
+    Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAddress, RegistryAnswer,
+    RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList, WorkerRecord,
+    WorkersVersion,
 };
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
 use std::cell::RefCell;
@@ -31,9 +32,13 @@
 /// Pause after a call that failed.
 const CALL_PAUSE: Duration = Duration::from_millis(150);
 /// Period at which registries hear each other.
-const MEET_PERIOD: Duration = Duration::from_millis(400);
+const MEET_PERIOD: Duration = Duration::from_millis(500);
+/// The same between regions, where bytes are dear.
+const MEET_PERIOD_FAR: Duration = Duration::from_millis(1_000);
 /// Period at which the platform's list is read by the one that has the duty.
 const READ_PERIOD: Duration = Duration::from_millis(900);
+/// Milliseconds by which a worker may stay cold longer than was known without this being news.
+const COLD_TOLERANCE: u64 = 150;
 /// Period of housekeeping.
 const TIDY_PERIOD: Duration = Duration::from_millis(500);
 /// How long a change may take to become durable before its caller is told to come again.
@@ -137,7 +142,7 @@
                 let read = platform_list::read(cloud.addr).await;
                 self.duty.borrow_mut().has_read(self.now(), read.is_ok());
                 match read {
-                    Ok(workers) => self.take_workers(WorkerList { version, workers }),
+                    Ok(workers) => self.has_read(version, workers),
                     Err(error) => log::warn!("list of workers: {error}"),
                 }
             }
@@ -145,12 +150,29 @@
         }
     }
 
+    /// A list that says what is known already is not handed out again.
+    fn has_read(&self, version: WorkersVersion, workers: Vec<WorkerRecord>) {
+        let now = self.now();
+        let unchanged = {
+            let in_force = self.in_force.borrow();
+            let same_reader = in_force.workers.version.fence == version.fence;
+            same_reader && same_workers(&in_force.workers.workers, &workers, now - in_force.workers_at)
+        };
+        if !unchanged {
+            self.take_workers(WorkerList { version, workers });
+        }
+    }
+
     fn take_workers(&self, list: WorkerList) {
         if list.version <= self.in_force.borrow().workers.version {
             return;
         }
         self.duty.borrow_mut().saw(list.version);
-        self.in_force.borrow_mut().workers = list;
+        {
+            let mut in_force = self.in_force.borrow_mut();
+            in_force.workers = list;
+            in_force.workers_at = self.now();
+        }
         self.changed.notify_waiters();
     }
 
@@ -197,7 +219,17 @@
                     }
                 }
             }
-            tokio::time::sleep(MEET_PERIOD).await;
+            tokio::time::sleep(self.meet_period(peer.addr())).await;
+        }
+    }
+
+    fn meet_period(&self, addr: SocketAddr) -> Duration {
+        let members = self.duty.borrow().members(self.now());
+        let zone = members.iter().find(|member| member.addr == addr).map(|member| &member.zone);
+        let region = zone.and_then(|zone| self.settings.zones.get(zone.as_str()));
+        match region {
+            Some(region) if *region != self.settings.region => MEET_PERIOD_FAR,
+            _ => MEET_PERIOD,
         }
     }
 
@@ -273,7 +305,7 @@
     async fn watch(self: Rc<Self>, status: ProxyStatus, theirs: Have, wait: Duration) -> RegistryAnswer {
         let until = self.now() + wait.as_micros() as Micros;
         let name = status.id.node.clone();
-        if self.directory.borrow_mut().heard(self.now(), status) {
+        if self.directory.borrow_mut().heard(self.now(), status, wait.as_micros() as Micros) {
             self.changed.notify_waiters();
         }
         if self.in_force.borrow().proxies.get(&name) != Some(&true) {
@@ -300,7 +332,7 @@
         let living = || self.directory.borrow().living(now).cloned().collect();
         Watched {
             directory: other_directory.then(living),
-            registries: self.duty.borrow().members(now).into_iter().map(|member| member.addr).collect(),
+            registries: self.registries(now),
             fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000 + 1),
             members: in_force.proxies.len() as u32,
             settled: in_force.proxies.get(name) == Some(&true),
@@ -308,6 +340,11 @@
         }
     }
 
+    fn registries(&self, now: Micros) -> Vec<RegistryAddress> {
+        let members = self.duty.borrow().members(now).into_iter();
+        members.map(|member| RegistryAddress { addr: member.addr, zone: member.zone }).collect()
+    }
+
     /// What an operator reads of this registry.
     pub(crate) fn status(&self) -> String {
         let now = self.now();
@@ -330,6 +367,18 @@
     }
 }
 
+/// Whether a list read `age` after another says the same: of a cold worker, that it stays cold no longer than was
+/// known.
+fn same_workers(old: &[WorkerRecord], new: &[WorkerRecord], age: Micros) -> bool {
+    let same = |(old, new): (&WorkerRecord, &WorkerRecord)| {
+        let known = old.cold_left.saturating_sub(age / 1_000);
+        let as_cold = new.cold_left <= known + COLD_TOLERANCE;
+        as_cold
+            && WorkerRecord { cold_left: 0, ..old.clone() } == WorkerRecord { cold_left: 0, ..new.clone() }
+    };
+    old.len() == new.len() && old.iter().zip(new).all(same)
+}
+
 impl Handler for Registry {
     type Request = RegistryRequest;
     type Answer = RegistryAnswer;
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -19,6 +19,8 @@
     pub fresh_as_of: Option<Micros>,
     /// The list of workers.
     pub workers: WorkerList,
+    /// When it was taken.
+    pub workers_at: Micros,
 }
 
 impl InForce {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -21,7 +21,7 @@
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { away_after: 1_500_000, hand_out_after: 1_500_000, members_max: 64 }
+        Figures { away_after: 2_000_000, hand_out_after: 1_500_000, members_max: 64 }
     }
 }
 
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -17,8 +17,9 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::timeout;
 
-/// How long a connection may take to come up: a machine that is cut off gives no answer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a connection may take to come up. A machine without power gives no answer, and the system repeats the
+/// first packet only after a second: giving up early and asking anew finds it sooner once it is back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long written bytes may stay unacknowledged before the system gives a connection up.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
 /// Calls that may wait to be written.
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -274,6 +274,15 @@
     pub reads_list: bool,
 }
 
+/// Where a registry is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RegistryAddress {
+    /// Where it is called.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: CompactString,
+}
+
 /// What a registry is asked.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum RegistryRequest {
@@ -333,7 +342,7 @@
     /// All proxies, where they are others.
     pub directory: Option<Vec<ProxyStatus>>,
     /// All registries.
-    pub registries: Vec<SocketAddr>,
+    pub registries: Vec<RegistryAddress>,
     /// Age of the latest moment at which nothing newer can have been acknowledged anywhere.
     pub fresh_age: Option<Millis>,
     /// Proxies that take part in common limits.
