The driver tells its subsystems by hooks, and they are wired in one place

Cause: `driver` named `changes`, `fleet`, `sites`, `turns` and `counter`, and each of them the driver: none could be used without the others.

Change: `hooks::Subsystems` is all that a driver says and asks: a request begins, an attempt is sent or ended, news of the workers, a count, whether anything may begin. `GatewaySubsystems` keeps today's five and is wired in `gateway.rs`; none of them knows it. `fleet` and `turns` are handed the counter, `fleet` the sites.

Ruled out: slots that each subsystem fills in the driver, as before: the driver's file would still name all of them.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -6,6 +6,7 @@
 use crate::note;
 use crate::server::Server;
 use crate::srv::Follower;
+use crate::subsystems::GatewaySubsystems;
 use bytes::Bytes;
 use hingestage_fleet::table::{GATEWAYS_MAX, MESSAGE_MAX};
 use hingestage_operate::Told;
@@ -40,6 +41,7 @@
 pub struct Admin<P: Platform> {
     driver: Rc<Driver<P>>,
     server: Rc<Server<P>>,
+    subsystems: Rc<GatewaySubsystems<P>>,
     /// Calls that go on, by number, each with what ends it.
     calls: RefCell<BTreeMap<u64, Rc<Notify>>>,
     /// Connections of other gateways that stay, in the same way.
@@ -52,10 +54,14 @@
 
 impl<P: Platform> Admin<P> {
     /// Nobody calls yet.
-    pub fn new(driver: Rc<Driver<P>>, server: Rc<Server<P>>) -> Rc<Self> {
+    pub fn new(
+        driver: Rc<Driver<P>>,
+        server: Rc<Server<P>>,
+        subsystems: Rc<GatewaySubsystems<P>>,
+    ) -> Rc<Self> {
         let (next, odd) = (Cell::new(0), Cell::new(0));
         let (calls, lanes, follower) = (RefCell::default(), RefCell::default(), RefCell::default());
-        Rc::new(Admin { driver, server, calls, lanes, next, odd, follower })
+        Rc::new(Admin { driver, server, subsystems, calls, lanes, next, odd, follower })
     }
 
     /// Shows a name that is followed, too.
@@ -135,7 +141,7 @@
 
     /// What another gateway counts, for which this one looks.
     async fn count(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(turns) = self.driver.turns.borrow().clone() else {
+        let Some(turns) = self.subsystems.turns.get() else {
             return text(StatusCode::NOT_FOUND, "no turns are taken here");
         };
         let Ok(word) = body(request, WORD_MAX).await else { return text(StatusCode::BAD_REQUEST, "no word") };
@@ -147,7 +153,7 @@
 
     /// Another gateway's word.
     async fn hear(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(fleet) = self.driver.fleet.borrow().clone() else { return no_fleet() };
+        let Some(fleet) = self.subsystems.fleet.get() else { return no_fleet() };
         let of_sites = request.headers().get(SITES).cloned();
         let word = body(request, MESSAGE_MAX).await;
         let Ok(word) = word else { return text(StatusCode::BAD_REQUEST, "no message") };
@@ -177,18 +183,17 @@
             }
             path if path.starts_with("/srv") => self.of_srv(path, post),
             "/fleet" => {
-                let fleet = self.driver.fleet.borrow().clone();
-                let turns = self.driver.turns.borrow().clone();
+                let (fleet, turns) = (self.subsystems.fleet.get(), self.subsystems.turns.get());
                 let turns = turns.map_or_else(String::new, |turns| turns.explain());
                 fleet.map_or_else(no_fleet, |fleet| text(StatusCode::OK, fleet.explain() + &turns))
             }
             "/policy" => {
-                let changes = self.driver.changes.borrow().clone();
+                let changes = self.subsystems.changes.get();
                 let none = || text(StatusCode::NOT_FOUND, "the configuration's policy is gone by");
                 changes.map_or_else(none, |changes| text(StatusCode::OK, changes.explain()))
             }
             "/sites" => {
-                let sites = self.driver.sites.borrow().clone();
+                let sites = self.subsystems.sites.get();
                 text(
                     StatusCode::OK,
                     sites.map_or_else(String::new, |sites| sites.explain(self.driver.micros())),
@@ -227,7 +232,7 @@
         let (Some(site), Some(what), None) = (parts.next(), parts.next(), parts.next()) else {
             return text(StatusCode::NOT_FOUND, "no such call");
         };
-        let Some(sites) = self.driver.sites.borrow().clone() else {
+        let Some(sites) = self.subsystems.sites.get() else {
             return text(StatusCode::NOT_FOUND, "no such call");
         };
         match sites.declare(site, what) {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -123,8 +123,6 @@
             workers_max: self.workers_max,
             connect_timeout: self.connect_timeout,
             worker_idle: self.worker_idle,
-            counter: self.counter,
-            counter_timeout: self.settings.counter_timeout,
             dialect: Rc::new(RelayDialect),
         }
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -7,7 +7,7 @@
 use hingestage_membership::hosts::HostList;
 use hingestage_membership::{Address, Change, Located, Membership, Sources, Told};
 use hingestage_platform::{Platform, Stream, Task};
-use hingestage_policy::{Availability, Event, ListScope, Micros, WorkerId, WorkerList};
+use hingestage_policy::{Availability, ListScope, Micros, WorkerId, WorkerList};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -81,10 +81,7 @@
         }
         change.odd.iter().for_each(|what| note(&driver.platform, &self.odd, what));
         let workers: Vec<_> = change.workers.into_iter().map(|told| told.info).collect();
-        let sites = driver.sites.borrow().clone();
-        sites.iter().for_each(|sites| sites.listed(&workers, change.scope));
-        driver.feed(Event::Workers(WorkerList { scope: change.scope, workers }));
-        driver.recall_unwritten();
+        driver.list_workers(WorkerList { scope: change.scope, workers });
     }
 }
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -1,24 +1,19 @@
 //! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
 
 use crate::body::RequestBody;
-use crate::changes::Changes;
-use crate::counter::{Asker, Counter, Tell};
 use crate::dialect::{Dialect, Parts};
-use crate::fleet::Fleet;
-use crate::sites::Sites;
-use crate::turns::Turns;
+use crate::hooks::{Beginning, Subsystems};
 use crate::workers::{Attempted, Progress, Served, ServedBody, Times, Workers};
 use hingestage_operate::{Ending, Figures, Gauges, SrvFigures};
 use hingestage_platform::{Clock, Platform, Stream, Task};
 use hingestage_policy::{
-    Action, AttemptDone, ClassId, CounterName, CustomerId, Decide, Event, Gatekeeper, Micros, Outcome, PlanId,
+    Action, AttemptDone, ClassId, CustomerId, Decide, Effect, Event, Gatekeeper, Micros, Outcome, PlanId,
 };
-use hingestage_policy::{Request, RequestId, Settings, WorkerId};
+use hingestage_policy::{Request, RequestId, Settings, WorkerId, WorkerList};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
-use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -97,10 +92,6 @@
     pub connect_timeout: Duration,
     /// A worker closes a connection that has been idle for so long.
     pub worker_idle: Duration,
-    /// The counter, where there is one.
-    pub counter: Option<SocketAddr>,
-    /// How long an answer of the counter is waited for.
-    pub counter_timeout: Micros,
     /// What is written to workers, and what their answers mean.
     pub dialect: Rc<dyn Dialect>,
 }
@@ -111,18 +102,9 @@
     pub platform: P,
     /// The workers' side.
     pub workers: Workers<P>,
-    /// The counter's side.
-    pub counter: Rc<Counter<P>>,
     /// What became of the requests.
     pub figures: RefCell<Figures>,
-    /// What is known of the fleet, where operators say how.
-    pub fleet: RefCell<Option<Rc<Fleet<P>>>>,
-    /// Turns at the counter, where operators want them.
-    pub turns: RefCell<Option<Rc<Turns<P>>>>,
-    /// Whose word is gone by on plans, classes and accounts, where operators say so.
-    pub changes: RefCell<Option<Rc<Changes<P>>>>,
-    /// What is believed of sites.
-    pub sites: RefCell<Option<Rc<Sites<P>>>>,
+    subsystems: Rc<dyn Subsystems>,
     decisions: RefCell<Box<dyn Decide>>,
     /// All gateways share it, because the names of counts hold the number of a slot of time.
     clock: Clock,
@@ -140,11 +122,16 @@
 
 impl<P: Platform> Driver<P> {
     /// A driver that has heard nothing yet.
-    pub fn new(platform: P, settings: DriverSettings, decide: MakeDecisions) -> Rc<Self> {
+    pub fn new(
+        platform: P,
+        settings: DriverSettings,
+        subsystems: Rc<dyn Subsystems>,
+        decide: MakeDecisions,
+    ) -> Rc<Self> {
         let clock = Clock::new(&platform);
         let now = clock.micros(platform.now());
         let most_units = settings.policy.most_units;
-        Rc::new_cyclic(|this: &Weak<Self>| Driver {
+        Rc::new(Driver {
             workers: Workers::new(
                 platform.clone(),
                 settings.workers_max,
@@ -152,16 +139,7 @@
                 settings.worker_idle,
                 settings.dialect,
             ),
-            counter: Counter::new(
-                platform.clone(),
-                settings.counter,
-                settings.counter_timeout,
-                tell_counter(this.clone()),
-            ),
-            fleet: RefCell::default(),
-            turns: RefCell::default(),
-            changes: RefCell::default(),
-            sites: RefCell::default(),
+            subsystems,
             decisions: RefCell::new(decide(settings.policy, settings.seed, now)),
             clock,
             platform,
@@ -239,18 +217,21 @@
                     driver.feed(Event::Timer(token));
                 });
             }
-            Action::Count { name, amount, keep } => self.count(name, amount, keep),
+            Action::Count { name, amount, keep } => {
+                if let Some(outcome) = self.subsystems.count(&name, amount, keep) {
+                    self.feed(Event::Counter { name, outcome });
+                }
+            }
             // The watch is always on.
             Action::Subscribe => {}
         }
     }
 
-    /// Counts by the looker of the name, or at the counter itself.
-    fn count(self: &Rc<Self>, name: CounterName, amount: f64, keep: Micros) {
-        let turns = self.turns.borrow().clone();
-        if !turns.is_some_and(|turns| turns.count(&name, amount, keep)) {
-            self.counter.call(Asker::Decisions, name, amount, keep);
-        }
+    /// News of the workers. What waits for a connection to one that takes no more work is called off.
+    pub fn list_workers(self: &Rc<Self>, list: WorkerList) {
+        self.subsystems.listed(&list.workers, list.scope);
+        self.feed(Event::Workers(list));
+        self.recall_unwritten();
     }
 
     /// Takes a request in. Its answer comes on the channel; dropping the ticket says that the client left.
@@ -259,8 +240,16 @@
         if !self.ids.borrow_mut().insert(taken.parts.id.clone()) {
             return None;
         }
-        let plan = self.plan_of(&taken);
-        self.with_sites(|sites| sites.asks(plan, taken.class));
+        let plan = self.subsystems.begins(
+            self.micros(),
+            Beginning {
+                customer: &taken.customer,
+                class: taken.class,
+                plan: taken.plan,
+                first: taken.first,
+                gateways: taken.gateways,
+            },
+        );
         self.next.set(self.next.get() + 1);
         let id = RequestId(self.next.get().to_string());
         let (reply, answer) = oneshot::channel();
@@ -272,7 +261,6 @@
             late: false,
         };
         self.inflight.set(self.inflight.get() + 1);
-        self.fleet.borrow().iter().for_each(|fleet| fleet.clients_come(taken.first, taken.gateways));
         self.open.borrow_mut().insert(id.clone(), open);
         let left = taken.until.saturating_duration_since(self.platform.now()).saturating_sub(ANSWER_MARGIN);
         self.feed(Event::Request(Request {
@@ -288,22 +276,6 @@
         Some((Ticket { driver: self.clone(), id }, answer))
     }
 
-    /// The plan that a request begins under: what is in force at this very instant is looked at first.
-    fn plan_of(&self, taken: &Taken) -> Option<PlanId> {
-        let Some(changes) = self.changes.borrow().clone() else { return Some(taken.plan) };
-        let now = self.micros();
-        changes.at(now);
-        changes.plan_of(&taken.customer, taken.plan, now)
-    }
-
-    fn with_sites(&self, what: impl FnOnce(&Rc<Sites<P>>)) {
-        // The table is let go first: what is done may lead back here.
-        let sites = self.sites.borrow().clone();
-        if let Some(sites) = sites {
-            what(&sites);
-        }
-    }
-
     /// Requests that found no worker in time, since the start.
     pub fn short(&self) -> u64 {
         self.decisions.borrow().short()
@@ -311,17 +283,17 @@
 
     /// Whether anything may begin.
     pub fn may_begin(&self) -> bool {
-        self.changes.borrow().as_ref().is_none_or(|changes| changes.serves())
+        self.subsystems.may_begin()
     }
 
-    /// What a policy says of a class's effect, where one is in force.
-    pub fn effect(&self, class: ClassId) -> Option<hingestage_policy::Effect> {
-        self.changes.borrow().as_ref().and_then(|changes| changes.effect(class))
+    /// How often the effect of a class may happen, where a subsystem says so.
+    pub fn effect(&self, class: ClassId) -> Option<Effect> {
+        self.subsystems.effect(class)
     }
 
-    /// The longest that a policy lets clients wait, where one is in force.
+    /// The longest that a client may wait, where a subsystem says so.
     pub fn longest(&self) -> Option<Duration> {
-        self.changes.borrow().as_ref().and_then(|changes| changes.longest()).map(Duration::from_micros)
+        self.subsystems.longest()
     }
 
     fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros, begin_within: Micros) {
@@ -334,7 +306,7 @@
         self.follow_upload(&id, &parts);
         // What goes out in pieces is owed no answer yet; its end tells all the same.
         if !matches!(parts.body, RequestBody::Flow(_)) {
-            self.with_sites(|sites| sites.sent(self, worker));
+            self.subsystems.sent(self.micros(), worker);
         }
         let task = self.platform.spawn(async move {
             let times = Times {
@@ -374,7 +346,7 @@
         // What a worker takes to write its answer tells nothing of how long the work took it.
         let until = attempted.heard.unwrap_or_else(|| self.platform.now());
         let took = until.saturating_duration_since(running.sent);
-        self.with_sites(|sites| sites.ended(self, running.worker, attempted.outcome, took));
+        self.subsystems.ended(self.micros(), running.worker, attempted.outcome, took);
         self.tell_end(id, n, attempted.outcome, took, true_units);
     }
 
@@ -386,13 +358,13 @@
         let outcome = if running.progress.give_up() { Outcome::Cancelled } else { Outcome::NotSent };
         running.task.abort();
         let took = self.platform.since(running.sent);
-        self.with_sites(|sites| sites.ended(self, running.worker, outcome, took));
+        self.subsystems.ended(self.micros(), running.worker, outcome, took);
         self.tell_end(id, n, outcome, took, None);
     }
 
     /// Calls off what waits for a connection to a worker that takes no more work: once told of a drain,
     /// nothing new may go out, and a connect that hangs would sit on the request for nothing.
-    pub fn recall_unwritten(self: &Rc<Self>) {
+    fn recall_unwritten(self: &Rc<Self>) {
         let mut recalled = Vec::new();
         for (id, open) in self.open.borrow().iter() {
             for (n, running) in open.attempts.iter().enumerate() {
@@ -462,20 +434,6 @@
     }
 }
 
-/// How the counter's side tells the decisions of the end of a call.
-fn tell_counter<P: Platform>(driver: Weak<Driver<P>>) -> Tell {
-    Box::new(move |asker, name, outcome| {
-        let Some(driver) = driver.upgrade() else { return };
-        // Both tables are let go first: what is told may lead back here.
-        let (fleet, turns) = (driver.fleet.borrow().clone(), driver.turns.borrow().clone());
-        match asker {
-            Asker::Decisions => driver.feed(Event::Counter { name, outcome }),
-            Asker::Roll => fleet.into_iter().for_each(|fleet| fleet.counted(&name, outcome)),
-            Asker::Turns => turns.into_iter().for_each(|turns| turns.counted(&name, outcome)),
-        }
-    })
-}
-
 /// A request taken in: what stands for its client, and where its answer comes.
 pub type TakenIn<P> = (Ticket<P>, oneshot::Receiver<Answer<<P as Platform>::Stream>>);
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,8 +3,9 @@
 //! `hingestage_shares`; the decisions are told of each new view.
 
 use crate::ask::ask_with;
-use crate::counter::Asker;
+use crate::counter::{Asker, Counter};
 use crate::driver::Driver;
+use crate::sites::Sites;
 use hingestage_failover::Word;
 use hingestage_fleet::roll::Roll;
 use hingestage_fleet::table::{Message, Standing, Table, MESSAGE_MAX};
@@ -37,6 +38,9 @@
 pub struct Fleet<P: Platform> {
     driver: Weak<Driver<P>>,
     platform: P,
+    /// Where the roll is called, if there is a counter.
+    counter: Option<Rc<Counter<P>>>,
+    sites: Rc<Sites<P>>,
     figures: Figures,
     me: u32,
     table: RefCell<Table>,
@@ -49,10 +53,16 @@
 
 impl<P: Platform> Fleet<P> {
     /// That of a gateway's new life.
-    pub fn new(driver: &Rc<Driver<P>>, figures: Figures, me: u32, gateways: u32, counter: bool) -> Rc<Self> {
+    pub fn new(
+        driver: &Rc<Driver<P>>,
+        counter: Option<Rc<Counter<P>>>,
+        sites: Rc<Sites<P>>,
+        figures: Figures,
+        (me, gateways): (u32, u32),
+    ) -> Rc<Self> {
         let now = driver.micros();
         let micros = |span: Duration| span.as_micros() as Micros;
-        let roll = (figures.roll_call && counter).then(|| Roll::new(me, gateways, now));
+        let roll = (figures.roll_call && counter.is_some()).then(|| Roll::new(me, gateways, now));
         // A lease outlasts the pause between two marks on the roll, which grows with the fleet.
         let scale = roll.as_ref().map_or(1, |roll| roll.slot().div_ceil(1_000_000).max(1));
         let votes = figures.counter_votes.unwrap_or(gateways / 2);
@@ -72,6 +82,8 @@
         Rc::new(Fleet {
             driver: Rc::downgrade(driver),
             platform: driver.platform.clone(),
+            counter,
+            sites,
             figures,
             me,
             table: RefCell::new(table),
@@ -205,18 +217,14 @@
 
     /// What is told of sites along with a word.
     pub fn of_sites(&self) -> Option<String> {
-        let driver = self.driver.upgrade()?;
-        let sites = driver.sites.borrow().clone()?;
-        Some(sites.to_tell(driver.micros()).text())
+        Some(self.sites.to_tell(self.now()?).text())
     }
 
     /// What another tells of sites. A spoilt word changes nothing.
     fn hear_of_sites(&self, from: u32, field: Option<&HeaderValue>) {
-        let Some(driver) = self.driver.upgrade() else { return };
         let word = field.and_then(|field| Word::read(field.to_str().ok()?).ok());
-        let sites = driver.sites.borrow().clone();
-        if let (Some(word), Some(sites)) = (word, sites) {
-            sites.told(driver.micros(), from, &word);
+        if let (Some(word), Some(now)) = (word, self.now()) {
+            self.sites.told(now, from, &word);
         }
     }
 
@@ -236,10 +244,10 @@
     }
 
     fn call_roll(&self) {
-        let (Some(roll), Some(driver)) = (&self.roll, self.driver.upgrade()) else { return };
-        let calls = roll.borrow_mut().calls(driver.micros());
+        let (Some(roll), Some(counter), Some(now)) = (&self.roll, &self.counter, self.now()) else { return };
+        let calls = roll.borrow_mut().calls(now);
         for call in calls {
-            driver.counter.call(Asker::Roll, CounterName(call.name), call.amount, call.keep);
+            counter.call(Asker::Roll, CounterName(call.name), call.amount, call.keep);
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::server::{connection_settings, Server};
 use crate::sites::Sites;
 use crate::srv::{Follower, Hears};
+use crate::subsystems::GatewaySubsystems;
 use crate::turns::Turns;
 use hingestage_membership::{Address, Sources};
 use hingestage_operate::Told;
@@ -82,16 +83,19 @@
     controls: mpsc::Receiver<Control>,
 ) -> Result<(), String> {
     let bound = listener.local_addr().map_err(|e| format!("field `listen`: {e}"))?;
-    let driver = Driver::new(platform.clone(), config.driver_settings(), decide);
+    let wait = config.settings.counter_timeout;
+    let subsystems = GatewaySubsystems::new(platform.clone(), config.counter, wait);
+    let driver = Driver::new(platform.clone(), config.driver_settings(), subsystems.clone(), decide);
+    subsystems.driver.get_or_init(|| Rc::downgrade(&driver));
     let server = Server::new(driver.clone(), &config);
     let connections = Connections::new(platform.clone(), server.clone(), connection_settings(&config));
     let sites = Sites::new(&driver, config.sites.clone(), config.settings.instances, &config.settings.rules);
-    *driver.sites.borrow_mut() = Some(sites.clone());
-    platform.spawn(sites.run());
+    subsystems.sites.get_or_init(|| sites.clone());
+    platform.spawn(sites.clone().run());
     let mut admin = None;
     if let Some(at) = config.admin {
         let listener = platform.listen(at).await.map_err(|e| format!("field `admin`: {at}: {e}"))?;
-        let serving = admin.insert(Admin::new(driver.clone(), server.clone())).clone();
+        let serving = admin.insert(Admin::new(driver.clone(), server.clone(), subsystems.clone())).clone();
         platform.spawn(serving.serve(listener));
     }
     platform.log(format_args!("listening on {bound}"));
@@ -115,24 +119,25 @@
         });
     }
     let (tell_stop, stop) = oneshot::channel();
-    let sources = Followed { book, watcher, follower };
+    let sources = Followed { book, watcher, follower, subsystems: subsystems.clone() };
     platform.spawn(follow(driver.clone(), server.clone(), sources, controls, tell_stop));
-    platform.spawn(driver.counter.clone().run());
+    platform.spawn(subsystems.counter.clone().run());
     if let Some(figures) = config.fleet.clone() {
         let (me, gateways) = (config.settings.me, config.settings.instances.max(1));
-        let fleet = Fleet::new(&driver, figures.clone(), me, gateways, config.counter.is_some());
-        *driver.fleet.borrow_mut() = Some(fleet.clone());
+        let counter = config.counter.map(|_| subsystems.counter.clone());
+        let fleet = Fleet::new(&driver, counter, sites, figures.clone(), (me, gateways));
+        subsystems.fleet.get_or_init(|| fleet.clone());
         if figures.turns {
-            let wait = config.settings.counter_timeout;
-            let turns = Turns::new(&driver, &fleet, &figures, (me, gateways), wait);
-            *driver.turns.borrow_mut() = Some(turns.clone());
+            let counter = subsystems.counter.clone();
+            let turns = Turns::new(&driver, counter, &fleet, &figures, (me, gateways), wait);
+            subsystems.turns.get_or_init(|| turns.clone());
             platform.spawn(turns.run());
         }
         platform.spawn(fleet.run());
     }
     if let Some(figures) = config.policy.clone() {
         let changes = Changes::new(&driver, figures, config.settings.clone(), config.names.clone());
-        *driver.changes.borrow_mut() = Some(changes.clone());
+        subsystems.changes.get_or_init(|| changes.clone());
         // Before anything can come in.
         driver.feed(Event::Terms(None));
         platform.spawn(changes.run());
@@ -145,15 +150,15 @@
     }
     let longest = driver.longest().map_or(config.longest_deadline(), |l| l.max(config.longest_deadline()));
     connections.stop(listener, server.stopping(longest + STOP_SPARE)).await;
-    let fleet = driver.fleet.borrow().clone();
-    if let Some(fleet) = fleet {
+    if let Some(fleet) = subsystems.fleet.get() {
         fleet.last_words().await;
     }
     Ok(())
 }
 
-/// The sources of workers in use.
+/// What follows what the gateway is told from outside.
 struct Followed<P: Platform> {
+    subsystems: Rc<GatewaySubsystems<P>>,
     book: Rc<Book>,
     watcher: Option<Rc<Watcher<P>>>,
     follower: Option<Rc<Follower<P>>>,
@@ -226,7 +231,7 @@
     mut controls: mpsc::Receiver<Control>,
     stop: oneshot::Sender<()>,
 ) {
-    let mut stop = Some(stop);
+    let (mut stop, subsystems) = (Some(stop), &sources.subsystems);
     while let Some(control) = controls.recv().await {
         match control {
             Control::Reload(reload) => go_where(&driver, &sources, *reload),
@@ -234,12 +239,12 @@
                 driver.platform.log(format_args!("successor {}", if serves { "starts" } else { "is gone" }));
                 server.told(if serves { Told::SuccessorStarts } else { Told::SuccessorGone });
                 driver.feed(Event::Successor(serves));
-                driver.changes.borrow().iter().for_each(|changes| changes.successor(serves));
+                subsystems.changes.get().into_iter().for_each(|changes| changes.successor(serves));
             }
             Control::Stop => {
                 server.told(Told::Stop);
-                driver.fleet.borrow().iter().for_each(|fleet| fleet.goodbye());
-                driver.turns.borrow().iter().for_each(|turns| turns.leave());
+                subsystems.fleet.get().into_iter().for_each(|fleet| fleet.goodbye());
+                subsystems.turns.get().into_iter().for_each(|turns| turns.leave());
                 drop(stop.take());
             }
         }
@@ -266,10 +271,9 @@
                     .log(format_args!("other sources of workers take a restart; the old ones stay")),
             }
             if let Some(at) = config.counter {
-                driver.counter.go_to(at);
+                sources.subsystems.counter.go_to(at);
             }
-            let sites = driver.sites.borrow().clone();
-            sites.iter().for_each(|sites| sites.go_by(config.sites.clone()));
+            sources.subsystems.sites.get().into_iter().for_each(|sites| sites.go_by(config.sites.clone()));
         }
         Err(message) => driver.platform.log(format_args!("the old configuration stays: {message}")),
     }
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -155,22 +155,15 @@
     }
 
     /// An attempt goes out whole.
-    pub fn sent(&self, driver: &Rc<Driver<P>>, worker: WorkerId) {
-        self.belief.borrow_mut().sent(driver.micros(), worker.0);
+    pub fn sent(&self, now: Micros, worker: WorkerId) {
+        self.belief.borrow_mut().sent(now, worker.0);
     }
 
     /// An attempt ended.
-    pub fn ended(
-        self: &Rc<Self>,
-        driver: &Rc<Driver<P>>,
-        worker: WorkerId,
-        outcome: Outcome,
-        took: Duration,
-    ) {
-        let now = driver.micros();
+    pub fn ended(self: &Rc<Self>, now: Micros, worker: WorkerId, outcome: Outcome, took: Duration) {
         self.belief.borrow_mut().ended(now, worker.0, tells(outcome, took.as_micros() as Micros));
         if now >= self.looked.get() + LOOK {
-            self.look(driver);
+            self.driver.upgrade().into_iter().for_each(|driver| self.look(&driver));
         }
     }
 
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -2,7 +2,7 @@
 //! others tell it to the counter. Who looks for which name, what is told again and how often the counter is called is
 //! decided in `hingestage_turns`.
 
-use crate::counter::Asker;
+use crate::counter::{Asker, Counter};
 use crate::driver::Driver;
 use crate::fleet::Fleet;
 use crate::lane::Lanes;
@@ -32,6 +32,7 @@
 pub struct Turns<P: Platform> {
     driver: Weak<Driver<P>>,
     platform: P,
+    counter: Rc<Counter<P>>,
     fleet: Rc<Fleet<P>>,
     lanes: Lanes<P>,
     post: RefCell<Post>,
@@ -46,6 +47,7 @@
     /// That of a gateway's new life; a call to the counter ends after `wait`.
     pub fn new(
         driver: &Rc<Driver<P>>,
+        counter: Rc<Counter<P>>,
         fleet: &Rc<Fleet<P>>,
         figures: &Figures,
         (me, gateways): (u32, u32),
@@ -54,6 +56,7 @@
         let platform = driver.platform.clone();
         Rc::new(Turns {
             driver: Rc::downgrade(driver),
+            counter,
             fleet: fleet.clone(),
             lanes: Lanes::new(platform.clone(), figures.peers.clone()),
             platform,
@@ -133,9 +136,9 @@
             match ending {
                 Ending::Total(total) => self.own(name, CounterOutcome::Total(total)),
                 Ending::Timeout => self.own(name, CounterOutcome::Timeout),
-                Ending::Counter => self.driver.upgrade().into_iter().for_each(|driver| {
-                    driver.counter.call(Asker::Decisions, name.clone(), told.amount, told.keep_ms * 1_000);
-                }),
+                Ending::Counter => {
+                    self.counter.call(Asker::Decisions, name, told.amount, told.keep_ms * 1_000)
+                }
             }
         }
         self.send_words(to);
@@ -204,11 +207,10 @@
     }
 
     fn carry_out(&self, wanted: Vec<Do<Teller>>) {
-        let Some(driver) = self.driver.upgrade() else { return };
         for one in wanted {
             match one {
                 Do::Count { name, amount, keep_ms } => {
-                    driver.counter.call(Asker::Turns, CounterName(name), amount, keep_ms * 1_000);
+                    self.counter.call(Asker::Turns, CounterName(name), amount, keep_ms * 1_000);
                 }
                 Do::Say(Teller::Own(name), total) => self.own(name, CounterOutcome::Total(total)),
                 // Whoever asked may have gone.
