hingestage-dataplane: the workers' side moves into a package of its own

Cause: a program beside the gateway is to use it without counter, turns, fleet, changes, sites, admin and discovery.

Change: `body`, `dialect`, `wire` and `workers` move to `crates/dataplane`, one floor below the gateway; nothing else in them changes.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -3,11 +3,11 @@
 use crate::driver::Driver;
 use crate::fleet::SITES;
 use crate::lane;
-use crate::note;
 use crate::server::Server;
 use crate::srv::Follower;
 use crate::subsystems::GatewaySubsystems;
 use bytes::Bytes;
+use hingestage_dataplane::note;
 use hingestage_fleet::table::{GATEWAYS_MAX, MESSAGE_MAX};
 use hingestage_operate::Told;
 use hingestage_platform::{Listener, Platform};
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,7 +1,8 @@
 //! The connection to the counter: calls written one behind another, answers taken in their order.
 
-use crate::{note, Backoff};
+use crate::Backoff;
 use bytes::BytesMut;
+use hingestage_dataplane::note;
 use hingestage_platform::{Platform, Stream};
 use hingestage_policy::{CounterName, CounterOutcome, Micros};
 use redis_protocol::resp2::decode::decode_bytes_mut;
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,9 +1,10 @@
 //! The list of workers: the watch on it, and what each word of membership does here.
 
 use crate::driver::Driver;
-use crate::wire::{Place, Wire, WireIo};
-use crate::{note, Backoff};
+use crate::Backoff;
 use bytes::{Bytes, BytesMut};
+use hingestage_dataplane::note;
+use hingestage_dataplane::wire::{Place, Wire, WireIo};
 use hingestage_membership::hosts::HostList;
 use hingestage_membership::{Address, Change, Located, Membership, Sources, Told};
 use hingestage_platform::{Platform, Stream, Task};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,14 +2,12 @@
 
 pub mod admin;
 mod ask;
-pub mod body;
 mod changes;
 pub mod client;
 pub mod collect;
 pub mod config;
 pub mod connections;
 pub mod counter;
-pub mod dialect;
 pub mod discovery;
 pub mod driver;
 pub mod fleet;
@@ -24,20 +22,10 @@
 pub mod srv;
 mod subsystems;
 pub mod turns;
-pub mod wire;
-pub mod workers;
 
 use hingestage_platform::Platform;
 use std::time::Duration;
 
-/// Reports something odd from outside, sparsely: what repeats says so at powers of two only.
-pub fn note(platform: &impl Platform, count: &std::cell::Cell<u64>, what: impl std::fmt::Display) {
-    count.set(count.get() + 1);
-    if count.get().is_power_of_two() {
-        platform.log(format_args!("{what} (time {})", count.get()));
-    }
-}
-
 /// A plain decimal number above 0, and nothing else: a sign, an exponent or a word is no amount of anything.
 pub fn decimal(text: &str) -> Option<f64> {
     let plain = text.len() <= 32 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
--- a/crates/gateway/src/relay_dialect.rs
+++ b/crates/gateway/src/relay_dialect.rs
@@ -1,7 +1,7 @@
 //! The headers of the relay platform: `Request-Id`, `Request-Timeout`, `Not-Started`, `X-Cost-Units`.
 
 use crate::decimal;
-use crate::dialect::{Dialect, Judgement, Parts};
+use hingestage_dataplane::dialect::{Dialect, Judgement, Parts};
 use hingestage_policy::{Outcome, WorkerId};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::StatusCode;
--- a/crates/mutants/src/judge.rs
+++ b/crates/mutants/src/judge.rs
@@ -202,7 +202,8 @@
             (Found::Tests, &["-p", "hingestage-failover", "-p", "hingestage-sites"][..]),
             (Found::Bytes, &["-p", "hingestage-sim", "--test", "bytes"][..]),
             (Found::Tests, &["-p", "hingestage-sim", "--test", "hard_cases", "--test", "scripts"][..]),
-            (Found::Tests, &["-p", "hingestage-policy", "-p", "hingestage-gateway", "-p", "hingestage"][..]),
+            (Found::Tests, &["-p", "hingestage-policy", "-p", "hingestage-dataplane"][..]),
+            (Found::Tests, &["-p", "hingestage-gateway", "-p", "hingestage"][..]),
         ] {
             let mut words = vec!["test", "--profile", "seeds", "-q"];
             words.extend(packages);
--- a/crates/mutants/src/main.rs
+++ b/crates/mutants/src/main.rs
@@ -72,8 +72,9 @@
 /// Where copies of the tree and verdicts are kept.
 const WORK: &str = "target/mutants";
 /// The sources that mutants are made of, and those that judge them.
-const TREE: [&str; 6] = [
+const TREE: [&str; 7] = [
     "crates/policy/src",
+    "crates/dataplane/src",
     "crates/gateway/src",
     "crates/sim/src",
     "crates/standins/src",
