hingestage-dataplane: the clients' side moves in

Change: `heads`, `client`, `collect` and `connections` move from the gateway; nothing else in them changes.

--- a/crates/gateway/src/client.rs
+++ b/crates/dataplane/src/client.rs
@@ -1,7 +1,7 @@
 //! One client's connection as its server and an answer that passes through both see it.
 
+use crate::body::Flow;
 use crate::heads::Kept;
-use hingestage_dataplane::body::Flow;
 use hingestage_platform::Platform;
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/gateway/src/collect.rs
+++ b/crates/dataplane/src/collect.rs
@@ -1,7 +1,7 @@
 //! Reads the bodies of requests: whole where they are short or there is memory for them.
 
+use crate::body::{BodyLimits, Flow, Joined, RequestBody, HELD};
 use bytes::Bytes;
-use hingestage_dataplane::body::{BodyLimits, Flow, Joined, RequestBody, HELD};
 use hingestage_platform::Platform;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
--- a/crates/gateway/src/connections.rs
+++ b/crates/dataplane/src/connections.rs
@@ -2,8 +2,8 @@
 
 use crate::client::{Client, ClientTimes};
 use crate::heads::Headed;
+use crate::note;
 use bytes::Bytes;
-use hingestage_dataplane::note;
 use hingestage_platform::{Listener, Platform};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -1,11 +1,16 @@
 //! What carries requests from clients to workers and answers back, without the words of any one platform.
 //!
 //! Workers' side: [`workers`] keeps pooled connections and makes attempts in the words of a [`dialect`].
+//! Clients' side: [`connections`] takes clients in, whatever answers them; [`collect`] reads bodies within bounds.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod body;
+pub mod client;
+pub mod collect;
+pub mod connections;
 pub mod dialect;
+pub mod heads;
 pub mod wire;
 pub mod workers;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,6 @@
 use crate::admin::Admin;
 use crate::changes::Changes;
 use crate::config::Config;
-use crate::connections::Connections;
 use crate::discovery::{Book, Watcher};
 use crate::driver::{Driver, MakeDecisions};
 use crate::fleet::Fleet;
@@ -12,6 +11,7 @@
 use crate::srv::{Follower, Hears};
 use crate::subsystems::GatewaySubsystems;
 use crate::turns::Turns;
+use hingestage_dataplane::connections::Connections;
 use hingestage_membership::{Address, Sources};
 use hingestage_operate::Told;
 use hingestage_operator::Srv;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,16 +3,12 @@
 pub mod admin;
 mod ask;
 mod changes;
-pub mod client;
-pub mod collect;
 pub mod config;
-pub mod connections;
 pub mod counter;
 pub mod discovery;
 pub mod driver;
 pub mod fleet;
 pub mod gateway;
-pub mod heads;
 pub mod hooks;
 mod lane;
 pub mod passing;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,15 +1,15 @@
 //! Clients' requests as the relay platform words them: read and checked, and their answers written.
 
-use crate::client::{Client, ClientTimes};
-use crate::collect::{CollectError, CollectSettings, Collector};
 use crate::config::Config;
-use crate::connections::{Answers, ConnectionSettings, Stopping};
 use crate::decimal;
 use crate::driver::{Answer, Driver, Taken, Ticket, ANSWER_MARGIN};
 use crate::passing::Written;
 use crate::relay_dialect::{content_type, REQUEST_ID, REQUEST_TIMEOUT};
 use bytes::Bytes;
 use hingestage_dataplane::body::{BodyLimits, RequestBody};
+use hingestage_dataplane::client::{Client, ClientTimes};
+use hingestage_dataplane::collect::{CollectError, CollectSettings, Collector};
+use hingestage_dataplane::connections::{Answers, ConnectionSettings, Stopping};
 use hingestage_dataplane::dialect::Parts;
 use hingestage_dataplane::workers::Served;
 use hingestage_operate::{Life, Told};
