hingestage-dataplane: the driver, its hooks and the answers on their way move in

Change: `driver`, `hooks` and `passing` move from the gateway; nothing else in them changes. `hingestage_gateway::driver` stays as another name of the module, so that the simulator, the lab and their tests are as they were.

--- a/crates/gateway/src/driver.rs
+++ b/crates/dataplane/src/driver.rs
@@ -1,9 +1,9 @@
 //! Owns the decisions, their clock and the open requests: events in, actions out. Each request ends once.
 
+use crate::body::RequestBody;
+use crate::dialect::{Dialect, Parts};
 use crate::hooks::{Beginning, Subsystems};
-use hingestage_dataplane::body::RequestBody;
-use hingestage_dataplane::dialect::{Dialect, Parts};
-use hingestage_dataplane::workers::{Attempted, Progress, Served, ServedBody, Times, Workers};
+use crate::workers::{Attempted, Progress, Served, ServedBody, Times, Workers};
 use hingestage_operate::{Ending, Figures, Gauges, SrvFigures};
 use hingestage_platform::{Clock, Platform, Stream, Task};
 use hingestage_policy::{
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -1,5 +1,6 @@
 //! What carries requests from clients to workers and answers back, without the words of any one platform.
 //!
+//! Between the two sides: [`driver`] owns the decisions and the open requests, [`hooks`] is what may stand beside it.
 //! Workers' side: [`workers`] keeps pooled connections and makes attempts in the words of a [`dialect`].
 //! Clients' side: [`connections`] takes clients in, whatever answers them; [`collect`] reads bodies within bounds.
 #![forbid(unsafe_code)]
@@ -10,7 +11,10 @@
 pub mod collect;
 pub mod connections;
 pub mod dialect;
+pub mod driver;
 pub mod heads;
+pub mod hooks;
+pub mod passing;
 pub mod wire;
 pub mod workers;
 
--- a/crates/gateway/src/passing.rs
+++ b/crates/dataplane/src/passing.rs
@@ -1,10 +1,10 @@
 //! Answers on their way to clients: short ones whole, long ones as the worker gives them.
 
+use crate::body::{poll_whole, Piece, Source};
+use crate::client::Client;
 use crate::driver::{Driver, Ticket};
+use crate::workers::{Rest, ServedBody};
 use bytes::Bytes;
-use hingestage_dataplane::body::{poll_whole, Piece, Source};
-use hingestage_dataplane::client::Client;
-use hingestage_dataplane::workers::{Rest, ServedBody};
 use hingestage_operate::Ending;
 use hingestage_platform::Platform;
 use hingestage_policy::ClassId;
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,12 +1,12 @@
 //! The operators' address: one call a connection, answered at once however busy the clients' side is.
 
-use crate::driver::Driver;
 use crate::fleet::SITES;
 use crate::lane;
 use crate::server::Server;
 use crate::srv::Follower;
 use crate::subsystems::GatewaySubsystems;
 use bytes::Bytes;
+use hingestage_dataplane::driver::Driver;
 use hingestage_dataplane::note;
 use hingestage_fleet::table::{GATEWAYS_MAX, MESSAGE_MAX};
 use hingestage_operate::Told;
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -2,10 +2,10 @@
 //! is under. Which that is, and whether anything may begin, is decided in `hingestage_change::holder`.
 
 use crate::ask::ask;
-use crate::driver::Driver;
 use hingestage_change::desk::{Asked, Elsewhere, Reply};
 use hingestage_change::holder::Holder;
 use hingestage_change::keeper::{Change, Version};
+use hingestage_dataplane::driver::Driver;
 use hingestage_enforce::Rules;
 use hingestage_operator::Policy as Figures;
 use hingestage_platform::Platform;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,8 @@
 //! What the gateway is told at its start: `RELAY_CONFIG` and the variables beside it, checked.
 
-use crate::driver::DriverSettings;
 use crate::relay_dialect::RelayDialect;
 use crate::sites::Planned;
+use hingestage_dataplane::driver::DriverSettings;
 use hingestage_membership::hosts::HostList;
 use hingestage_operator::{Fleet, Policy, Srv};
 use hingestage_policy::settings::{flatten, settings, Fields, Names};
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The list of workers: the watch on it, and what each word of membership does here.
 
-use crate::driver::Driver;
 use crate::Backoff;
 use bytes::{Bytes, BytesMut};
+use hingestage_dataplane::driver::Driver;
 use hingestage_dataplane::note;
 use hingestage_dataplane::wire::{Place, Wire, WireIo};
 use hingestage_membership::hosts::HostList;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,8 +4,8 @@
 
 use crate::ask::ask_with;
 use crate::counter::{Asker, Counter};
-use crate::driver::Driver;
 use crate::sites::Sites;
+use hingestage_dataplane::driver::Driver;
 use hingestage_failover::Word;
 use hingestage_fleet::roll::Roll;
 use hingestage_fleet::table::{Message, Standing, Table, MESSAGE_MAX};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,12 +6,9 @@
 pub mod config;
 pub mod counter;
 pub mod discovery;
-pub mod driver;
 pub mod fleet;
 pub mod gateway;
-pub mod hooks;
 mod lane;
-pub mod passing;
 pub mod relay_dialect;
 pub mod server;
 pub mod sites;
@@ -19,6 +16,7 @@
 mod subsystems;
 pub mod turns;
 
+pub use hingestage_dataplane::driver;
 use hingestage_platform::Platform;
 use std::time::Duration;
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,8 +2,6 @@
 
 use crate::config::Config;
 use crate::decimal;
-use crate::driver::{Answer, Driver, Taken, Ticket, ANSWER_MARGIN};
-use crate::passing::Written;
 use crate::relay_dialect::{content_type, REQUEST_ID, REQUEST_TIMEOUT};
 use bytes::Bytes;
 use hingestage_dataplane::body::{BodyLimits, RequestBody};
@@ -11,6 +9,8 @@
 use hingestage_dataplane::collect::{CollectError, CollectSettings, Collector};
 use hingestage_dataplane::connections::{Answers, ConnectionSettings, Stopping};
 use hingestage_dataplane::dialect::Parts;
+use hingestage_dataplane::driver::{Answer, Driver, Taken, Ticket, ANSWER_MARGIN};
+use hingestage_dataplane::passing::Written;
 use hingestage_dataplane::workers::Served;
 use hingestage_operate::{Life, Told};
 use hingestage_platform::Platform;
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -1,7 +1,7 @@
 //! What a gateway tells its belief about sites, and who hears of it. What follows from the evidence is decided in
 //! `hingestage_failover`, and plans are made ahead in `hingestage_sites`; the decisions are told of each new view.
 
-use crate::driver::Driver;
+use hingestage_dataplane::driver::Driver;
 use hingestage_failover::{Belief, Declared, Drift, Figures, Order, Standing, Told, Why, Word};
 use hingestage_platform::Platform;
 use hingestage_policy::{
--- a/crates/gateway/src/subsystems.rs
+++ b/crates/gateway/src/subsystems.rs
@@ -2,11 +2,11 @@
 
 use crate::changes::Changes;
 use crate::counter::{Asker, Counter};
-use crate::driver::Driver;
 use crate::fleet::Fleet;
-use crate::hooks::{Beginning, Subsystems};
 use crate::sites::Sites;
 use crate::turns::Turns;
+use hingestage_dataplane::driver::Driver;
+use hingestage_dataplane::hooks::{Beginning, Subsystems};
 use hingestage_platform::Platform;
 use hingestage_policy::{
     ClassId, CounterName, CounterOutcome, Effect, Event, ListScope, Micros, Outcome, PlanId, WorkerId,
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -3,9 +3,9 @@
 //! decided in `hingestage_turns`.
 
 use crate::counter::{Asker, Counter};
-use crate::driver::Driver;
 use crate::fleet::Fleet;
 use crate::lane::Lanes;
+use hingestage_dataplane::driver::Driver;
 use hingestage_operator::Fleet as Figures;
 use hingestage_platform::Platform;
 use hingestage_policy::{CounterName, CounterOutcome, Event, Micros};
