--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,13 +1,14 @@
 //! The list of workers: the watch on it, and what each word of membership does here.
 
-use crate::driver::Driver;
-use crate::wire::{Place, Wire, WireIo};
-use crate::{note, Backoff};
+use crate::Backoff;
 use bytes::{Bytes, BytesMut};
+use hingestage_dataplane::driver::Driver;
+use hingestage_dataplane::note;
+use hingestage_dataplane::wire::{Place, Wire, WireIo};
 use hingestage_membership::hosts::HostList;
 use hingestage_membership::{Address, Change, Located, Membership, Sources, Told};
 use hingestage_platform::{Platform, Stream, Task};
-use hingestage_policy::{Availability, Event, ListScope, Micros, WorkerId, WorkerList};
+use hingestage_policy::{Availability, ListScope, Micros, WorkerId, WorkerList};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -81,10 +82,7 @@
         }
         change.odd.iter().for_each(|what| note(&driver.platform, &self.odd, what));
         let workers: Vec<_> = change.workers.into_iter().map(|told| told.info).collect();
-        let sites = driver.sites.borrow().clone();
-        sites.iter().for_each(|sites| sites.listed(&workers, change.scope));
-        driver.feed(Event::Workers(WorkerList { scope: change.scope, workers }));
-        driver.recall_unwritten();
+        driver.list_workers(WorkerList { scope: change.scope, workers });
     }
 }
 
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -1,7 +1,7 @@
 //! The headers between proxy and workers.
 
 use compact_str::CompactString;
-use hingestage_gateway::dialect::{Dialect, Judgement, Parts};
+use hingestage_dataplane::dialect::{Dialect, Judgement, Parts};
 use hingestage_policy::{Outcome, WorkerId};
 use hyper::header::{
     HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING,
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -8,13 +8,13 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use hingestage_configuration::{Route, Tenant};
-use hingestage_gateway::body::RequestBody;
-use hingestage_gateway::client::Client;
-use hingestage_gateway::collect::CollectError;
-use hingestage_gateway::connections::Answers;
-use hingestage_gateway::dialect::Parts;
-use hingestage_gateway::driver::{Answer, Taken};
-use hingestage_gateway::passing::Written;
+use hingestage_dataplane::body::RequestBody;
+use hingestage_dataplane::client::Client;
+use hingestage_dataplane::collect::CollectError;
+use hingestage_dataplane::connections::Answers;
+use hingestage_dataplane::dialect::Parts;
+use hingestage_dataplane::driver::{Answer, Taken};
+use hingestage_dataplane::passing::Written;
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
 use hingestage_policy::{CustomerId, PlanId};
@@ -161,9 +161,9 @@
         &self,
         answer: Option<Answer<tokio::net::TcpStream>>,
         mut admitted: Admitted,
-        driver: &Rc<hingestage_gateway::driver::Driver<Tokio>>,
+        driver: &Rc<hingestage_dataplane::driver::Driver<Tokio>>,
         class: hingestage_policy::ClassId,
-        ticket: hingestage_gateway::driver::Ticket<Tokio>,
+        ticket: hingestage_dataplane::driver::Ticket<Tokio>,
         client: &Rc<Client>,
     ) -> Result<Reply, Refusal> {
         match answer {
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -4,8 +4,9 @@
 use crate::dialect::WorkerDialect;
 use crate::view::{Usability, View};
 use compact_str::CompactString;
-use hingestage_gateway::dialect::Dialect;
-use hingestage_gateway::driver::{gatekeeper, Driver, DriverSettings};
+use hingestage_dataplane::dialect::Dialect;
+use hingestage_dataplane::driver::{gatekeeper, Driver, DriverSettings};
+use hingestage_dataplane::hooks::NoSubsystems;
 use hingestage_node::Settings;
 use hingestage_platform::Tokio;
 use hingestage_policy::{
@@ -129,11 +130,9 @@
             workers_max: self.settings.limits.max_fds / WORKER_DESCRIPTORS,
             connect_timeout: CONNECT_TIMEOUT,
             worker_idle: WORKER_IDLE,
-            counter: None,
-            counter_timeout: 1_000_000,
             dialect: dialect.clone() as Rc<dyn Dialect>,
         };
-        let driver = Driver::new(self.platform, settings, gatekeeper);
+        let driver = Driver::new(self.platform, settings, Rc::new(NoSubsystems), gatekeeper);
         Service { driver, dialect, classes: RefCell::default() }
     }
 
@@ -201,8 +200,7 @@
         }
         service.driver.workers.keep_only(&named);
         service.dialect.keep_only(|worker| named.contains(&worker));
-        service.driver.feed(Event::Workers(WorkerList { scope: ListScope::Full, workers: infos }));
-        service.driver.recall_unwritten();
+        service.driver.list_workers(WorkerList { scope: ListScope::Full, workers: infos });
     }
 
     /// Whether a worker may get a service's requests at all.
