Further attempts saved up are a setting: proxies share the slack of their budget

Nine proxies with as many for each service could spend 180 within a window where the budget's slack is 58.

Change: `Limits::retries_saved`; 0 keeps the decisions' own figure. The proxies plan with 0.35 of the slack over all.

Ruled out: a budget asked for by each attempt (`RetryBudget`) as the decisions spend theirs before the send.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -124,6 +124,19 @@
     pub cancel: bool,
     /// The longest retry advice that a client follows.
     pub max_retry_after: Micros,
+    /// Further attempts that may be saved up; 0 leaves it to the decisions.
+    pub retries_saved: f64,
+}
+
+impl Limits {
+    /// Further attempts that may be saved up, where the decisions' own figure is `usual`.
+    pub fn retries_saved(&self, usual: f64) -> f64 {
+        if self.retries_saved > 0.0 {
+            self.retries_saved
+        } else {
+            usual
+        }
+    }
 }
 
 /// What a gatekeeper is told at its start.
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -177,6 +177,7 @@
         let usual = typical.iter().copied().fold(f64::MAX, f64::min);
         let n = f64::from(settings.instances.max(1));
         let mut rng = fastrand::Rng::with_seed(seed);
+        let retries = settings.limits.retries_saved(RETRY_EARN.1) / 2.0;
         Gatekeeper {
             set: settings,
             // Gateways that start together do not call together.
@@ -191,7 +192,7 @@
             usual,
             next_timer: 1,
             typical,
-            retries: RETRY_EARN.1 / 2.0,
+            retries,
             call_gap: n * CALL_START,
             call_gap_good: n * CALL_START,
             limit: INFLIGHT.0,
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -146,7 +146,7 @@
             return false;
         };
         if r.attempts.is_empty() {
-            self.retries = (self.retries + RETRY_EARN.0).min(RETRY_EARN.1);
+            self.retries = (self.retries + RETRY_EARN.0).min(self.set.limits.retries_saved(RETRY_EARN.1));
             let units = if r.granted { 0.0 } else { r.units };
             self.customers.entry(r.key.clone()).and_modify(|c| {
                 c.ceiling -= units;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -169,6 +169,7 @@
             second_copies: f.flag("limits.mayDuplicate")?,
             cancel: f.flag("limits.mayCancel")?,
             max_retry_after: if f.flag("limits.retryAfter")? { f.int("limits.maxRetryAfterUs")? } else { 0 },
+            retries_saved: 0.0,
         },
         rules: RuleFigures {
             cold_from: f.float("rules.coldFrom")?,
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -29,7 +29,13 @@
             class(Effect::AtMostOnce, DedupGroup::All),
         ],
         plans: vec![plan, ceiling],
-        limits: Limits { max_attempts: 4, second_copies: true, cancel: true, max_retry_after: S },
+        limits: Limits {
+            max_attempts: 4,
+            second_copies: true,
+            cancel: true,
+            max_retry_after: S,
+            retries_saved: 0.0,
+        },
         rules: RuleFigures { cold_from: 0.2, cold_for: 10 * S, fall_multiple: 2.0, fall_after: S },
         ..Settings::default()
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -254,7 +254,9 @@
     /// Notes this proxy's part of common limits.
     pub(crate) fn part_changed(&self) {
         let part = self.view.borrow().part();
-        self.services.set_proxies(part.gateways);
+        if part.valid_until > 0 {
+            self.services.set_proxies(part.gateways);
+        }
         self.tenants.borrow_mut().observe_part(self.now(), part);
     }
 
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -32,6 +32,11 @@
 const WORKER_DESCRIPTORS: usize = 2;
 /// Services, with regions, that are served at the most.
 const SERVICES_MAX: usize = 4_096;
+/// Proxies that there are taken to be before that is known.
+const PROXIES_UNKNOWN: u32 = 16;
+/// Part of the slack of the budget of further attempts that is planned with, and what one proxy has at the least.
+const RETRY_SLACK_USED: f64 = 0.35;
+const RETRIES_LEAST: f64 = 1.0;
 /// The tier of workers in this proxy's region, and of others.
 const TIERS: (u32, u32) = (0, 1);
 
@@ -103,7 +108,7 @@
             services: RefCell::default(),
             numbers: RefCell::default(),
             next: Cell::new(1),
-            proxies: Cell::new(1),
+            proxies: Cell::new(PROXIES_UNKNOWN),
         }
     }
 
@@ -150,11 +155,19 @@
                 second_copies: false,
                 cancel: true,
                 max_retry_after: RETRY_AFTER_MAX,
+                retries_saved: self.retries_saved(),
             },
             ..PolicySettings::default()
         }
     }
 
+    /// Further attempts that one set of decisions may save up: all proxies' together stay within the slack that
+    /// the rules leave beside the ratio, for each service and the sets of regions that it is asked for in.
+    fn retries_saved(&self) -> f64 {
+        let planned = self.settings.bounds.retry_slack * RETRY_SLACK_USED;
+        (planned / f64::from(self.proxies.get().max(1))).max(RETRIES_LEAST)
+    }
+
     /// Notes how many proxies there are, for services that are made from now on.
     pub fn set_proxies(&self, proxies: u32) {
         self.proxies.set(proxies);
--- a/crates/small-worlds/src/decisions.rs
+++ b/crates/small-worlds/src/decisions.rs
@@ -91,6 +91,7 @@
                 second_copies: self.copies,
                 cancel: true,
                 max_retry_after: MS,
+                retries_saved: 0.0,
             },
             rules: RuleFigures {
                 cold_from: 0.2,
