--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -37,8 +37,10 @@
 /// Part of the slack of the budget of further attempts that is planned with, and what one proxy has at the least.
 const RETRY_SLACK_USED: f64 = 0.35;
 const RETRIES_LEAST: f64 = 1.0;
-/// The tier of workers in this proxy's region, and of others.
-const TIERS: (u32, u32) = (0, 1);
+/// The tiers of workers: in this proxy's zone, in its region, elsewhere.
+const TIER_ZONE: u32 = 0;
+const TIER_REGION: u32 = 1;
+const TIER_FAR: u32 = 2;
 
 /// A service, and the regions that requests to it are bound to (none: any).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -223,14 +225,25 @@
         worker.service == key.service && (key.regions.is_empty() || region.is_some_and(allowed))
     }
 
+    /// Nearer workers come first: bytes between zones and regions cost.
+    fn tier(&self, worker: &WorkerRecord) -> u32 {
+        let region = self.settings.zones.get(worker.zone.as_str());
+        if worker.zone == self.settings.zone {
+            TIER_ZONE
+        } else if region == Some(&self.settings.region) {
+            TIER_REGION
+        } else {
+            TIER_FAR
+        }
+    }
+
     fn info(&self, number: WorkerId, worker: &WorkerRecord, ready: bool) -> WorkerInfo {
-        let near = self.settings.zones.get(worker.zone.as_str()) == Some(&self.settings.region);
         WorkerInfo {
             availability: if ready { Availability::Ready } else { Availability::Draining },
             zone: Zone(worker.zone.to_string()),
             mark: digest(worker.id.as_bytes()),
             size: f64::from(worker.capacity),
-            tier: if near { TIERS.0 } else { TIERS.1 },
+            tier: self.tier(worker),
             ..WorkerInfo::ready(number)
         }
     }
