Counts of tenants go among proxies, and the total read back enters the judgement

Need: the design's ordinary path: batched adds carried among the gateways themselves, a penalty box, the total read back taken into account.

Change: each proxy pushes its counts to the tenants' owners (rendezvous over the living proxies) by datagrams once a second and reads totals back. A boxed tenant gets what its quota still allows: tokens beyond the slack's.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod classes;
 mod control;
 mod dialect;
+mod peers;
 mod readiness;
 mod requests;
 pub mod server;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::services::Services;
 use crate::view::{Spans, View};
-use crate::{control, readiness};
+use crate::{control, peers, readiness};
 use eyre::{eyre, Context, Result};
 use hingestage_dataplane::body::BodyLimits;
 use hingestage_dataplane::client::ClientTimes;
@@ -112,6 +112,7 @@
         let listener = TcpListener::bind(at).await.wrap_err_with(|| format!("listen.readiness: {at}"))?;
         spawn_local(readiness::serve(listener, proxy.clone()));
     }
+    peers::start(&proxy).await?;
     spawn_local(control::run(proxy.clone()));
     spawn_local(proxy.clone().follow_time());
     spawn_local(proxy.clone().tidy());
@@ -151,6 +152,10 @@
     }
 }
 
+fn table_settings() -> TableSettings {
+    TableSettings { push_interval: micros(peers::PUSH_PERIOD) / 2, ..TableSettings::default() }
+}
+
 fn micros(span: Duration) -> Micros {
     span.as_micros() as Micros
 }
@@ -170,7 +175,7 @@
             platform: Tokio,
             view: RefCell::new(View::new(spans)),
             services: Services::new(settings.clone(), Tokio),
-            tenants: RefCell::new(TenantTable::new(0, Incarnation(incarnation), TableSettings::default())),
+            tenants: RefCell::new(TenantTable::new(0, Incarnation(incarnation), table_settings())),
             collector: Collector::new(Tokio, collect_settings(&settings)),
             registries: RefCell::default(),
             near_heard_at: Cell::new(0),
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -425,7 +425,7 @@
         }
         self.judge_speed(now, limits);
         let boxed = now < self.boxed_until && !limits.exempt;
-        if boxed && now < self.boxed_pass_at {
+        if boxed && now < self.boxed_pass_at && !self.quota_allows(limits, meter) {
             let wait = self.boxed_pass_at.min(self.boxed_until) - now;
             return Err(Refusal { wait, reason: RefusalReason::PenaltyBox });
         }
@@ -437,6 +437,15 @@
         Ok(())
     }
 
+    /// Whether the quota still allows a request of a boxed tenant: tokens are left beyond those of the slack. A part
+    /// of the burst that is less than one token has the slack's to be whole.
+    fn quota_allows(&mut self, limits: &TenantLimits, meter: &PartMeter) -> bool {
+        self.bucket.refresh(meter, limits.hard_bound());
+        let whole = limits.burst * meter.share() >= 1.0;
+        let reserve = if whole { limits.slack * meter.share() } else { 0.0 };
+        self.bucket.level() >= 1.0 + reserve
+    }
+
     /// A tenant whose count has passed the threshold is boxed for one window.
     fn judge_speed(&mut self, now: Micros, limits: &TenantLimits) {
         if limits.exempt || !limits.is_limited() {
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -60,10 +60,11 @@
         let due_at = now + next_within;
         let known = self.proxies.get_mut(&status.id.node);
         if let Some(entry) = known {
-            if entry.status.id.incarnation > status.id.incarnation {
+            let revived = now >= entry.due_at + self.figures.late_after;
+            // A clock that was set back makes a new life look older than the one before.
+            if entry.status.id.incarnation > status.id.incarnation && !revived {
                 return false;
             }
-            let revived = now >= entry.due_at + self.figures.late_after;
             let new = entry.status != status;
             *entry = Entry { status, heard_at: now, due_at };
             return new || revived;
--- a/crates/turns/tests/common/mod.rs
+++ b/crates/turns/tests/common/mod.rs
@@ -217,7 +217,13 @@
             ..Class::default()
         }],
         plans: vec![usual, ceiling],
-        limits: Limits { max_attempts: 2, second_copies: false, cancel: false, max_retry_after: S, retries_saved: 0.0 },
+        limits: Limits {
+            max_attempts: 2,
+            second_copies: false,
+            cancel: false,
+            max_retry_after: S,
+            retries_saved: 0.0,
+        },
         rules: RuleFigures {
             cold_from: WARMS.0,
             cold_for: WARMS.1,
