A replica's word counts by when it was asked for, and an overtaken order is not durable

Cause, each found by a test that failed before: - A word that came unasked (time 0) replaced the summary of a newer answer and kept that answer's time, so a replica claimed to be current without a change that its peer had already named. - A copy counted towards durability however long ago it was seen. With four or more replicas one could lose its disk after it had answered, be rebuilt from others that had not got the change, and still be counted: the change was acknowledged with one copy too few. - An order made on old knowledge (number 1 where the others held number 2 with the opposite) counted as durable because something newer stood in its place, and was acknowledged without any effect. - Right after a start a zone that had not been heard yet was taken for lost.

Ruled out: merging unasked words into the answer, which would give a copy from before a loss the time of an answer after it; naming the life of a disk in the messages, which the age of the answer makes needless.

Change: only answers count, the latest question's answer holds, a copy counts for `away_after`, and a recovering replica is rebuilt by answers to questions asked after that time. Words that come unasked raise the number of the next order and nothing else.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -292,8 +292,9 @@
             StoreRequest::Exchange { from, summary, mut members } => {
                 members.push(from.clone());
                 self.meet(members);
-                // When it was said is not known here: it tells what is missing, and nothing of the present.
-                self.heard(&from.name, 0, summary);
+                // When it was said is not known here: it tells nothing of the present.
+                self.replica.borrow_mut().told(&from.name, summary);
+                self.changed.notify_waiters();
                 let replica = self.replica.borrow();
                 StoreAnswer::Exchanged { summary: replica.summary(), members: replica.members() }
             }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -4,7 +4,7 @@
 use crate::state::State;
 use crate::Micros;
 use compact_str::CompactString;
-use hingestage_rpc::messages::{Change, ConfigDocument, StoreMember, Summary, Update, ZoneDrain};
+use hingestage_rpc::messages::{Change, ConfigDocument, StoreMember, Summary, Update, ZoneDrain, ZoneDrains};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Periods by which a replica goes.
@@ -28,12 +28,26 @@
 /// What is known of another replica.
 #[derive(Clone, Debug, Default)]
 struct Peer {
-    /// What it held when it last said so.
+    /// Its answer to the latest question that it answered.
+    answer: Option<PeerAnswer>,
+    /// Orders that it has named besides. When it held them is not known, so they count for nothing else.
+    drains: ZoneDrains,
+}
+
+/// What a replica answered.
+#[derive(Clone, Debug)]
+struct PeerAnswer {
+    /// What it held.
     summary: Summary,
-    /// When it was asked for that.
+    /// When it was asked.
     asked_at: Micros,
-    /// Whether it has said anything.
-    heard: bool,
+}
+
+impl Peer {
+    /// Its latest answer, unless it speaks for nobody.
+    fn valid(&self) -> Option<&PeerAnswer> {
+        self.answer.as_ref().filter(|answer| !answer.summary.recovering)
+    }
 }
 
 /// One replica.
@@ -131,8 +145,10 @@
     /// The newest order about a zone that any replica is known to have.
     fn newest_drain(&self, zone: &CompactString) -> ZoneDrain {
         let own = self.state.drains.get(zone).into_iter();
-        let others = self.peers.values().filter_map(|peer| peer.summary.drains.get(zone));
-        own.chain(others).max().copied().unwrap_or_default()
+        let answers = self.peers.values().filter_map(|peer| peer.answer.as_ref());
+        let answered = answers.filter_map(|answer| answer.summary.drains.get(zone));
+        let named = self.peers.values().filter_map(|peer| peer.drains.get(zone));
+        own.chain(answered).chain(named).max().copied().unwrap_or_default()
     }
 
     /// Whether an update changes anything here. A caller writes it to disk before [`Replica::adopt`].
@@ -149,37 +165,48 @@
         self.refresh(now);
     }
 
-    /// Takes in what another replica said when it was asked at `asked_at`.
+    /// Takes in what another replica answered when it was asked at `asked_at`. An answer to an older question than
+    /// the latest one that was answered replaces nothing.
     pub fn heard(&mut self, now: Micros, from: &CompactString, asked_at: Micros, summary: Summary) {
         if *from == self.me.name {
             return;
         }
         let peer = self.peers.entry(from.clone()).or_default();
-        (peer.summary, peer.heard) = (summary, true);
-        peer.asked_at = peer.asked_at.max(asked_at);
+        if peer.answer.as_ref().is_some_and(|answer| asked_at < answer.asked_at) {
+            return;
+        }
+        peer.answer = Some(PeerAnswer { summary, asked_at });
         self.rebuild(now);
         self.refresh(now);
     }
 
+    /// Takes in what another replica said unasked, at a moment that is not known.
+    pub fn told(&mut self, from: &CompactString, summary: Summary) {
+        if *from != self.me.name {
+            self.peers.entry(from.clone()).or_default().drains = summary.drains;
+        }
+    }
+
     /// What another replica lacks, as far as is known.
     pub fn missing_at(&self, name: &CompactString) -> Vec<Update> {
-        let peer = self.peers.get(name).filter(|peer| peer.heard);
-        peer.map(|peer| self.state.missing(&peer.summary)).unwrap_or_default()
+        let answer = self.peers.get(name).and_then(|peer| peer.answer.as_ref());
+        answer.map(|answer| self.state.missing(&answer.summary)).unwrap_or_default()
     }
 
-    /// A recovering replica speaks again once it has what enough others have.
+    /// A recovering replica speaks again once it has what enough others have. They are asked only when nobody can
+    /// count the copies any more that were lost with the disk: see [`Replica::holds`].
     fn rebuild(&mut self, now: Micros) {
         if !self.recovering {
             return;
         }
-        let whole = |peer: &&Peer| {
-            peer.heard
-                && !peer.summary.recovering
-                && now < peer.asked_at + self.figures.away_after
-                && covers(&self.state, &peer.summary)
+        let asked_from = self.figures.away_after;
+        let whole = |answer: &&PeerAnswer| {
+            answer.asked_at >= asked_from
+                && now < answer.asked_at + self.figures.away_after
+                && covers(&self.state, &answer.summary)
         };
-        let told = self.peers.values().filter(whole).count();
-        if told >= self.quorum().rebuild() {
+        let answers = self.peers.values().filter_map(Peer::valid);
+        if answers.filter(whole).count() >= self.quorum().rebuild() {
             self.recovering = false;
         }
     }
@@ -189,9 +216,14 @@
     }
 
     /// Whether an update, or something newer in its place, is durable.
+    ///
+    /// An order that a contrary one has overtaken is not: it has no effect, and its caller has to ask again.
     pub fn is_durable(&self, now: Micros, update: &Update) -> bool {
+        if self.is_overtaken(update) {
+            return false;
+        }
         let holders: Vec<&StoreMember> =
-            self.members.values().filter(|member| self.holds(&member.name, update)).collect();
+            self.members.values().filter(|member| self.holds(now, &member.name, update)).collect();
         let zones: BTreeSet<&CompactString> = holders.iter().map(|member| &member.zone).collect();
         // A second zone counts only while one of its replicas lives: a loss that has happened is used up.
         let present: BTreeSet<&CompactString> = self
@@ -204,17 +236,30 @@
         holders.len() >= self.quorum().durable() && spread
     }
 
+    fn is_overtaken(&self, update: &Update) -> bool {
+        let Update::Drain { zone, drain } = update else { return false };
+        let newest = self.newest_drain(zone);
+        newest > *drain && newest.drained != drain.drained
+    }
+
+    /// Whether a replica lives, as far as is known; right after a start all do.
     fn is_present(&self, now: Micros, name: &CompactString) -> bool {
-        let heard = self.peers.get(name).filter(|peer| peer.heard);
-        *name == self.me.name || heard.is_some_and(|peer| now < peer.asked_at + self.figures.away_after)
+        let answer = self.peers.get(name).and_then(|peer| peer.answer.as_ref());
+        let asked_at = answer.map_or(0, |answer| answer.asked_at);
+        *name == self.me.name || now < asked_at + self.figures.away_after
     }
 
-    fn holds(&self, name: &CompactString, update: &Update) -> bool {
+    /// Whether a replica has an update on its disk. What it said long ago does not count: its disk may have been
+    /// lost since, and it may have been rebuilt from others that had not got the update yet.
+    fn holds(&self, now: Micros, name: &CompactString, update: &Update) -> bool {
         if *name == self.me.name {
             return !self.recovering && !self.state.is_news(update);
         }
-        let Some(peer) = self.peers.get(name).filter(|peer| peer.heard) else { return false };
-        !peer.summary.recovering && summary_covers(&peer.summary, &self.state, update)
+        let answer = self.peers.get(name).and_then(Peer::valid);
+        answer.is_some_and(|answer| {
+            now < answer.asked_at + self.figures.away_after
+                && summary_covers(&answer.summary, &self.state, update)
+        })
     }
 
     /// The configuration that gateways may go by.
@@ -240,13 +285,11 @@
             return None;
         }
         let in_force = self.in_force.as_ref().map(|config| config.version);
-        let says_so = |peer: &&Peer| {
-            peer.heard
-                && !peer.summary.recovering
-                && peer.summary.config <= in_force
-                && covers_drains(&self.state, &peer.summary)
+        let says_so = |answer: &&PeerAnswer| {
+            answer.summary.config <= in_force && covers_drains(&self.state, &answer.summary)
         };
-        let mut times: Vec<Micros> = self.peers.values().filter(says_so).map(|peer| peer.asked_at).collect();
+        let answers = self.peers.values().filter_map(Peer::valid).filter(says_so);
+        let mut times: Vec<Micros> = answers.map(|answer| answer.asked_at).collect();
         if self.state.config.as_ref().map(|config| config.version) <= in_force {
             times.push(now);
         }
@@ -259,11 +302,8 @@
         if self.recovering {
             return false;
         }
-        let newest = &self.state;
-        let says_so = |peer: &&Peer| {
-            peer.heard && !peer.summary.recovering && peer.asked_at >= since && covers(newest, &peer.summary)
-        };
-        let others = self.peers.values().filter(says_so).count();
+        let says_so = |answer: &&PeerAnswer| answer.asked_at >= since && covers(&self.state, &answer.summary);
+        let others = self.peers.values().filter_map(Peer::valid).filter(says_so).count();
         now >= since && others + 1 >= self.quorum().current()
     }
 }
