A call takes a new connection where the peer has ended the old one

Cause: when a peer closed an idle connection, as it does when its process starts again, only the reading half ended. The next call was written into the dead connection, and nobody was left to answer it: it waited for its whole time and ended as a timeout. Between stores, which are idle between two exchanges, that cost one second after each restart.

Ruled out: letting the reader close the queue, which needs shared ownership of the sender for one bit.

Change: a connection whose reader has ended is not used again.

--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -53,12 +53,14 @@
 struct Connection {
     queue: mpsc::Sender<Bytes>,
     waiting: Waiting,
-    tasks: [AbortHandle; 2],
+    writer: AbortHandle,
+    reader: AbortHandle,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.tasks.iter().for_each(AbortHandle::abort);
+        self.writer.abort();
+        self.reader.abort();
     }
 }
 
@@ -110,7 +112,7 @@
 
     async fn connected(&self) -> Result<Rc<Connection>, CallError> {
         let mut slot = self.connection.lock().await;
-        if let Some(connection) = slot.as_ref().filter(|connection| !connection.queue.is_closed()) {
+        if let Some(connection) = slot.as_ref().filter(|connection| connection.is_open()) {
             return Ok(connection.clone());
         }
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await;
@@ -144,7 +146,12 @@
         let waiting = Waiting::default();
         let writer = spawn_local(write_frames(write, frames)).abort_handle();
         let reader = spawn_local(read_answers(read, Rc::downgrade(&waiting))).abort_handle();
-        Connection { queue, waiting, tasks: [writer, reader] }
+        Connection { queue, waiting, writer, reader }
+    }
+
+    /// Whether a call may be answered here, as far as is known: neither side has ended.
+    fn is_open(&self) -> bool {
+        !self.queue.is_closed() && !self.reader.is_finished()
     }
 }
 
