A store that recovers and is restarted goes on recovering

Cause: a directory with any update in it counted as one where a replica had begun. A recovering replica writes the updates that it is told, so a restart before it had been told all made it speak for others with half of what it had lost.

Change: a replica has begun once it has written which replicas there are, which it does at the first start and after it has recovered. The contracts of the disk are functions over a trait; loss of power is played by files that were never renamed, torn, empty or unreadable.

Measured: `files_of_updates_alone_are_no_beginning` failed before; 7 tests pass in 0.08 s.

--- a/crates/config-store/src/files.rs
+++ b/crates/config-store/src/files.rs
@@ -56,7 +56,8 @@
             drains: self.read_json::<ZoneDrains>(DRAINS).unwrap_or_default(),
             proxies: self.read_json::<ProxyNames>(PROXIES).unwrap_or_default(),
         };
-        let begun = members.is_some() || state != State::default();
+        // A replica that recovers writes updates first and its members once it has recovered.
+        let begun = members.is_some();
         Ok(Loaded { state, members: members.unwrap_or_default(), begun })
     }
 
