A bad time in the settings is named by its field

Cause: times were read as texts and converted outside the reader, so the message of a bad one (`beat`, any of `bounds`, `cloud_api.lag`) said what was wrong and not where.

Change: the conversion happens in a visitor, whose errors carry their place.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,8 +3,10 @@
 //! Fields that are not listed here are ignored: later releases of the platform may add some.
 
 use garde::Validate;
+use serde::de::{Unexpected, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -307,7 +309,20 @@
 }
 
 fn duration<'de, D: Deserializer<'de>>(source: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(source)?;
-    let error = || serde::de::Error::custom(format!("`{text}` is not a time such as `1500ms` or `2.5s`"));
-    parse_duration(&text).ok_or_else(error)
+    source.deserialize_str(DurationVisitor)
+}
+
+/// Reads a span from the text itself, so that an error names the field it stands in.
+struct DurationVisitor;
+
+impl Visitor<'_> for DurationVisitor {
+    type Value = Duration;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a time such as `1500ms` or `2.5s`")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Duration, E> {
+        parse_duration(text).ok_or_else(|| E::invalid_value(Unexpected::Str(text), &self))
+    }
 }
