Lists of workers go on above what proxies have after a restart of all registries

The proxies' watches carry what they hold, and nobody looked at it. - A watch was answered at once where the proxy's orders about zones differed from the registry's, also where the proxy had the newer ones.

Ruled out: keeping the numbers on disk, which the registry does not have by design.

Change: a registry notes the versions that proxies and other registries name, and reads above them; only newer orders are news; the nearest proxies come first. The reader of the platform's list is public for its tests.

--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -94,22 +94,35 @@
     }
 
     /// Where a client of a zone and region is sent: to ready proxies of its zone, where there are enough, else
-    /// to those of its region as well, else to all.
+    /// to those of its region as well, else to all; the nearest come first where not all can be named.
     pub fn lookup(&self, now: Micros, zone: &str, region: &str) -> Vec<SocketAddr> {
-        let ready: Vec<&ProxyStatus> = self.living(now).filter(|status| status.ready).collect();
-        let within = |near: &dyn Fn(&ProxyStatus) -> bool| -> Vec<SocketAddr> {
-            ready.iter().filter(|status| near(status)).map(|status| status.http).collect()
-        };
-        let rings: [&dyn Fn(&ProxyStatus) -> bool; 3] =
-            [&|status| status.zone == zone, &|status| status.region == region, &|_| true];
-        let mut answer = Vec::new();
-        for ring in rings {
-            answer = within(ring);
-            if answer.len() >= self.figures.enough {
-                break;
-            }
+        let ready = self.living(now).filter(|status| status.ready);
+        let mut ready: Vec<(Distance, SocketAddr)> =
+            ready.map(|status| (Distance::of(status, zone, region), status.http)).collect();
+        ready.sort_by_key(|(distance, _)| *distance);
+        let farthest_needed = ready.get(self.figures.enough.saturating_sub(1)).map(|(distance, _)| *distance);
+        let reach = farthest_needed.unwrap_or(Distance::Elsewhere);
+        let near = ready.into_iter().take_while(|(distance, _)| *distance <= reach);
+        near.map(|(_, addr)| addr).take(self.figures.answer_max).collect()
+    }
+}
+
+/// How far a proxy is from a client.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    SameZone,
+    SameRegion,
+    Elsewhere,
+}
+
+impl Distance {
+    fn of(status: &ProxyStatus, zone: &str, region: &str) -> Distance {
+        if status.zone == zone {
+            Distance::SameZone
+        } else if status.region == region {
+            Distance::SameRegion
+        } else {
+            Distance::Elsewhere
         }
-        answer.truncate(self.figures.answer_max);
-        answer
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod directory;
 pub mod duty;
 mod http;
-mod platform_list;
+pub mod platform_list;
 pub mod server;
 mod watch;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -12,7 +12,7 @@
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
     Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAnswer, RegistryMember,
-    RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList,
+    RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList, ZoneDrains,
 };
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
 use std::cell::RefCell;
@@ -276,6 +276,8 @@
         if self.directory.borrow_mut().heard(self.now(), status) {
             self.changed.notify_waiters();
         }
+        // After a restart of all registries only the proxies know how far the numbers of lists have come.
+        self.duty.borrow_mut().saw(theirs.workers);
         if self.in_force.borrow().proxies.get(&name) != Some(&true) {
             self.newcomers.borrow_mut().entry(name.clone()).or_default();
         }
@@ -283,7 +285,7 @@
             let changed = self.changed.notified();
             let have = self.have();
             let news = have.config > theirs.config
-                || have.drains != theirs.drains
+                || has_newer_drain(&have.drains, &theirs.drains)
                 || have.workers > theirs.workers
                 || have.directory != theirs.directory;
             let now = self.now();
@@ -330,6 +332,12 @@
     }
 }
 
+/// Whether any order is newer than the one that the other side has. Where the other side has the newer ones there
+/// is nothing to tell it.
+fn has_newer_drain(ours: &ZoneDrains, theirs: &ZoneDrains) -> bool {
+    ours.iter().any(|(zone, drain)| theirs.get(zone) < Some(drain))
+}
+
 impl Handler for Registry {
     type Request = RegistryRequest;
     type Answer = RegistryAnswer;
@@ -339,8 +347,9 @@
             RegistryRequest::Watch { status, have, wait } => {
                 self.watch(status, have, Duration::from_millis(wait)).await
             }
-            RegistryRequest::Meet { from, members, .. } => {
+            RegistryRequest::Meet { from, members, workers } => {
                 self.met(from, members);
+                self.duty.borrow_mut().saw(workers);
                 let now = self.now();
                 RegistryAnswer::Met {
                     from: self.duty.borrow().me(now),
