--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -13,7 +13,7 @@
 use hingestage_rpc::messages::{
     Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAddress, RegistryAnswer,
     RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList, WorkerRecord,
-    WorkersVersion,
+    WorkersVersion, ZoneDrains,
 };
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
 use std::cell::RefCell;
@@ -308,6 +308,8 @@
         if self.directory.borrow_mut().heard(self.now(), status, wait.as_micros() as Micros) {
             self.changed.notify_waiters();
         }
+        // After a restart of all registries only the proxies know how far the numbers of lists have come.
+        self.duty.borrow_mut().saw(theirs.workers);
         if self.in_force.borrow().proxies.get(&name) != Some(&true) {
             self.newcomers.borrow_mut().entry(name.clone()).or_default();
         }
@@ -315,7 +317,7 @@
             let changed = self.changed.notified();
             let have = self.have();
             let news = have.config > theirs.config
-                || have.drains != theirs.drains
+                || has_newer_drain(&have.drains, &theirs.drains)
                 || have.workers > theirs.workers
                 || have.directory != theirs.directory;
             let now = self.now();
@@ -379,6 +381,12 @@
     old.len() == new.len() && old.iter().zip(new).all(same)
 }
 
+/// Whether any order is newer than the one that the other side has. Where the other side has the newer ones there
+/// is nothing to tell it.
+fn has_newer_drain(ours: &ZoneDrains, theirs: &ZoneDrains) -> bool {
+    ours.iter().any(|(zone, drain)| theirs.get(zone) < Some(drain))
+}
+
 impl Handler for Registry {
     type Request = RegistryRequest;
     type Answer = RegistryAnswer;
@@ -388,8 +396,9 @@
             RegistryRequest::Watch { status, have, wait } => {
                 self.watch(status, have, Duration::from_millis(wait)).await
             }
-            RegistryRequest::Meet { from, members, .. } => {
+            RegistryRequest::Meet { from, members, workers } => {
                 self.met(from, members);
+                self.duty.borrow_mut().saw(workers);
                 let now = self.now();
                 RegistryAnswer::Met {
                     from: self.duty.borrow().me(now),
