At the first start a store that knows nobody is no majority

Cause, found by reading: quorums went by the replicas met so far. Alone, a store would have acknowledged a configuration by itself for as long as it had met nobody.

Change: while `bootstrap` is true there are as many replicas as seeds at the least. Later the disk says who there is.

Ruled out: a number in the settings of the project, as the platform tells neither how many nor where.

Measured: tests of `crates/replication` pass; the new one fails without the least number.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -62,7 +62,7 @@
     }
     let serial = loaded.state.config.as_ref().map_or(0, |config| config.version.serial);
     log::info!("configuration {serial:08x} on disk, {} stores known", loaded.members.len());
-    let replica = Replica::new(me, loaded.state, loaded.members, recovering, Figures::default());
+    let replica = Replica::new(me, loaded.state, loaded.members, recovering, figures(&settings));
     let store = Rc::new(Store {
         settings: settings.clone(),
         replica: RefCell::new(replica),
@@ -83,6 +83,12 @@
     Ok(())
 }
 
+/// At the first start the seeds are replicas, and nobody is known yet. Later the disk says who there is.
+fn figures(settings: &Settings) -> Figures {
+    let members_least = if settings.bootstrap { settings.seeds.len() } else { 1 };
+    Figures { members_least, ..Figures::default() }
+}
+
 /// Asks the seeds for replicas that are not known yet. The settings file is read again: seeds change.
 async fn find_members(store: Rc<Store>, settings: Rc<Settings>) {
     loop {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -17,11 +17,14 @@
     pub hand_out_after: Micros,
     /// Replicas known at the most.
     pub members_max: usize,
+    /// Replicas that there are at the least, whoever is known yet: at the first start a replica knows nobody, and
+    /// must not take itself for a majority.
+    pub members_least: usize,
 }
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { away_after: 2_000_000, hand_out_after: 1_500_000, members_max: 64 }
+        Figures { away_after: 2_000_000, hand_out_after: 1_500_000, members_max: 64, members_least: 1 }
     }
 }
 
@@ -212,7 +215,7 @@
     }
 
     fn quorum(&self) -> Quorum {
-        Quorum::of(self.members.len())
+        Quorum::of(self.members.len().max(self.figures.members_least))
     }
 
     /// Whether an update, or something newer in its place, is durable.
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use hingestage_replication::{Quorum, Replica, State};
+use hingestage_replication::{Figures, Quorum, Replica, State};
 use hingestage_rpc::messages::{Change, Summary, Update};
 
 fn hears(replica: &mut Replica, now: u64, number: usize, summary: Summary) {
@@ -34,6 +34,17 @@
     assert!(replica.is_durable(2, &config(1)), "what is newer has taken its place");
 }
 
+#[test]
+fn a_replica_that_knows_nobody_yet_is_no_majority() {
+    let figures = Figures { members_least: 3, ..Figures::default() };
+    let mut replica = Replica::new(member(1, "a"), State::default(), Vec::new(), false, figures);
+    let update = config(1);
+    replica.adopt(S, update.clone());
+    assert!(!replica.is_durable(S, &update));
+    assert_eq!(replica.current_as_of(S), None);
+    assert!(!replica.is_current_since(S, S));
+}
+
 #[test]
 fn durable_needs_a_second_zone_while_two_live_and_a_zone_that_is_lost_is_used_up() {
     let mut replica = first_of(&members(&["a", "a", "b"]));
