A registry keeps to the seeds of its start while its settings file can't be read

Cause: where the file could not be read, as between two states of it, a registry went on with no seeds at all, while stores and proxies fall back to the settings that they started with. One that starts in that moment, or has no file (programs run inside a test), met no other registry until the file could be read.

Ruled out: ending with an error.

Change: the seeds of the start hold while the file can't be read, as in the two other programs.

Found by reading.

--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -173,7 +173,8 @@
     fn others(&self) -> Vec<SocketAddr> {
         let me = self.settings.inner(InnerPort::Registry);
         let known = self.duty.borrow().members(self.now()).into_iter().map(|member| member.addr);
-        let seeds = Settings::load().map(|settings| settings.seeds).unwrap_or_default();
+        // Between two states of the file what was read at the start holds.
+        let seeds = Settings::load().map_or_else(|_| self.settings.seeds.clone(), |settings| settings.seeds);
         let seeds = seeds.into_iter().map(|seed| self.settings.inner_at(seed.ip(), InnerPort::Registry));
         known.chain(seeds).filter(|addr| *addr != me).collect()
     }
