--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod dns;
 mod message;
 mod peer;
+pub mod service_worker;
 pub mod site;
 pub mod worker;
+pub mod worker_list;
 
 pub use message::{End, Message, Reader};
 pub use peer::Peer;
--- /dev/null
+++ b/crates/standins/src/service_worker.rs
@@ -0,0 +1,226 @@
+//! A worker of a named service, as proxies call it: it has an id, turns away requests that are meant for another
+//! worker, and notes every request that it runs.
+
+use crate::{End, Message, Peer, Reader};
+use hingestage_platform::{Listener, Platform};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{watch, Semaphore};
+
+/// Path of the health check.
+pub const HEALTH_PATH: &str = "/health";
+/// Names the worker that a request is meant for.
+const TARGET_WORKER: &str = "x-hingestage-target-worker";
+/// Identifies a try of a client.
+const ATTEMPT_ID: &str = "x-hingestage-attempt-id";
+/// Name of the tenant.
+const TENANT: &str = "x-hingestage-tenant";
+/// A client's key, which is never to come here.
+const API_KEY: &str = "api-key";
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct ServiceWorkerSpec {
+    /// Its id; each start has another.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Requests that it runs at once.
+    pub capacity: usize,
+    /// Requests that may wait for a slot; further ones are turned away.
+    pub queue: usize,
+    /// How long a request takes.
+    pub work: Duration,
+}
+
+/// How a worker behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServiceWorkerMode {
+    /// It answers what it runs.
+    #[default]
+    Answers,
+    /// It runs requests and resets the connection in place of an answer.
+    ResetsAfterRun,
+}
+
+/// A request that a worker has run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Id of the worker.
+    pub worker: String,
+    /// Service of the worker.
+    pub service: String,
+    /// Id of the client's try.
+    pub attempt: String,
+    /// The path.
+    pub path: String,
+    /// The tenant it came for.
+    pub tenant: Option<String>,
+    /// Whether it brought a client's key along.
+    pub brought_key: bool,
+}
+
+/// What all workers of a system have seen.
+#[derive(Debug, Default)]
+pub struct RunLog {
+    /// Requests that ran, in order.
+    pub runs: Vec<Run>,
+    /// Requests that were meant for another worker and were turned away.
+    pub misdirected: u64,
+}
+
+/// The log that workers share.
+pub type SharedRunLog = Rc<RefCell<RunLog>>;
+
+/// A worker of a named service.
+pub struct ServiceWorker<P> {
+    platform: P,
+    spec: ServiceWorkerSpec,
+    mode: Cell<ServiceWorkerMode>,
+    slots: Semaphore,
+    waiting: Cell<usize>,
+    answers: Cell<u64>,
+    ended: watch::Sender<bool>,
+    log: SharedRunLog,
+}
+
+/// An answer as it is written, less the headers that each has.
+struct Answer<'a> {
+    status: &'static str,
+    headers: String,
+    body: &'a str,
+}
+
+impl Answer<'_> {
+    fn not_run(status: &'static str) -> Answer<'static> {
+        Answer { status, headers: "X-Hingestage-Not-Run: 1\r\n".into(), body: "" }
+    }
+}
+
+impl<P: Platform> ServiceWorker<P>
+where
+    P::Stream: Peer,
+{
+    /// One that has run nothing.
+    pub fn new(platform: P, spec: ServiceWorkerSpec, log: SharedRunLog) -> Rc<Self> {
+        Rc::new(ServiceWorker {
+            platform,
+            slots: Semaphore::new(spec.capacity.max(1)),
+            spec,
+            mode: Cell::default(),
+            waiting: Cell::new(0),
+            answers: Cell::new(0),
+            ended: watch::Sender::new(false),
+            log,
+        })
+    }
+
+    /// What it is.
+    pub fn spec(&self) -> &ServiceWorkerSpec {
+        &self.spec
+    }
+
+    /// How it behaves from now on.
+    pub fn set_mode(&self, mode: ServiceWorkerMode) {
+        self.mode.set(mode);
+    }
+
+    /// Ends it like a process that dies: all its connections close. Returns once its address is free.
+    pub async fn end(&self) {
+        self.ended.send_replace(true);
+        // Whoever serves holds a receiver.
+        self.ended.closed().await;
+    }
+
+    /// Serves until it is ended.
+    pub async fn run(self: Rc<Self>, listener: P::Listener) {
+        let mut ended = self.ended.subscribe();
+        loop {
+            let stream = tokio::select! {
+                _ = ended.wait_for(|ended| *ended) => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok(stream) = stream else { return };
+            let worker = self.clone();
+            self.platform.spawn(async move { worker.serve(stream).await });
+        }
+    }
+
+    async fn serve(&self, stream: P::Stream) {
+        let mut ended = self.ended.subscribe();
+        let mut reader = Reader::new(stream);
+        tokio::select! {
+            _ = ended.wait_for(|ended| *ended) => {}
+            () = async { while self.serve_one(&mut reader).await.is_ok() {} } => {}
+        }
+    }
+
+    async fn serve_one(&self, reader: &mut Reader<P::Stream>) -> Result<(), End> {
+        let message = reader.message().await?;
+        if message.path() == HEALTH_PATH {
+            let headers = format!("X-Hingestage-Worker-Id: {}\r\n", self.spec.id);
+            return self.write(reader, &message, Answer { status: "200 OK", headers, body: "" }).await;
+        }
+        if let Some(refusal) = self.refusal(&message) {
+            return self.write(reader, &message, refusal).await;
+        }
+        self.waiting.set(self.waiting.get() + 1);
+        let slot = self.slots.acquire().await;
+        self.waiting.set(self.waiting.get() - 1);
+        let _slot = slot.map_err(|_| End::Closed)?;
+        self.note_run(&message);
+        self.platform.sleep(self.spec.work).await;
+        if self.mode.get() == ServiceWorkerMode::ResetsAfterRun {
+            reader.stream.reset_on_drop();
+            return Err(End::Broken);
+        }
+        self.answers.set(self.answers.get() + 1);
+        let headers = format!("X-Hingestage-Server-Seal: {}.{}\r\n", self.spec.id, self.answers.get());
+        let body = format!("{} of {}\n", message.path(), self.spec.service);
+        self.write(reader, &message, Answer { status: "200 OK", headers, body: &body }).await
+    }
+
+    /// Why a request is turned away.
+    fn refusal(&self, message: &Message) -> Option<Answer<'static>> {
+        if message.header(ATTEMPT_ID).is_none() {
+            return Some(Answer::not_run("400 Bad Request"));
+        }
+        if message.header(TARGET_WORKER).is_some_and(|target| target != self.spec.id) {
+            self.log.borrow_mut().misdirected += 1;
+            return Some(Answer::not_run("421 Misdirected Request"));
+        }
+        let full = self.slots.available_permits() == 0 && self.waiting.get() >= self.spec.queue;
+        full.then(|| Answer::not_run("503 Service Unavailable"))
+    }
+
+    fn note_run(&self, message: &Message) {
+        let run = Run {
+            worker: self.spec.id.clone(),
+            service: self.spec.service.clone(),
+            attempt: message.header(ATTEMPT_ID).unwrap_or_default().to_owned(),
+            path: message.path().to_owned(),
+            tenant: message.header(TENANT).map(str::to_owned),
+            brought_key: message.header(API_KEY).is_some(),
+        };
+        self.log.borrow_mut().runs.push(run);
+    }
+
+    async fn write(
+        &self,
+        reader: &mut Reader<P::Stream>,
+        message: &Message,
+        answer: Answer<'_>,
+    ) -> Result<(), End> {
+        let Answer { status, headers, body } = answer;
+        let attempt = message.header(ATTEMPT_ID).unwrap_or_default();
+        let text = format!(
+            "HTTP/1.1 {status}\r\nX-Hingestage-Attempt-Id: {attempt}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        match reader.write(text.as_bytes()).await {
+            true => Ok(()),
+            false => Err(End::Broken),
+        }
+    }
+}
