`hingestage system`: a small system on loopback, as a command and a test

Ruled out: a test of real processes. Cargo builds only a package's own binaries for its tests, so it would depend on what happens to lie in the target directory; the test runs the programs' `serve` in threads. The command runs them as processes, found beside itself, each machine at a loopback address of its own.

Change: a package `playground` with layout, operator, clients, processes and table; subcommand `system`, with `--kill`; a test judged by what clients and workers saw: all served through a change of configuration, a removed key refused, a worker's address reused while the list is stale, and no second run where workers break off after running.

Missing programs are named; after SIGINT and after SIGKILL of the command no process is left.

--- /dev/null
+++ b/crates/playground/src/lib.rs
@@ -0,0 +1,16 @@
+//! A whole small system on loopback addresses: three core machines, four proxies, workers and their list, an
+//! operator and clients. For whoever wants to see the system work before reading about it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod clients;
+pub mod http;
+pub mod layout;
+pub mod operator;
+pub mod processes;
+mod run;
+pub mod surroundings;
+mod table;
+pub mod tally;
+
+pub use run::{run, Args};
--- /dev/null
+++ b/crates/playground/src/processes.rs
@@ -0,0 +1,148 @@
+//! The programs as child processes, each with its settings file and log in a directory of its own.
+
+use crate::layout::{Layout, ProcessSpec, Program};
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// The environment variable that holds the path of the settings file.
+const SETTINGS_VARIABLE: &str = "HINGESTAGE_SETTINGS";
+/// How long processes may take to end in order.
+const END_WITHIN: Duration = Duration::from_secs(7);
+/// Pause between two looks at whether they have.
+const LOOK: Duration = Duration::from_millis(20);
+/// The subcommand that ties a program to the life of this process.
+const LEASH: &str = "leash";
+
+/// Finds the programs beside this one.
+///
+/// # Errors
+/// One is not there; the message says how to build it.
+pub fn find_programs() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+    let directory = own.parent().unwrap_or(Path::new(".")).to_owned();
+    let missing: Vec<&str> = Program::ALL
+        .iter()
+        .map(|program| program.file_name())
+        .filter(|name| !directory.join(name).is_file())
+        .collect();
+    if missing.is_empty() {
+        return Ok(directory);
+    }
+    let release = if directory.ends_with("release") { " --release" } else { "" };
+    Err(format!(
+        "not built: {} in {}; build with `cargo build{release} -p hingestage-proxy -p hingestage-registry \
+         -p hingestage-config-store`",
+        missing.join(", "),
+        directory.display()
+    ))
+}
+
+struct Running {
+    spec: ProcessSpec,
+    child: Child,
+}
+
+/// The processes of a system. They are killed when this is dropped, and when this process ends.
+pub struct Processes {
+    programs: PathBuf,
+    directory: PathBuf,
+    layout: Layout,
+    running: Vec<Running>,
+}
+
+impl Processes {
+    /// Starts all processes of a layout for the first time.
+    ///
+    /// # Errors
+    /// A file can't be written or a program not be started.
+    pub fn start(programs: PathBuf, directory: PathBuf, layout: &Layout) -> Result<Processes, String> {
+        fs::create_dir_all(&directory).map_err(|e| format!("{}: {e}", directory.display()))?;
+        let mut processes = Processes { programs, directory, layout: layout.clone(), running: Vec::new() };
+        for spec in layout.processes() {
+            processes.launch(&spec, true)?;
+        }
+        Ok(processes)
+    }
+
+    /// Starts one process again.
+    ///
+    /// # Errors
+    /// A file can't be written or the program not be started.
+    pub fn restart(&mut self, spec: &ProcessSpec) -> Result<(), String> {
+        self.launch(spec, false)
+    }
+
+    fn launch(&mut self, spec: &ProcessSpec, bootstrap: bool) -> Result<(), String> {
+        let text = self.layout.settings(spec, &self.directory, bootstrap)?;
+        let child = self.spawn(spec, &text).map_err(|e| format!("{spec}: {e}"))?;
+        self.running.push(Running { spec: spec.clone(), child });
+        Ok(())
+    }
+
+    fn spawn(&self, spec: &ProcessSpec, settings: &str) -> io::Result<Child> {
+        if let Some(data_dir) = self.layout.data_dir(spec, &self.directory) {
+            fs::create_dir_all(data_dir)?;
+        }
+        let name = format!("{}-{}", spec.machine.name, spec.program.file_name());
+        let path = self.directory.join(format!("{name}.yaml"));
+        fs::write(&path, settings)?;
+        let log =
+            File::options().create(true).append(true).open(self.directory.join(format!("{name}.log")))?;
+        Command::new(std::env::current_exe()?)
+            .arg(LEASH)
+            .arg(std::process::id().to_string())
+            .arg(self.programs.join(spec.program.file_name()))
+            .env(SETTINGS_VARIABLE, path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+    }
+
+    /// Kills a process without notice.
+    pub fn kill(&mut self, spec: &ProcessSpec) {
+        let same = |running: &Running| {
+            running.spec.program == spec.program && running.spec.machine.name == spec.machine.name
+        };
+        let Some(place) = self.running.iter().position(same) else { return };
+        let mut running = self.running.remove(place);
+        let _ = running.child.kill();
+        let _ = running.child.wait();
+    }
+
+    /// A process that has ended by itself, and how.
+    pub fn ended(&mut self) -> Option<String> {
+        self.running.iter_mut().find_map(|running| {
+            let status = running.child.try_wait().ok().flatten()?;
+            Some(format!("{} ended by itself: {status}", running.spec))
+        })
+    }
+
+    /// Tells all to end, and kills those that don't in time. Tells whether none had to be killed.
+    pub async fn stop(mut self) -> bool {
+        for running in &self.running {
+            let pid = i32::try_from(running.child.id()).ok().and_then(Pid::from_raw);
+            let _ = pid.map(|pid| kill_process(pid, Signal::TERM));
+        }
+        let until = Instant::now() + END_WITHIN;
+        while !self.running.is_empty() && Instant::now() < until {
+            self.running.retain_mut(|running| matches!(running.child.try_wait(), Ok(None)));
+            sleep(LOOK).await;
+        }
+        self.running.is_empty()
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for running in &mut self.running {
+            let _ = running.child.kill();
+            let _ = running.child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/playground/src/surroundings.rs
@@ -0,0 +1,103 @@
+//! What the platform brings: workers of two services, and the list of them.
+
+use crate::layout::{Layout, LIST_CALLS_PER_S, PLACES};
+use crate::operator::{CATALOG, ORDERS};
+use hingestage_platform::{Platform, Tokio};
+use hingestage_standins::service_worker::{ServiceWorker, ServiceWorkerSpec, SharedRunLog};
+use hingestage_standins::worker_list::{ListedWorker, WorkerListServer};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Workers at the start.
+pub const WORKERS: u8 = 6;
+/// Requests that a worker runs at once.
+const CAPACITY: usize = 8;
+/// Requests that may wait at a worker.
+const QUEUE: usize = 32;
+/// How long a request takes.
+const WORK: Duration = Duration::from_millis(5);
+
+/// A worker and how the list names it.
+pub struct Hosted {
+    /// The worker.
+    pub worker: Rc<ServiceWorker<Tokio>>,
+    /// Its entry.
+    pub listed: ListedWorker,
+}
+
+/// The workers and their list.
+pub struct Surroundings {
+    /// What workers have seen.
+    pub log: SharedRunLog,
+    /// The server of the list.
+    pub list: Rc<WorkerListServer<Tokio>>,
+    /// Workers that run, by when they started.
+    pub workers: RefCell<Vec<Hosted>>,
+}
+
+impl Surroundings {
+    /// Starts the list and the workers.
+    ///
+    /// # Errors
+    /// An address is in use.
+    pub async fn start(layout: &Layout) -> Result<Rc<Surroundings>, String> {
+        let list = WorkerListServer::new(Tokio, LIST_CALLS_PER_S);
+        let listener = listen(layout.worker_list()).await?;
+        Tokio.spawn(list.clone().run(listener));
+        let (log, workers) = Default::default();
+        let surroundings = Rc::new(Surroundings { log, list, workers });
+        for number in 0..WORKERS {
+            let service = if number % 4 < 2 { CATALOG } else { ORDERS };
+            let zone = PLACES[usize::from(number) % PLACES.len()].zone;
+            surroundings.add(&format!("i-{number}"), service, layout.worker(number), zone).await?;
+        }
+        surroundings.publish();
+        Ok(surroundings)
+    }
+
+    /// Starts a worker. The list does not name it before [`Surroundings::publish`].
+    ///
+    /// # Errors
+    /// The address is in use.
+    pub async fn add(&self, id: &str, service: &str, addr: SocketAddr, zone: &str) -> Result<(), String> {
+        let listener = listen(addr).await?;
+        let spec = ServiceWorkerSpec {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            capacity: CAPACITY,
+            queue: QUEUE,
+            work: WORK,
+        };
+        let worker = ServiceWorker::new(Tokio, spec, self.log.clone());
+        Tokio.spawn(worker.clone().run(listener));
+        let listed = ListedWorker {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            addr,
+            zone: zone.to_owned(),
+            capacity: CAPACITY,
+            draining: false,
+        };
+        self.workers.borrow_mut().push(Hosted { worker, listed });
+        Ok(())
+    }
+
+    /// Ends a worker like a process that dies, and gives what the list said of it.
+    pub async fn end(&self, id: &str) -> Option<ListedWorker> {
+        let place = self.workers.borrow().iter().position(|hosted| hosted.listed.id == id)?;
+        let hosted = self.workers.borrow_mut().remove(place);
+        hosted.worker.end().await;
+        Some(hosted.listed)
+    }
+
+    /// Lets the list name the workers that run.
+    pub fn publish(&self) {
+        self.list.set(self.workers.borrow().iter().map(|hosted| hosted.listed.clone()).collect());
+    }
+}
+
+async fn listen(addr: SocketAddr) -> Result<<Tokio as Platform>::Listener, String> {
+    Tokio.listen(addr).await.map_err(|e| format!("can't listen at {addr}: {e}"))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -40,6 +40,8 @@
 enum Command {
     /// Shows the gateway at work among stand-ins on loopback sockets.
     Lab(hingestage_lab::Args),
+    /// Shows the whole system at work: registries, stores and proxies as processes on loopback addresses.
+    System(hingestage_playground::Args),
     /// Checks an operators' file; a fault is named with its field and place.
     Check {
         /// The file.
@@ -86,6 +88,7 @@
     let done = match args.command {
         None => start(args.operator),
         Some(Command::Lab(args)) => block_on(hingestage_lab::run(args)).map_err(Failed::Running),
+        Some(Command::System(args)) => block_on(hingestage_playground::run(args)).map_err(Failed::Running),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Srv(args)) => srv::run(args),
         Some(Command::Rehearse(args)) => rehearse(args),
