--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,9 +7,9 @@
 
 pub mod classes;
 mod control;
-mod dialect;
+pub mod dialect;
 mod readiness;
 mod requests;
 pub mod server;
-mod services;
+pub mod services;
 pub mod view;
