A store that does not know the others yet acknowledges nothing alone

Cause: a quorum was counted of the replicas that a store knew. At the first start each knows only itself until the first exchange, so a configuration that came in that moment was durable with one copy, and a store said of itself that it was current.

Ruled out: waiting for a fixed time after a start, which tells nothing of who is there.

Change: a quorum is counted of as many replicas as there are machines among the seeds, at the least; each of them runs a store. What is known beyond that counts as before.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -11,7 +11,7 @@
 };
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -59,7 +59,8 @@
     }
     let serial = loaded.state.config.as_ref().map_or(0, |config| config.version.serial);
     log::info!("configuration {serial:08x} on disk, {} stores known", loaded.members.len());
-    let replica = Replica::new(me, loaded.state, loaded.members, recovering, Figures::default());
+    let figures = Figures { members_min: seed_machines(&settings), ..Figures::default() };
+    let replica = Replica::new(me, loaded.state, loaded.members, recovering, figures);
     let store = Rc::new(Store {
         replica: RefCell::new(replica),
         files,
@@ -79,6 +80,11 @@
     Ok(())
 }
 
+/// Machines among the seeds: each of them has a store.
+fn seed_machines(settings: &Settings) -> usize {
+    settings.seeds.iter().map(SocketAddr::ip).collect::<BTreeSet<_>>().len()
+}
+
 /// Asks the seeds for replicas that are not known yet. The settings file is read again: seeds change.
 async fn find_members(store: Rc<Store>, settings: Rc<Settings>) {
     loop {
--- a/crates/registry/tests/http.rs
+++ b/crates/registry/tests/http.rs
@@ -49,14 +49,17 @@
     }
 
     fn settings(&self, machine: u8, platform: Option<SocketAddr>) -> Rc<Settings> {
-        let (ip, first) = (self.ip(machine), self.ip(1));
+        let ip = self.ip(machine);
+        let seeds: Vec<String> =
+            (1..=STORES).map(|seed| format!("'{}:{ADMIN_PORT}'", self.ip(seed))).collect();
         let disk = self.disks.join(machine.to_string());
         let mut text = format!(
             "node: core-{machine}\nip: {ip}\nzone: zone-{machine}\nregion: x\n\
              zones: {{zone-1: x, zone-2: x, zone-3: x}}\n\
              listen: {{admin: '{ip}:{ADMIN_PORT}', dir: '{ip}:{DIR_PORT}'}}\n\
-             port_range: [{FIRST_INNER_PORT}, 17610]\nseeds: ['{first}:{ADMIN_PORT}']\n\
+             port_range: [{FIRST_INNER_PORT}, 17610]\nseeds: [{}]\n\
              bootstrap: true\ndata_dir: {}\n",
+            seeds.join(", "),
             disk.display()
         );
         if let Some(addr) = platform {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -17,11 +17,13 @@
     pub hand_out_after: Micros,
     /// Replicas known at the most.
     pub members_max: usize,
+    /// Replicas that there are at the least: a quorum is counted of so many also before all are known.
+    pub members_min: usize,
 }
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { away_after: 1_500_000, hand_out_after: 1_500_000, members_max: 64 }
+        Figures { away_after: 1_500_000, hand_out_after: 1_500_000, members_max: 64, members_min: 1 }
     }
 }
 
@@ -212,7 +214,7 @@
     }
 
     fn quorum(&self) -> Quorum {
-        Quorum::of(self.members.len())
+        Quorum::of(self.members.len().max(self.figures.members_min))
     }
 
     /// Whether an update, or something newer in its place, is durable.
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use hingestage_replication::{Quorum, Replica, State};
+use hingestage_replication::{Figures, Quorum, Replica, State};
 use hingestage_rpc::messages::{Change, Summary, Update};
 
 fn hears(replica: &mut Replica, now: u64, number: usize, summary: Summary) {
@@ -34,6 +34,16 @@
     assert!(replica.is_durable(2, &config(1)), "what is newer has taken its place");
 }
 
+#[test]
+fn a_replica_that_does_not_know_the_others_yet_acknowledges_nothing_and_is_not_current() {
+    let figures = Figures { members_min: 3, ..Figures::default() };
+    let mut lone = Replica::new(member(0, "a"), State::default(), Vec::new(), false, figures);
+    lone.adopt(0, config(1));
+    assert!(!lone.is_durable(0, &config(1)), "one of three, of whom two are not known");
+    assert_eq!(lone.current_as_of(0), None);
+    assert!(!lone.is_current_since(0, 0));
+}
+
 #[test]
 fn durable_needs_a_second_zone_while_two_live_and_a_zone_that_is_lost_is_used_up() {
     let mut replica = first_of(&members(&["a", "a", "b"]));
