--- a/crates/playground/tests/system.rs
+++ b/crates/playground/tests/system.rs
@@ -143,16 +143,16 @@
         until("the new worker is used", WITHIN, runs).await;
     }
 
-    /// All workers of the service that changes things run requests and break off in place of an answer.
-    async fn break_off(&self) {
+    /// All workers of a service run requests and break off in place of an answer.
+    async fn break_off(&self, service: &str, mutating: bool, prefix: &str) {
         for hosted in self.surroundings.workers.borrow().iter() {
-            if hosted.listed.service == ORDERS {
+            if hosted.listed.service == service {
                 hosted.worker.set_mode(ServiceWorkerMode::ResetsAfterRun);
             }
         }
         let ran_before = self.log().runs.len();
         for proxy in self.layout.proxies.iter().cycle().take(BROKEN) {
-            let order = ask(true, ORDERS_PREFIX, LASTING_KEYS[0]);
+            let order = ask(mutating, prefix, LASTING_KEYS[0]);
             let runs = self.log().runs.len();
             let Ok(reply) = order.send_to(proxy.http()).await else { continue };
             assert!(!reply.status.is_success(), "{reply:?}");
@@ -180,7 +180,8 @@
         system.reuse_an_address().await;
         system.stop_clients().await;
         system.assert_all_served();
-        system.break_off().await;
+        system.break_off(ORDERS, true, ORDERS_PREFIX).await;
+        system.break_off(CATALOG, false, CATALOG_PREFIX).await;
         system.assert_no_second_run();
         system.assert_right_workers();
     });
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -126,6 +126,9 @@
     pub max_retry_after: Micros,
     /// Further attempts that may be saved up; 0 leaves it to the decisions.
     pub retries_saved: f64,
+    /// Whether a refusal promises that the request has not run, whatever its effect. Without that it says only
+    /// that trying again is harmless.
+    pub refusals_promise: bool,
 }
 
 impl Limits {
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -256,7 +256,7 @@
         r.closed = true;
         let ran = r.attempts.iter().any(|a| a.may_have_run);
         let harmless = match r.class.effect {
-            Effect::Idempotent => true,
+            Effect::Idempotent => !ran || !self.set.limits.refusals_promise,
             Effect::Deduplicated => !ran || r.class.group == DedupGroup::All,
             Effect::AtMostOnce => !ran,
         };
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -170,6 +170,7 @@
             cancel: f.flag("limits.mayCancel")?,
             max_retry_after: if f.flag("limits.retryAfter")? { f.int("limits.maxRetryAfterUs")? } else { 0 },
             retries_saved: 0.0,
+            refusals_promise: false,
         },
         rules: RuleFigures {
             cold_from: f.float("rules.coldFrom")?,
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -35,6 +35,7 @@
             cancel: true,
             max_retry_after: S,
             retries_saved: 0.0,
+            refusals_promise: false,
         },
         rules: RuleFigures { cold_from: 0.2, cold_for: 10 * S, fall_multiple: 2.0, fall_after: S },
         ..Settings::default()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,10 +7,10 @@
 
 pub mod classes;
 mod control;
-mod dialect;
+pub mod dialect;
 mod peers;
 mod readiness;
 mod requests;
 pub mod server;
-mod services;
+pub mod services;
 pub mod view;
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -229,8 +229,7 @@
         let part = self.view.borrow().part();
         let window = bounds.quota_window.as_secs_f64();
         let excess = bounds.quota_excess * (tenant.rate_per_s * window + tenant.burst) + bounds.quota_slack;
-        // Each proxy's bucket may hold one whole request more than its part.
-        let slack = (excess * SLACK_USED - f64::from(part.gateways)).max(0.0);
+        let slack = slack(tenant.burst, excess * SLACK_USED, part.gateways);
         let limits = TenantLimits {
             rate_per_s: tenant.rate_per_s,
             burst: tenant.burst,
@@ -251,7 +250,17 @@
 }
 
 /// Part of a quota's slack that is planned with; the rest is for error.
-const SLACK_USED: f64 = 0.7;
+const SLACK_USED: f64 = 0.85;
+
+/// What the buckets of all proxies may hold together beyond the burst. Each may hold one whole request, however
+/// small its part: where that comes to more than the burst and the slack, the slack is used up by it.
+fn slack(burst: f64, slack: f64, proxies: u32) -> f64 {
+    if burst + slack >= f64::from(proxies) {
+        slack
+    } else {
+        0.0
+    }
+}
 
 /// A request that its tenant's quota let pass.
 struct Admitted {
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -158,6 +158,7 @@
                 cancel: true,
                 max_retry_after: RETRY_AFTER_MAX,
                 retries_saved: self.retries_saved(),
+                refusals_promise: true,
             },
             ..PolicySettings::default()
         }
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -35,14 +35,13 @@
 }
 
 #[test]
-fn a_replica_that_knows_nobody_yet_is_no_majority() {
-    let figures = Figures { members_least: 3, ..Figures::default() };
-    let mut replica = Replica::new(member(1, "a"), State::default(), Vec::new(), false, figures);
-    let update = config(1);
-    replica.adopt(S, update.clone());
-    assert!(!replica.is_durable(S, &update));
-    assert_eq!(replica.current_as_of(S), None);
-    assert!(!replica.is_current_since(S, S));
+fn a_replica_that_does_not_know_the_others_yet_acknowledges_nothing_and_is_not_current() {
+    let figures = Figures { members_min: 3, ..Figures::default() };
+    let mut lone = Replica::new(member(0, "a"), State::default(), Vec::new(), false, figures);
+    lone.adopt(0, config(1));
+    assert!(!lone.is_durable(0, &config(1)), "one of three, of whom two are not known");
+    assert_eq!(lone.current_as_of(0), None);
+    assert!(!lone.is_current_since(0, 0));
 }
 
 #[test]
--- a/crates/small-worlds/src/decisions.rs
+++ b/crates/small-worlds/src/decisions.rs
@@ -92,6 +92,7 @@
                 cancel: true,
                 max_retry_after: MS,
                 retries_saved: 0.0,
+                refusals_promise: false,
             },
             rules: RuleFigures {
                 cold_from: 0.2,
--- a/crates/turns/tests/common/mod.rs
+++ b/crates/turns/tests/common/mod.rs
@@ -223,6 +223,7 @@
             cancel: false,
             max_retry_after: S,
             retries_saved: 0.0,
+            refusals_promise: false,
         },
         rules: RuleFigures {
             cold_from: WARMS.0,
