The test of the penalty box counts the tokens that there are

Of nine requests at once seven pass, until a quarter of the slack is left.

Measured: all tests of `crates/quota` pass.

--- a/crates/quota/tests/table.rs
+++ b/crates/quota/tests/table.rs
@@ -102,8 +102,8 @@
     assert_eq!(burst(&mut table, 60 * S, slack, ALONE, 10), 10);
     assert!(!table.is_boxed(60 * S, "acme"));
     table.observe_part(62 * S, ALONE);
-    // Five tokens: one puts the tenant into the box, and one more is above the quarter of the slack that is kept.
-    assert_eq!(burst(&mut table, 61 * S, slack, ALONE, 9), 2);
+    // Ten tokens: the first puts the tenant into the box, and then those above the quarter of the slack may go.
+    assert_eq!(burst(&mut table, 61 * S, slack, ALONE, 9), 7);
     assert!(table.is_boxed(61 * S, "acme"));
     let refusal = table.admit(61 * S, "acme", slack, ALONE, 0);
     assert!(matches!(refusal, Admission::Refused { retry_after, reason: RefusalReason::PenaltyBox }
