Cold workers get what they bear: one request of each proxy at a time

Change: `WorkerInfo::cold_rate`, credited by the decisions; the proxies set it so that all together stay below what the worker bears, and to none where one request of each would come near the rule's bound.

Ruled out: `ColdBudget` at the send, as the decisions have chosen by then.

The new test fails without the credit.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -204,6 +204,8 @@
     pub started: Option<Micros>,
     /// Less is better: it gets work only where no worker of a better tier can take it.
     pub tier: u32,
+    /// Sends a second that it may get from this gateway while it is cold; `None` leaves it to the decisions.
+    pub cold_rate: Option<f64>,
 }
 
 impl WorkerInfo {
@@ -211,7 +213,17 @@
     pub fn ready(id: WorkerId) -> Self {
         let availability = Availability::Ready;
         let zone = Zone::default();
-        WorkerInfo { id, availability, zone, cell: 0, mark: id.0, size: 1.0, started: None, tier: 0 }
+        WorkerInfo {
+            id,
+            availability,
+            zone,
+            cell: 0,
+            mark: id.0,
+            size: 1.0,
+            started: None,
+            tier: 0,
+            cold_rate: None,
+        }
     }
 }
 
--- a/crates/policy/src/rules/workers.rs
+++ b/crates/policy/src/rules/workers.rs
@@ -92,6 +92,10 @@
     /// Sends that a cold worker may have had from us and did not: at a rate that its few gateways together
     /// may send even if it has one core and the least capacity of its age, whatever the traffic or the fleet.
     pub(super) fn credit(&self, w: &Worker) -> f64 {
+        let span = self.now.saturating_sub(w.credit_at);
+        if let Some(rate) = w.info.cold_rate {
+            return (w.credit + rate * secs(span)).min(1.0);
+        }
         let few = self.cold_gateways();
         if w.place >= few {
             return 0.0;
@@ -99,7 +103,6 @@
         let typical = self.typical.iter().sum::<f64>() / self.typical.len() as f64 / 1e6;
         let part = cold_multiple(self.view.as_ref(), self.now, w.info.mark, few) / f64::from(few);
         let rate = COLD_PART * self.set.rules.fall_multiple / typical * part;
-        let span = self.now.saturating_sub(w.credit_at);
         (w.credit + rate * self.coldness(w, self.now - span / 2) * secs(span)).min(1.0)
     }
 
--- a/crates/policy/tests/five_rules.rs
+++ b/crates/policy/tests/five_rules.rs
@@ -135,6 +135,27 @@
     assert!((1..=27).contains(&cold), "{cold} sent to the cold worker");
 }
 
+#[test]
+fn a_cold_worker_with_a_rate_of_its_own_gets_no_more_than_that() {
+    let mut s = Stage::new(settings(), &[1, 2, 3]);
+    let cold = WorkerInfo { started: Some(s.now), cold_rate: Some(2.0), ..worker(4) };
+    s.list(ListScope::Delta, vec![cold]);
+    let mut sent_at = Vec::new();
+    for round in 0..250 {
+        for n in 0..3 {
+            s.ask(&format!("c{round}-{n}"), 0, 0, 1.0);
+        }
+        s.pass(20 * MS);
+        while !s.out.is_empty() {
+            sent_at.extend((s.out[0].worker == 4).then_some(s.now));
+            s.done(Outcome::Ok);
+        }
+    }
+    // Five seconds at two a second, and what the first credit was.
+    assert!((5..=11).contains(&sent_at.len()), "{} sent to the cold worker", sent_at.len());
+    assert!(sent_at.windows(2).all(|pair| pair[1] - pair[0] >= 480 * MS), "{sent_at:?}");
+}
+
 #[test]
 fn the_ceilings_parts_never_pass_the_ceiling_even_after_a_restart() {
     // Two gateways and no counter; the second is restarted over and over.
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -170,11 +170,12 @@
             key_lease,
             part_lease: micros(PART_LEASE),
         };
+        let started = Instant::now();
         let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
         Proxy {
             platform: Tokio,
             view: RefCell::new(View::new(spans)),
-            services: Services::new(settings.clone(), Tokio),
+            services: Services::new(settings.clone(), started, Tokio),
             tenants: RefCell::new(TenantTable::new(0, Incarnation(incarnation), table_settings())),
             collector: Collector::new(Tokio, collect_settings(&settings)),
             registries: RefCell::default(),
@@ -183,7 +184,7 @@
             fetching_workers: Fetching::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
-            started: Instant::now(),
+            started,
             stopping: Cell::new(false),
             workers_changed: Notify::new(),
             settings,
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -10,15 +10,15 @@
 use hingestage_node::Settings;
 use hingestage_platform::Tokio;
 use hingestage_policy::{
-    Availability, ClassId, Event, Limits, ListScope, Plan, Settings as PolicySettings, WorkerId, WorkerInfo,
-    WorkerList, Zone,
+    Availability, ClassId, Event, Limits, ListScope, Plan, RuleFigures, Settings as PolicySettings, WorkerId,
+    WorkerInfo, WorkerList, Zone,
 };
 use hingestage_replication::{digest, Micros};
 use hingestage_rpc::messages::WorkerRecord;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Attempts that one request may have at the most, whatever its route says.
 const ATTEMPTS_MAX: usize = 8;
@@ -37,6 +37,14 @@
 /// Part of the slack of the budget of further attempts that is planned with, and what one proxy has at the least.
 const RETRY_SLACK_USED: f64 = 0.35;
 const RETRIES_LEAST: f64 = 1.0;
+/// Part of what a cold worker may get in a second that all proxies together may come to, one request each.
+const COLD_LIMIT_USED: f64 = 0.7;
+/// Seconds between two requests of one proxy to a cold worker at the least: more than one, so that two never arrive
+/// within one second though the first was held up on its way.
+const COLD_PAUSE: f64 = 1.4;
+/// What the decisions take the capacity of a cold worker for, and for how long at the most, microseconds.
+const COLD_CAPACITY: f64 = 0.5;
+const COLD_LONGEST: Micros = 3_600_000_000;
 /// The tiers of workers: in this proxy's zone, in its region, elsewhere.
 const TIER_ZONE: u32 = 0;
 const TIER_REGION: u32 = 1;
@@ -89,13 +97,26 @@
     }
 }
 
+/// How a cold worker may be used.
+#[derive(Clone, Copy)]
+struct ColdStart {
+    /// Since when it has been cold, on the decisions' clock.
+    since: Micros,
+    /// Requests a second from this proxy and set of decisions.
+    rate: f64,
+}
+
 /// All services.
 pub struct Services {
     settings: Rc<Settings>,
+    /// The proxy's clock counts from here.
+    started: Instant,
     platform: Tokio,
     services: RefCell<BTreeMap<ServiceKey, Rc<Service>>>,
     /// Numbers of workers by id.
     numbers: RefCell<HashMap<CompactString, WorkerId>>,
+    /// Since when each cold worker has been, on the decisions' clock.
+    cold_since: RefCell<HashMap<WorkerId, Micros>>,
     next: Cell<u64>,
     /// How many proxies there are.
     proxies: Cell<u32>,
@@ -103,12 +124,14 @@
 
 impl Services {
     /// None is known.
-    pub fn new(settings: Rc<Settings>, platform: Tokio) -> Self {
+    pub fn new(settings: Rc<Settings>, started: Instant, platform: Tokio) -> Self {
         Services {
             settings,
+            started,
             platform,
             services: RefCell::default(),
             numbers: RefCell::default(),
+            cold_since: RefCell::default(),
             next: Cell::new(1),
             proxies: Cell::new(PROXIES_UNKNOWN),
         }
@@ -152,6 +175,7 @@
             most_units: 1.0,
             classes: Classes::default().all(),
             plans: vec![Plan::default()],
+            rules: RuleFigures { cold_from: COLD_CAPACITY, cold_for: COLD_LONGEST, ..RuleFigures::default() },
             limits: Limits {
                 max_attempts: ATTEMPTS_MAX,
                 second_copies: false,
@@ -196,6 +220,10 @@
         self.services.borrow().values().for_each(|service| service.driver.workers.retire_idle());
     }
 
+    fn micros(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
     fn number(&self, id: &CompactString) -> WorkerId {
         *self.numbers.borrow_mut().entry(id.clone()).or_insert_with(|| {
             let number = self.next.replace(self.next.get() + 1);
@@ -208,17 +236,51 @@
         let mut named = HashSet::new();
         for (worker, usability) in view.workers(now).filter(|(worker, _)| self.serves(key, worker)) {
             let number = self.number(&worker.id);
-            let ready = usability == Usability::Ready;
+            let cold = self.cold_start(service, number, usability, worker, view);
+            let ready = usability == Usability::Ready || cold.is_some();
             service.dialect.name(number, &worker.id);
             service.driver.workers.list(number, worker.addr, number.0, ready);
             named.insert(number);
-            infos.push(self.info(number, worker, ready));
+            infos.push(self.info(number, worker, ready, cold));
         }
         service.driver.workers.keep_only(&named);
         service.dialect.keep_only(|worker| named.contains(&worker));
         service.driver.list_workers(WorkerList { scope: ListScope::Full, workers: infos });
     }
 
+    /// How a cold worker may be used. All proxies know how cold it is, each sends it one request at a time, and so
+    /// seldom that all together stay below what it bears; where they are too many for that, none sends it any.
+    fn cold_start(
+        &self,
+        service: &Service,
+        number: WorkerId,
+        usability: Usability,
+        worker: &WorkerRecord,
+        view: &View,
+    ) -> Option<ColdStart> {
+        if usability != Usability::Cold {
+            self.cold_since.borrow_mut().remove(&number);
+            return None;
+        }
+        let proxies = view.sharers(self.micros())?;
+        let backend = view.active()?.configuration.backends.iter().find(|b| b.name == worker.service)?;
+        let bounds = &self.settings.bounds;
+        let limit = backend.cold_per_s * bounds.cold_excess + bounds.cold_slack;
+        let senders = f64::from(proxies) * self.sets_of(&worker.service) as f64;
+        if senders > limit * COLD_LIMIT_USED || backend.cold_per_s <= 0.0 {
+            return None;
+        }
+        let since = *self.cold_since.borrow_mut().entry(number).or_insert_with(|| service.driver.micros());
+        let pause = COLD_PAUSE * (senders / backend.cold_per_s).max(1.0);
+        Some(ColdStart { since, rate: 1.0 / pause })
+    }
+
+    /// Sets of decisions about one service.
+    fn sets_of(&self, service: &str) -> usize {
+        let services = self.services.borrow();
+        services.keys().filter(|key| key.service == service).count().max(1)
+    }
+
     /// Whether a worker may get a service's requests at all.
     fn serves(&self, key: &ServiceKey, worker: &WorkerRecord) -> bool {
         let region = self.settings.zones.get(worker.zone.as_str());
@@ -238,13 +300,21 @@
         }
     }
 
-    fn info(&self, number: WorkerId, worker: &WorkerRecord, ready: bool) -> WorkerInfo {
+    fn info(
+        &self,
+        number: WorkerId,
+        worker: &WorkerRecord,
+        ready: bool,
+        cold: Option<ColdStart>,
+    ) -> WorkerInfo {
         WorkerInfo {
             availability: if ready { Availability::Ready } else { Availability::Draining },
             zone: Zone(worker.zone.to_string()),
             mark: digest(worker.id.as_bytes()),
             size: f64::from(worker.capacity),
             tier: self.tier(worker),
+            started: cold.map(|cold| cold.since),
+            cold_rate: cold.map(|cold| cold.rate),
             ..WorkerInfo::ready(number)
         }
     }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -212,6 +212,12 @@
         Part { gateways: self.members.max(1), valid_until }
     }
 
+    /// Proxies that share common limits, while this one has a part of them.
+    pub fn sharers(&self, now: Micros) -> Option<u32> {
+        let part = self.part();
+        (now < part.valid_until).then_some(part.gateways)
+    }
+
     /// Whether clients can be served.
     pub fn can_serve(&self) -> bool {
         self.active.is_some() && !self.workers.workers.is_empty()
