Encoding of messages and the services of a proxy are public, to be measured

Need: figures of capacity have to come from the code that the programs run, so the bytes of a message and the cost of a refresh must be reachable from outside their crates.

Change: `rpc::encoded` and `rpc::decoded` give a message as it goes over a connection; the module `services` of the proxy is public. No behaviour changes.

Ruled out: copies of the code in the measuring program, which would drift from it; counters of bytes in the running programs, which every message would pay for.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,5 +12,5 @@
 mod readiness;
 mod requests;
 pub mod server;
-mod services;
+pub mod services;
 pub mod view;
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -69,6 +69,19 @@
     }
 }
 
+/// A message with its frame's head, as it goes over a connection: what it costs in bytes.
+pub fn encoded<M: Serialize>(message: &M) -> Bytes {
+    Frame::encode(0, message)
+}
+
+/// Reads the message back from what [`encoded`] gave.
+///
+/// # Errors
+/// The message can't be decoded.
+pub fn decoded<M: DeserializeOwned>(framed: &Bytes) -> Result<M, FrameError> {
+    Frame { call: 0, body: framed.slice(HEAD.min(framed.len())..) }.decode()
+}
+
 /// Reads the next frame.
 pub(crate) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Result<Frame, FrameError> {
     let mut head = [0; HEAD];
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,5 +11,5 @@
 mod server;
 
 pub use client::{CallError, Client};
-pub use frame::{FrameError, PROTOCOL_VERSION};
+pub use frame::{decoded, encoded, FrameError, PROTOCOL_VERSION};
 pub use server::{serve, Handler};
