A program that measures what each part of the system costs by size

Need: whether 3,600 proxies, 24,000 workers and 240,000 tenants can be carried is to be worked out from measured slopes, not from guesses.

Ruled out: one process for all cases (freed memory would be used again unseen); the scheduler's figures for the own thread (they move by 4 ms; trial runs showed zeroes): the thread's clock is read instead.

--- /dev/null
+++ b/crates/capacity/src/configuration.rs
@@ -0,0 +1,93 @@
+//! A configuration: its bytes, its reading, its tables, a lookup, its file.
+
+use crate::fixtures::{self, DocumentSize};
+use crate::measure::{resident, seconds_each, Report, RUNS};
+use crate::servers::TemporaryDir;
+use eyre::Result;
+use hingestage_config_store::files::Files;
+use hingestage_configuration::{Configuration, KeyTable, RouteTable};
+use hingestage_replication::State;
+use hingestage_rpc::encoded;
+use hingestage_rpc::messages::{ConfigDocument, RegistryAnswer, Update};
+use std::hint::black_box;
+use std::time::Instant;
+
+const SERIAL: u64 = 7;
+/// Lookups in one run.
+const LOOKUPS: usize = 100_000;
+
+/// Plays a configuration with so many routes.
+pub fn play(routes: usize) -> Result<()> {
+    let size = DocumentSize::of_routes(routes);
+    let name = format!("{routes} routes, {} tenants, {} services", size.tenants, size.services);
+    let report = Report::new("configuration", &name);
+    let document = fixtures::document(SERIAL, size);
+    report.bytes("JSON", document.json.len() as u64);
+    let message = RegistryAnswer::Config(Some(document.clone()));
+    report.bytes("rpc message", encoded(&message).len() as u64);
+    drop(message);
+    measure_tables(&report, size, &document)?;
+    let calls = (LOOKUPS / routes).clamp(1, 100);
+    let parse = || {
+        black_box(Configuration::parse(&document.json).is_ok());
+    };
+    report.seconds("Configuration::parse", seconds_each(calls, parse));
+    report.seconds(
+        "rpc encoding at the registry",
+        seconds_each(calls, || {
+            black_box(encoded(&RegistryAnswer::Config(Some(document.clone()))));
+        }),
+    );
+    measure_file(&report, document)
+}
+
+fn measure_tables(report: &Report, size: DocumentSize, document: &ConfigDocument) -> Result<()> {
+    let before = resident();
+    let configuration = Configuration::parse(&document.json)?;
+    let parsed = resident();
+    let tables = (RouteTable::new(&configuration), KeyTable::new(&configuration));
+    let built = resident();
+    report.bytes("memory of the parsed configuration", parsed.saturating_sub(before));
+    report.bytes("memory of both tables", built.saturating_sub(parsed));
+    let calls = (LOOKUPS / size.routes).clamp(1, 100);
+    let build = || drop(black_box((RouteTable::new(&configuration), KeyTable::new(&configuration))));
+    report.seconds("build of both tables", seconds_each(calls, build));
+    let hosts: Vec<_> = (0..size.routes)
+        .map(|route| (fixtures::host(route), format!("{}of/a/path", fixtures::prefix(route))))
+        .collect();
+    let mut next = 0;
+    report.seconds(
+        "RouteTable::find a request",
+        seconds_each(LOOKUPS, || {
+            next = (next + 7_919) % size.routes;
+            black_box(tables.0.find(&hosts[next].0, &hosts[next].1));
+        }),
+    );
+    let keys: Vec<_> = (0..size.tenants).map(fixtures::key).collect();
+    report.seconds(
+        "KeyTable::find a request",
+        seconds_each(LOOKUPS, || {
+            next = (next + 7_919) % size.tenants;
+            black_box(tables.1.find(&keys[next]));
+        }),
+    );
+    Ok(())
+}
+
+fn measure_file(report: &Report, document: ConfigDocument) -> Result<()> {
+    let dir = TemporaryDir::new("files")?;
+    let files = Files::open(dir.path())?;
+    let update = Update::Config(document);
+    let mut after = State::default();
+    after.apply(update.clone());
+    let mut failed = Ok(());
+    let started = Instant::now();
+    let cpu = seconds_each(1, || {
+        if let Err(error) = files.write(&update, &after) {
+            failed = Err(error);
+        }
+    });
+    report.seconds("Files::write, processor", cpu);
+    report.seconds("Files::write, elapsed, mean", started.elapsed().as_secs_f64() / RUNS as f64);
+    Ok(failed?)
+}
--- /dev/null
+++ b/crates/capacity/src/workers.rs
@@ -0,0 +1,78 @@
+//! The list of workers at a proxy: its bytes, and what taking it in costs.
+
+use crate::fixtures;
+use crate::measure::{resident, seconds_each, thread_cpu, Report, RUNS};
+use eyre::Result;
+use hingestage_platform::Tokio;
+use hingestage_proxy::services::{ServiceKey, Services};
+use hingestage_proxy::view::{Spans, View};
+use hingestage_rpc::messages::{RegistryAnswer, WorkerList};
+use hingestage_rpc::{decoded, encoded};
+use std::hint::black_box;
+use std::rc::Rc;
+
+const SPANS: Spans =
+    Spans { return_after: 2_500_000, cold_margin: 300_000, key_lease: None, part_lease: 11_000_000 };
+/// Workers handled in one run, about.
+const HANDLED: usize = 20_000;
+/// Lists taken in one run.
+const TAKEN: usize = 2;
+/// Any moment.
+const NOW: u64 = 1_000_000;
+
+/// Plays a list of so many workers. Memory comes first: what was freed before would be used again unseen.
+pub fn play(count: usize) -> Result<()> {
+    let services = fixtures::services_of(count);
+    let report = Report::new("workers", &format!("{count} of {services} services"));
+    let mut view = measure_view_memory(&report, count);
+    measure_services(&report, services, &mut view, count);
+    measure_take(&report, &mut view, count);
+    measure_message(&report, count);
+    Ok(())
+}
+
+fn measure_view_memory(report: &Report, count: usize) -> View {
+    let before = resident();
+    let mut view = View::new(SPANS);
+    view.take_workers(NOW, fixtures::worker_list(1, count));
+    report.bytes("memory of the view", resident().saturating_sub(before));
+    view
+}
+
+fn measure_services(report: &Report, count: usize, view: &mut View, workers: usize) {
+    let services = Services::new(Rc::new(fixtures::proxy_settings()), Tokio);
+    let before = resident();
+    let started = thread_cpu();
+    for service in 0..count {
+        let key = ServiceKey { service: fixtures::service(service), regions: Vec::new() };
+        services.get(key, view, NOW);
+    }
+    report.seconds("Services::get, all services", (thread_cpu() - started).as_secs_f64());
+    report.bytes("memory of the services' decisions", resident().saturating_sub(before));
+    view.take_workers(NOW, fixtures::worker_list(2, workers));
+    report.seconds("Services::refresh", seconds_each(1, || services.refresh(view, NOW)));
+}
+
+fn measure_take(report: &Report, view: &mut View, count: usize) {
+    let mut lists: Vec<WorkerList> =
+        (3..3 + (RUNS * TAKEN) as u64).rev().map(|number| fixtures::worker_list(number, count)).collect();
+    let take = || {
+        black_box(view.take_workers(NOW, lists.pop().unwrap_or_default()));
+    };
+    report.seconds("View::take_workers, with the old list dropped", seconds_each(TAKEN, take));
+}
+
+fn measure_message(report: &Report, count: usize) {
+    let calls = (HANDLED / count).max(1);
+    let answer = RegistryAnswer::Workers(fixtures::worker_list(1, count));
+    let message = encoded(&answer);
+    report.bytes("rpc message", message.len() as u64);
+    let encode = || {
+        black_box(encoded(&answer));
+    };
+    report.seconds("encoding", seconds_each(calls, encode));
+    let decode = || {
+        black_box(decoded::<RegistryAnswer>(&message).is_ok());
+    };
+    report.seconds("decoding", seconds_each(calls, decode));
+}
