--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -149,8 +149,9 @@
                 }
             }
         }
-        let _ = tell.send(Seen::Closed { conn });
+        // Told only once it is so: whoever waits for the end may rely on it.
         let _ = stream.shutdown(Shutdown::Both);
+        let _ = tell.send(Seen::Closed { conn });
     }
 
     pub fn set(&self, reply: Reply) {
