Workers are found by service, the directory's version is kept, settings are read again

Cause, by the measurements of docs/CAPACITY.md: each service looked through all workers (24.5 ms at 2,400, 2.04 s at 24,000), each heartbeat made the directory's version anew, and a large configuration never came, as its fetch failed after 0.9 s. Settings files were parsed whole every half second, and an address of the platform's list that changes in them was not taken up.

Change: an index by service and by id; a version kept until something is new, 0.1 s at the most; fetches beside the heartbeats, with a time that goes by the document's length; `SettingsFile`, which reads a file again where it changed.

--- a/crates/capacity/src/directory.rs
+++ b/crates/capacity/src/directory.rs
@@ -91,6 +91,7 @@
         zone: fixtures::zone(number),
     });
     Watched {
+        config_bytes: 0,
         have: have(0),
         directory,
         registries: registries.collect(),
--- a/crates/capacity/src/workers.rs
+++ b/crates/capacity/src/workers.rs
@@ -40,7 +40,7 @@
 }
 
 fn measure_services(report: &Report, count: usize, view: &mut View, workers: usize) {
-    let services = Services::new(Rc::new(fixtures::proxy_settings()), Tokio);
+    let services = Services::new(Rc::new(fixtures::proxy_settings()), std::time::Instant::now(), Tokio);
     let before = resident();
     let started = thread_cpu();
     for service in 0..count {
--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use eyre::{eyre, Context, Result};
 use hingestage_node::settings::InnerPort;
-use hingestage_node::{Settings, Signals};
+use hingestage_node::{Settings, SettingsFile, Signals};
 use hingestage_replication::{Figures, Micros, Replica};
 use hingestage_rpc::messages::{
     Change, Proposed, ReadState, StoreAnswer, StoreMember, StoreNews, StoreRequest, Summary, Update,
@@ -91,8 +91,9 @@
 
 /// Asks the seeds for replicas that are not known yet. The settings file is read again: seeds change.
 async fn find_members(store: Rc<Store>, settings: Rc<Settings>) {
+    let file = SettingsFile::new(settings);
     loop {
-        let current = Settings::load().unwrap_or_else(|_| (*settings).clone());
+        let current = file.current();
         for seed in &current.seeds {
             let addr = current.inner_at(seed.ip(), InnerPort::ConfigStore);
             let known = store.replica.borrow().members().iter().any(|member| member.addr == addr);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,8 +4,10 @@
 
 mod program;
 pub mod settings;
+mod settings_file;
 mod signals;
 
 pub use program::{run, Program};
 pub use settings::Settings;
+pub use settings_file::SettingsFile;
 pub use signals::Signals;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -3,9 +3,11 @@
 use crate::server::Proxy;
 use eyre::Result;
 use hingestage_node::settings::InnerPort;
-use hingestage_node::Settings;
+use hingestage_node::SettingsFile;
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{Have, RegistryAnswer, RegistryRequest, Watched, WorkersVersion};
+use hingestage_rpc::messages::{
+    ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, WorkersVersion,
+};
 use hingestage_rpc::Client;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +23,10 @@
 const NEAR_SILENT: Micros = 1_500_000;
 /// How long an answer may take beyond that.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+/// How long a configuration may take to come, and more for each of so many bytes; other registries are not asked for
+/// the same one meanwhile.
+const CONFIG_WITHIN: Duration = Duration::from_millis(1_200);
+const CONFIG_BYTES_PER_SECOND: f64 = 2e6;
 /// Pause after a call that failed.
 const CALL_PAUSE: Duration = Duration::from_millis(100);
 /// Period at which the settings file is read again for other seeds.
@@ -33,14 +39,15 @@
 /// Starts watching registries as they become known.
 pub(crate) async fn run(proxy: Rc<Proxy>) -> Result<()> {
     let mut watched: BTreeMap<SocketAddr, ()> = BTreeMap::new();
+    let file = SettingsFile::new(proxy.settings.clone());
     loop {
-        let settings = Settings::load().unwrap_or_else(|_| (*proxy.settings).clone());
+        let settings = file.current();
         let seeds = settings.seeds.iter().map(|seed| settings.inner_at(seed.ip(), InnerPort::Registry));
         let known: Vec<SocketAddr> =
             seeds.chain(proxy.registries.borrow().iter().map(|registry| registry.addr)).collect();
         for addr in known {
             if watched.len() < REGISTRIES_MAX && watched.insert(addr, ()).is_none() {
-                spawn_local(keep_watching(proxy.clone(), Registry::new(addr)));
+                spawn_local(keep_watching(proxy.clone(), Rc::new(Registry::new(addr))));
             }
         }
         let changed = proxy.registries_changed.notified();
@@ -48,11 +55,11 @@
     }
 }
 
-async fn keep_watching(proxy: Rc<Proxy>, registry: Registry) {
+async fn keep_watching(proxy: Rc<Proxy>, registry: Rc<Registry>) {
     // Each registry has a directory of its own making.
     let mut directory = 0;
     loop {
-        let have = Have { directory, ..proxy.view.borrow().have() };
+        let have = have(&proxy, directory);
         let asked_at = proxy.now();
         let near = proxy.is_near(registry.addr());
         let near_answers = asked_at < proxy.near_heard_at.get() + NEAR_SILENT;
@@ -71,16 +78,27 @@
     }
 }
 
+/// What this proxy has, and what it is fetching: that is no news to it.
+fn have(proxy: &Proxy, directory: u64) -> Have {
+    let have = proxy.view.borrow().have();
+    Have { directory, config: have.config.max(proxy.fetching_config.get()), ..have }
+}
+
 /// Takes news in, and fetches what is newer than what is held.
-async fn take(proxy: &Rc<Proxy>, registry: &Registry, asked_at: u64, news: Watched) {
+async fn take(proxy: &Rc<Proxy>, registry: &Rc<Registry>, asked_at: u64, news: Watched) {
     proxy.take_registries(news.registries);
     if let Some(peers) = news.directory {
         proxy.take_peers(peers);
     }
     let mut changed = proxy.view.borrow_mut().take_drains(proxy.now(), &news.have.drains);
     changed |= fetch_workers(proxy, registry, news.have.workers).await;
-    if news.have.config > proxy.view.borrow().have().config {
-        fetch_config(proxy, registry).await;
+    let newest = have(proxy, 0).config;
+    if let Some(version) = news.have.config.filter(|version| Some(*version) > newest) {
+        proxy.fetching_config.set(Some(version));
+        // A large document takes its time: heartbeats go on meanwhile.
+        let within =
+            CONFIG_WITHIN + Duration::from_secs_f64(news.config_bytes as f64 / CONFIG_BYTES_PER_SECOND);
+        spawn_local(fetch_config(proxy.clone(), registry.clone(), version, within));
     }
     if changed {
         proxy.refresh_workers();
@@ -103,10 +121,13 @@
     }
 }
 
-async fn fetch_config(proxy: &Rc<Proxy>, registry: &Registry) {
-    if let Ok(RegistryAnswer::Config(Some(document))) =
-        registry.call(&RegistryRequest::FetchConfig, ANSWER_WITHIN).await
-    {
+async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, version: ConfigVersion, within: Duration) {
+    let answer = registry.call(&RegistryRequest::FetchConfig, within).await;
+    if let Ok(RegistryAnswer::Config(Some(document))) = answer {
         proxy.take_config(&document);
     }
+    // A newer one may be under way by now.
+    if proxy.fetching_config.get() == Some(version) {
+        proxy.fetching_config.set(None);
+    }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -14,7 +14,9 @@
 use hingestage_platform::Tokio;
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus, RegistryAddress, WorkersVersion};
+use hingestage_rpc::messages::{
+    ConfigDocument, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress, WorkersVersion,
+};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -90,6 +92,8 @@
     pub(crate) near_heard_at: Cell<Micros>,
     pub(crate) registries_changed: Notify,
     pub(crate) fetching_workers: Fetching,
+    /// The configuration that is being fetched.
+    pub(crate) fetching_config: Cell<Option<ConfigVersion>>,
     id: ProcessId,
     http: SocketAddr,
     started: Instant,
@@ -182,6 +186,7 @@
             near_heard_at: Cell::new(0),
             registries_changed: Notify::new(),
             fetching_workers: Fetching::default(),
+            fetching_config: Cell::new(None),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
             started,
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -234,7 +234,9 @@
     fn feed_workers(&self, key: &ServiceKey, service: &Service, view: &View, now: Micros) {
         let mut infos = Vec::new();
         let mut named = HashSet::new();
-        for (worker, usability) in view.workers(now).filter(|(worker, _)| self.serves(key, worker)) {
+        for (worker, usability) in
+            view.workers_of(now, &key.service).filter(|(worker, _)| self.serves(key, worker))
+        {
             let number = self.number(&worker.id);
             let cold = self.cold_start(service, number, usability, worker, view);
             let ready = usability == Usability::Ready || cold.is_some();
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -7,7 +7,7 @@
 use hingestage_rpc::messages::{
     ConfigDocument, ConfigVersion, Have, ProxyStatus, WorkerList, WorkerRecord, ZoneDrains,
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 /// Microseconds in a millisecond.
@@ -57,6 +57,9 @@
     drains: ZoneDrains,
     returned_at: BTreeMap<CompactString, Micros>,
     workers: WorkerList,
+    /// Places in the list by service, and the ids that it names.
+    places: HashMap<CompactString, Vec<usize>>,
+    listed: HashSet<CompactString>,
     cold_until: HashMap<CompactString, Micros>,
     /// The latest moment at which nothing newer than `active` can have been acknowledged.
     fresh_as_of: Option<Micros>,
@@ -74,6 +77,8 @@
             drains: ZoneDrains::new(),
             returned_at: BTreeMap::new(),
             workers: WorkerList::default(),
+            places: HashMap::new(),
+            listed: HashSet::new(),
             cold_until: HashMap::new(),
             fresh_as_of: None,
             members: 0,
@@ -145,6 +150,7 @@
             return false;
         }
         self.workers = list;
+        self.index_workers();
         let margin = self.spans.cold_margin;
         let cold = self.workers.workers.iter().filter(|worker| worker.cold_left > 0);
         let until = cold.map(|worker| (worker.id.clone(), now + worker.cold_left * MILLI + margin));
@@ -152,6 +158,14 @@
         true
     }
 
+    fn index_workers(&mut self) {
+        self.places.clear();
+        for (place, worker) in self.workers.workers.iter().enumerate() {
+            self.places.entry(worker.service.clone()).or_default().push(place);
+        }
+        self.listed = self.workers.workers.iter().map(|worker| worker.id.clone()).collect();
+    }
+
     /// Takes in how recent the news is: asked for at `asked_at`, and `age` old when it was answered. It counts
     /// only where what it speaks of is in force here.
     pub fn take_freshness(&mut self, asked_at: Micros, age: Option<u64>, config: Option<ConfigVersion>) {
@@ -173,6 +187,13 @@
         self.workers.workers.iter().map(move |worker| (worker, self.usability(now, worker)))
     }
 
+    /// A service's workers, and whether each may get requests now.
+    pub fn workers_of(&self, now: Micros, service: &str) -> impl Iterator<Item = (&WorkerRecord, Usability)> {
+        let places = self.places.get(service).into_iter().flatten();
+        let workers = places.filter_map(|place| self.workers.workers.get(*place));
+        workers.map(move |worker| (worker, self.usability(now, worker)))
+    }
+
     fn usability(&self, now: Micros, worker: &WorkerRecord) -> Usability {
         let drained = self.drains.get(&worker.zone).is_some_and(|drain| drain.drained);
         let returned = self.returned_at.get(&worker.zone);
@@ -196,7 +217,7 @@
 
     /// Whether a worker's id is on the list.
     pub fn lists(&self, id: &str) -> bool {
-        self.workers.workers.iter().any(|worker| worker.id == id)
+        self.listed.contains(id)
     }
 
     /// Whether keys may be believed: none that was taken away long ago can be unknown to this proxy.
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -3,9 +3,13 @@
 use compact_str::CompactString;
 use hingestage_replication::{digest, Micros};
 use hingestage_rpc::messages::ProxyStatus;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// How long a version of the directory is kept where nothing is known to be new.
+const VERSION_KEPT: Micros = 100_000;
+
 /// Figures of the directory.
 #[derive(Clone, Copy, Debug)]
 pub struct Figures {
@@ -44,12 +48,14 @@
 pub struct Directory {
     figures: Figures,
     proxies: BTreeMap<CompactString, Entry>,
+    /// The version as it was last made, and when; none once something is new.
+    version: Cell<Option<(Micros, u64)>>,
 }
 
 impl Directory {
     /// Nobody is known.
     pub fn new(figures: Figures) -> Self {
-        Directory { figures, proxies: BTreeMap::new() }
+        Directory { figures, proxies: BTreeMap::new(), version: Cell::new(None) }
     }
 
     /// A proxy has told of itself. Tells whether anything is new. An older life of it that is still heard, by a
@@ -57,6 +63,14 @@
     ///
     /// `next_within` is how long it may take until it tells again.
     pub fn heard(&mut self, now: Micros, status: ProxyStatus, next_within: Micros) -> bool {
+        let new = self.note(now, status, next_within);
+        if new {
+            self.version.set(None);
+        }
+        new
+    }
+
+    fn note(&mut self, now: Micros, status: ProxyStatus, next_within: Micros) -> bool {
         let due_at = now + next_within;
         let known = self.proxies.get_mut(&status.id.node);
         if let Some(entry) = known {
@@ -88,8 +102,20 @@
         self.proxies.values().filter(move |entry| now < entry.due_at + late_after).map(|entry| &entry.status)
     }
 
-    /// A digest of the living: another one where they are others.
+    /// A digest of the living: another one where they are others. It is kept for a moment, as each heartbeat asks
+    /// for it; that a proxy has fallen silent shows only after that.
     pub fn version(&self, now: Micros) -> u64 {
+        if let Some((made_at, version)) = self.version.get() {
+            if now < made_at + VERSION_KEPT {
+                return version;
+            }
+        }
+        let version = self.digest_of_living(now);
+        self.version.set(Some((now, version)));
+        version
+    }
+
+    fn digest_of_living(&self, now: Micros) -> u64 {
         self.living(now).fold(0, |sum, status| {
             let text = format!("{} {} {}", status.id.node, status.id.incarnation, status.ready);
             sum ^ digest(text.as_bytes())
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use eyre::{eyre, Context, Result};
 use hingestage_node::settings::InnerPort;
-use hingestage_node::{Settings, Signals};
+use hingestage_node::{Settings, SettingsFile, Signals};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
     Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAddress, RegistryAnswer,
@@ -55,6 +55,7 @@
 /// The registry.
 pub struct Registry {
     pub(crate) settings: Rc<Settings>,
+    file: SettingsFile,
     pub(crate) store: StoreClient,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) in_force: RefCell<InForce>,
@@ -85,6 +86,7 @@
         changed: Notify::new(),
         newcomers: RefCell::default(),
         peers: RefCell::default(),
+        file: SettingsFile::new(settings.clone()),
         settings: settings.clone(),
     });
     let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("{addr}"))?;
@@ -133,12 +135,12 @@
 
     /// Reads the platform's list while this registry has the duty.
     async fn read_list(self: Rc<Self>) {
-        let Some(cloud) = self.settings.cloud_api.clone() else { return };
         // Others are to be heard first.
         tokio::time::sleep(MEET_PERIOD).await;
         loop {
+            let cloud = self.file.current().cloud_api.clone();
             let version = self.duty.borrow_mut().read_under(self.now());
-            if let Some(version) = version {
+            if let (Some(cloud), Some(version)) = (cloud, version) {
                 let read = platform_list::read(cloud.addr).await;
                 self.duty.borrow_mut().has_read(self.now(), read.is_ok());
                 match read {
@@ -196,8 +198,8 @@
         let me = self.settings.inner(InnerPort::Registry);
         let known = self.duty.borrow().members(self.now()).into_iter().map(|member| member.addr);
         // Between two states of the file what was read at the start holds.
-        let seeds = Settings::load().map_or_else(|_| self.settings.seeds.clone(), |settings| settings.seeds);
-        let seeds = seeds.into_iter().map(|seed| self.settings.inner_at(seed.ip(), InnerPort::Registry));
+        let current = self.file.current();
+        let seeds = current.seeds.iter().map(|seed| self.settings.inner_at(seed.ip(), InnerPort::Registry));
         known.chain(seeds).filter(|addr| *addr != me).collect()
     }
 
@@ -334,6 +336,7 @@
         let other_directory = have.directory != theirs.directory;
         let living = || self.directory.borrow().living(now).cloned().collect();
         Watched {
+            config_bytes: in_force.config.as_ref().map_or(0, |config| config.json.len() as u64),
             directory: other_directory.then(living),
             registries: self.registries(now),
             fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000 + 1),
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -339,6 +339,8 @@
 pub struct Watched {
     /// What the registry has: the proxy fetches what is newer.
     pub have: Have,
+    /// Length of the configuration, bytes: how long a fetch may take goes by it.
+    pub config_bytes: u64,
     /// All proxies, where they are others.
     pub directory: Option<Vec<ProxyStatus>>,
     /// All registries.
