A configuration is fetched from another registry where the first one falls silent

Change: a fetch of the same version begins at another registry after 250 ms and the time of the transfer.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -23,9 +23,11 @@
 const NEAR_SILENT: Micros = 1_500_000;
 /// How long an answer may take beyond that.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
-/// How long a configuration may take to come, and more for each of so many bytes; other registries are not asked for
-/// the same one meanwhile.
+/// How long a configuration may take to come, besides its transfer.
 const CONFIG_WITHIN: Duration = Duration::from_millis(1_200);
+/// How long another registry is not asked for the same one, besides its transfer: the first may have died.
+const CONFIG_HEDGE: Duration = Duration::from_millis(250);
+/// Bytes a second that a transfer is taken to make.
 const CONFIG_BYTES_PER_SECOND: f64 = 2e6;
 /// Pause after a call that failed.
 const CALL_PAUSE: Duration = Duration::from_millis(100);
@@ -59,7 +61,7 @@
     // Each registry has a directory of its own making.
     let mut directory = 0;
     loop {
-        let have = have(&proxy, directory);
+        let have = Have { directory, ..proxy.view.borrow().have() };
         let asked_at = proxy.now();
         let near = proxy.is_near(registry.addr());
         let near_answers = asked_at < proxy.near_heard_at.get() + NEAR_SILENT;
@@ -78,12 +80,6 @@
     }
 }
 
-/// What this proxy has, and what it is fetching: that is no news to it.
-fn have(proxy: &Proxy, directory: u64) -> Have {
-    let have = proxy.view.borrow().have();
-    Have { directory, config: have.config.max(proxy.fetching_config.get()), ..have }
-}
-
 /// Takes news in, and fetches what is newer than what is held.
 async fn take(proxy: &Rc<Proxy>, registry: &Rc<Registry>, asked_at: u64, news: Watched) {
     proxy.take_registries(news.registries);
@@ -92,17 +88,20 @@
     }
     let mut changed = proxy.view.borrow_mut().take_drains(proxy.now(), &news.have.drains);
     changed |= fetch_workers(proxy, registry, news.have.workers).await;
-    let newest = have(proxy, 0).config;
-    if let Some(version) = news.have.config.filter(|version| Some(*version) > newest) {
-        proxy.fetching_config.set(Some(version));
-        // A large document takes its time: heartbeats go on meanwhile.
-        let within =
-            CONFIG_WITHIN + Duration::from_secs_f64(news.config_bytes as f64 / CONFIG_BYTES_PER_SECOND);
-        spawn_local(fetch_config(proxy.clone(), registry.clone(), version, within));
-    }
     if changed {
         proxy.refresh_workers();
     }
+    if let Some(version) = news.have.config.filter(|version| is_newer(proxy, *version)) {
+        let transfer = Duration::from_secs_f64(news.config_bytes as f64 / CONFIG_BYTES_PER_SECOND);
+        let under_way = proxy.fetching_config.begin(version, proxy.now(), CONFIG_HEDGE + transfer);
+        match under_way {
+            // A large document takes its time: heartbeats go on meanwhile.
+            Ok(()) => {
+                spawn_local(fetch_config(proxy.clone(), registry.clone(), CONFIG_WITHIN + transfer));
+            }
+            Err(left) => tokio::time::sleep(left.min(CONFIG_HEDGE)).await,
+        }
+    }
     {
         let mut view = proxy.view.borrow_mut();
         view.take_freshness(asked_at, news.fresh_age, news.have.config);
@@ -121,13 +120,14 @@
     }
 }
 
-async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, version: ConfigVersion, within: Duration) {
+/// Whether a configuration is newer than the one in force here.
+fn is_newer(proxy: &Proxy, version: ConfigVersion) -> bool {
+    Some(version) > proxy.view.borrow().have().config
+}
+
+async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, within: Duration) {
     let answer = registry.call(&RegistryRequest::FetchConfig, within).await;
     if let Ok(RegistryAnswer::Config(Some(document))) = answer {
         proxy.take_config(&document);
     }
-    // A newer one may be under way by now.
-    if proxy.fetching_config.get() == Some(version) {
-        proxy.fetching_config.set(None);
-    }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -79,6 +79,27 @@
     }
 }
 
+/// Spreads fetches of one configuration over time: the next registry is asked only when the one before has had its
+/// time.
+#[derive(Default)]
+pub(crate) struct FetchingConfig(Cell<Option<(ConfigVersion, Micros)>>);
+
+impl FetchingConfig {
+    /// Begins a fetch, unless one of this version or of a newer one has had less than its time.
+    ///
+    /// # Errors
+    /// The time that is left to the fetch under way.
+    pub fn begin(&self, version: ConfigVersion, now: Micros, time: Duration) -> Result<(), Duration> {
+        let under_way = self.0.get().filter(|(under_way, _)| *under_way >= version);
+        let left = under_way.map(|(_, since)| (since + micros(time)).saturating_sub(now)).unwrap_or_default();
+        if left > 0 {
+            return Err(Duration::from_micros(left));
+        }
+        self.0.set(Some((version, now)));
+        Ok(())
+    }
+}
+
 /// The proxy.
 pub struct Proxy {
     pub(crate) settings: Rc<Settings>,
@@ -92,8 +113,7 @@
     pub(crate) near_heard_at: Cell<Micros>,
     pub(crate) registries_changed: Notify,
     pub(crate) fetching_workers: Fetching,
-    /// The configuration that is being fetched.
-    pub(crate) fetching_config: Cell<Option<ConfigVersion>>,
+    pub(crate) fetching_config: FetchingConfig,
     id: ProcessId,
     http: SocketAddr,
     started: Instant,
@@ -186,7 +206,7 @@
             near_heard_at: Cell::new(0),
             registries_changed: Notify::new(),
             fetching_workers: Fetching::default(),
-            fetching_config: Cell::new(None),
+            fetching_config: FetchingConfig::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
             started,
