Proxies and stores tell operators their state; hingestage-ctl asks for it

Need: from outside nobody could tell why a proxy refused a request, which workers it was sent to, or how long keys and parts of quotas still hold. Ruled out: log lines for each request (0.2 of a core), an HTTP page on the proxy (another listener), attempts kept by worker number (numbers change). Change: counters by outcome and for 1,000 tenants in two generations, a ring of 2,000 requests, calls on the proxy's inner port over TCP, typed states of registries and stores, a hook of the driver that names the request of an attempt, and the tool. Ids are copied: a header shares its connection's buffer.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -7,8 +7,10 @@
 use hingestage_node::{Settings, Signals};
 use hingestage_replication::{Figures, Micros, Replica};
 use hingestage_rpc::messages::{
-    Change, Proposed, ReadState, StoreAnswer, StoreMember, StoreNews, StoreRequest, Summary, Update,
+    Change, ConfigDocument, Proposed, ReadState, StoreAnswer, StoreMember, StoreNews, StoreRequest, Summary,
+    Update,
 };
+use hingestage_rpc::status::StoreStatus;
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -301,6 +303,27 @@
         let state = if current { ReadState::Current } else { ReadState::Unknown };
         StoreAnswer::Read(self.replica.borrow().state().config.clone(), state)
     }
+
+    /// What an operator is told of this store.
+    fn status(&self) -> StoreStatus {
+        let now = self.now();
+        let mut replica = self.replica.borrow_mut();
+        replica.refresh(now);
+        let state = replica.state();
+        let drained = state.drains.iter().filter(|(_, drain)| drain.drained);
+        let is_durable = |config: &ConfigDocument| replica.is_durable(now, &Update::Config(config.clone()));
+        StoreStatus {
+            member: replica.me().clone(),
+            members: replica.members(),
+            recovering: replica.recovering(),
+            held: state.config.as_ref().map(|config| config.version),
+            in_force: replica.in_force().map(|config| config.version),
+            durable: state.config.as_ref().is_some_and(is_durable),
+            drained: drained.map(|(zone, _)| zone.clone()).collect(),
+            proxies: state.proxies.len() as u32,
+            current_age: replica.current_as_of(now).map(|at| now.saturating_sub(at) / MILLI),
+        }
+    }
 }
 
 impl Handler for Store {
@@ -325,6 +348,7 @@
             StoreRequest::Propose { change, wait } => self.propose(change, Duration::from_millis(wait)).await,
             StoreRequest::Watch { have, wait } => self.watch(have, Duration::from_millis(wait)).await,
             StoreRequest::Read { wait } => self.read(Duration::from_millis(wait)).await,
+            StoreRequest::Status => StoreAnswer::Status(Box::new(self.status())),
         }
     }
 }
--- /dev/null
+++ b/crates/control-tool/src/lines.rs
@@ -0,0 +1,156 @@
+//! States as lines of text.
+
+use crate::health::Health;
+use crate::survey::{Node, Survey};
+use compact_str::CompactString;
+use hingestage_rpc::messages::{ConfigVersion, Millis};
+use hingestage_rpc::status::{
+    Explanation, KeyLease, ProxyState, RegistryStatus, RequestRecord, StoreStatus, TenantCounters,
+    WorkerGroup,
+};
+use std::collections::BTreeMap;
+
+/// One line for each process.
+pub fn of_survey(survey: &Survey) -> Vec<String> {
+    let registries = survey.registries.iter().map(|node| of_node("registry", node, registry));
+    let stores = survey.stores.iter().map(|node| of_node("store", node, store));
+    let proxies = survey.proxies.iter().map(|node| of_node("proxy", node, proxy));
+    registries.chain(stores).chain(proxies).collect()
+}
+
+/// What a proxy tells of a request or tenant, one line for each request.
+pub fn of_explanation(proxy: &str, asked_for: &str, explanation: &Explanation) -> Vec<String> {
+    let tenant = explanation.tenant.iter().map(|tenant| format!("{proxy}  {}", of_tenant(asked_for, tenant)));
+    let requests = explanation.requests.iter().map(|request| format!("{proxy}  {}", of_request(request)));
+    tenant.chain(requests).collect()
+}
+
+fn of_node<State: Health>(kind: &str, node: &Node<State>, text: fn(&State) -> String) -> String {
+    let name = if node.name.is_empty() { "?" } else { node.name.as_str() };
+    let state = node.state.as_ref().map(text).unwrap_or_default();
+    let problem = node.problem().map(|problem| format!("  PROBLEM: {problem}")).unwrap_or_default();
+    format!("{kind} {name} {}{state}{problem}", node.addr)
+}
+
+fn registry(state: &RegistryStatus) -> String {
+    let duty = match state.fence {
+        Some(fence) => format!("reads the list under fence {fence}"),
+        None => "leaves the list to another".to_owned(),
+    };
+    format!(
+        "  zone {}  version {}  fresh {}  {duty}  list {}.{} of {}  proxies {}  limits {}  workers {}{}",
+        state.member.zone,
+        version(state.config),
+        age(state.fresh_age),
+        state.workers_version.fence,
+        state.workers_version.number,
+        age(Some(state.workers_age)),
+        state.proxies.len(),
+        state.members,
+        workers(&state.workers),
+        drained(&state.drained),
+    )
+}
+
+fn store(state: &StoreStatus) -> String {
+    format!(
+        "  zone {}  version {} (on disk {}{})  current {}  stores {}  limits {}{}",
+        state.member.zone,
+        version(state.in_force),
+        version(state.held),
+        if state.durable { ", durable" } else { "" },
+        age(state.current_age),
+        state.members.len(),
+        state.proxies,
+        drained(&state.drained),
+    )
+}
+
+fn proxy(state: &ProxyState) -> String {
+    let keys = match state.keys {
+        KeyLease::Unlimited => "without limit".to_owned(),
+        KeyLease::Left(left) => format!("for {}", age(Some(left))),
+        KeyLease::Expired => "no more".to_owned(),
+    };
+    let requests: Vec<String> =
+        state.requests.iter().map(|entry| format!("{} {}", entry.count, entry.outcome)).collect();
+    format!(
+        "  zone {}  version {}  fresh {}  keys hold {keys}  part 1/{} for {}{}  peers {}  workers {}{}  \
+         attempts {}  requests {}",
+        state.status.zone,
+        version(state.config),
+        age(state.fresh_age),
+        state.members,
+        age(state.part_left),
+        if state.settled { "" } else { " (not settled)" },
+        state.peers.len(),
+        workers(&state.workers),
+        drained(&state.drained),
+        state.attempts,
+        or_none(requests.join(", ")),
+    )
+}
+
+fn of_tenant(name: &str, tenant: &TenantCounters) -> String {
+    let last = tenant.last_refusal.map(|reason| format!(" (the last: {reason})")).unwrap_or_default();
+    format!(
+        "tenant {name}: {} served, {} refused{last}, {} failed",
+        tenant.served, tenant.refused, tenant.failed
+    )
+}
+
+fn of_request(request: &RequestRecord) -> String {
+    let status = request.status.map_or("no answer".to_owned(), |status| status.to_string());
+    let attempts: Vec<String> =
+        request.attempts.iter().map(|attempt| format!("{} ({})", attempt.worker, attempt.outcome)).collect();
+    format!(
+        "{} ago  id {}  route {}  tenant {}  service {}  {status}: {}  sent to {}",
+        age(Some(request.age)),
+        or_none(request.id.to_string()),
+        or_none(request.route.to_string()),
+        or_none(request.tenant.to_string()),
+        or_none(request.service.to_string()),
+        request.outcome,
+        or_none(attempts.join(", ")),
+    )
+}
+
+fn version(version: Option<ConfigVersion>) -> String {
+    version.map_or("none".to_owned(), |version| format!("{:08x}", version.serial))
+}
+
+fn age(age: Option<Millis>) -> String {
+    age.map_or("none".to_owned(), |age| format!("{:.1}s", age as f64 / 1e3))
+}
+
+fn or_none(text: String) -> String {
+    if text.is_empty() {
+        "-".to_owned()
+    } else {
+        text
+    }
+}
+
+/// Workers by zone, over all services.
+fn workers(groups: &[WorkerGroup]) -> String {
+    let mut zones: BTreeMap<&CompactString, [u32; 3]> = BTreeMap::new();
+    for group in groups {
+        let [ready, leaving, cold] = zones.entry(&group.zone).or_default();
+        *ready += group.ready;
+        *leaving += group.leaving;
+        *cold += group.cold;
+    }
+    let zones = zones.into_iter().map(|(zone, [ready, leaving, cold])| {
+        let leaving = if leaving > 0 { format!("/{leaving} leaving") } else { String::new() };
+        let cold = if cold > 0 { format!("/{cold} cold") } else { String::new() };
+        format!("{zone}:{ready} ready{leaving}{cold}")
+    });
+    or_none(zones.collect::<Vec<_>>().join(","))
+}
+
+fn drained(zones: &[CompactString]) -> String {
+    match zones {
+        [] => String::new(),
+        zones => format!("  evacuated {}", zones.join(",")),
+    }
+}
--- a/crates/dataplane/src/driver.rs
+++ b/crates/dataplane/src/driver.rs
@@ -335,9 +335,10 @@
     fn attempt_done(self: &Rc<Self>, id: &RequestId, n: usize, attempted: &mut Attempted<P::Stream>) {
         let ended = self.open.borrow_mut().get_mut(id).and_then(|open| {
             open.late |= attempted.outcome == Outcome::Timeout;
-            open.attempts.get_mut(n).and_then(Option::take)
+            let running = open.attempts.get_mut(n).and_then(Option::take)?;
+            Some((running, open.parts.clone()))
         });
-        let Some(running) = ended else { return };
+        let Some((running, parts)) = ended else { return };
         if let Some(served) = attempted.served.take() {
             self.answer(id, |_| Answer::Served(served));
         }
@@ -347,18 +348,23 @@
         let until = attempted.heard.unwrap_or_else(|| self.platform.now());
         let took = until.saturating_duration_since(running.sent);
         self.subsystems.ended(self.micros(), running.worker, attempted.outcome, took);
+        self.subsystems.attempt_ended(&parts.id, running.worker, attempted.outcome);
         self.tell_end(id, n, attempted.outcome, took, true_units);
     }
 
     /// Calls an attempt off: its connection ends before the decisions hear of it, so that no further attempt
     /// can be out together with it.
     fn cancel(self: &Rc<Self>, id: &RequestId, n: usize) {
-        let slot = self.open.borrow_mut().get_mut(id).and_then(|o| o.attempts.get_mut(n)?.take());
-        let Some(running) = slot else { return };
+        let slot = self.open.borrow_mut().get_mut(id).and_then(|open| {
+            let running = open.attempts.get_mut(n)?.take()?;
+            Some((running, open.parts.clone()))
+        });
+        let Some((running, parts)) = slot else { return };
         let outcome = if running.progress.give_up() { Outcome::Cancelled } else { Outcome::NotSent };
         running.task.abort();
         let took = self.platform.since(running.sent);
         self.subsystems.ended(self.micros(), running.worker, outcome, took);
+        self.subsystems.attempt_ended(&parts.id, running.worker, outcome);
         self.tell_end(id, n, outcome, took, None);
     }
 
--- a/crates/dataplane/src/hooks.rs
+++ b/crates/dataplane/src/hooks.rs
@@ -4,6 +4,7 @@
     ClassId, CounterName, CounterOutcome, CustomerId, Effect, ListScope, Micros, Outcome, PlanId, WorkerId,
     WorkerInfo,
 };
+use hyper::header::HeaderValue;
 use std::time::Duration;
 
 /// A request that is about to begin.
@@ -35,6 +36,9 @@
     /// An attempt ended after so long.
     fn ended(&self, _now: Micros, _worker: WorkerId, _outcome: Outcome, _took: Duration) {}
 
+    /// An attempt of the request with this id of its client ended; told after [`Subsystems::ended`].
+    fn attempt_ended(&self, _id: &HeaderValue, _worker: WorkerId, _outcome: Outcome) {}
+
     /// News of the workers, before the decisions hear of them.
     fn listed(&self, _workers: &[WorkerInfo], _scope: ListScope) {}
 
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// A worker's id.
+    pub fn id(&self, worker: WorkerId) -> Option<HeaderValue> {
+        self.ids.borrow().get(&worker).cloned()
+    }
+
     /// Forgets all workers but some.
     pub fn keep_only(&self, keep: impl Fn(WorkerId) -> bool) {
         self.ids.borrow_mut().retain(|worker, _| keep(*worker));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,11 +5,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod attempts;
 pub mod classes;
 mod control;
+pub mod counters;
 pub mod dialect;
+mod operators;
 mod peers;
 mod readiness;
+pub mod recent;
+pub mod request_log;
 mod requests;
 pub mod server;
 pub mod services;
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -2,6 +2,7 @@
 
 use crate::classes::Terms;
 use crate::dialect::{drop_hop_by_hop, API_KEY, ATTEMPT_ID, DEADLINE, TARGET_WORKER, TENANT};
+use crate::request_log::TrackedRequest;
 use crate::server::Proxy;
 use crate::services::ServiceKey;
 use crate::view::Active;
@@ -18,7 +19,8 @@
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
 use hingestage_policy::{CustomerId, PlanId};
-use hingestage_quota::{Admission, TenantLimits};
+use hingestage_quota::{Admission, RefusalReason, TenantLimits};
+use hingestage_rpc::status::RequestOutcome;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{
@@ -44,14 +46,15 @@
 struct Refusal {
     status: StatusCode,
     message: &'static str,
+    outcome: RequestOutcome,
     retry_after: Option<Duration>,
     /// Whether what is left of the request on the connection can't be told from a next one.
     ends_connection: bool,
 }
 
 impl Refusal {
-    const fn new(status: StatusCode, message: &'static str) -> Refusal {
-        Refusal { status, message, retry_after: None, ends_connection: false }
+    const fn new(status: StatusCode, message: &'static str, outcome: RequestOutcome) -> Refusal {
+        Refusal { status, message, outcome, retry_after: None, ends_connection: false }
     }
 
     fn after(self, wait: Duration) -> Refusal {
@@ -86,9 +89,17 @@
     type Body = Written<Tokio>;
 
     async fn answer(self: &Rc<Self>, request: Request<Incoming>, client: &Rc<Client>) -> Reply {
-        match self.serve_request(request, client).await {
-            Ok(reply) => reply,
-            Err(refusal) => respond(refusal),
+        let id = one_header(request.headers(), &ATTEMPT_ID);
+        let mut tracked = self.requests.begin(self.now(), id);
+        match self.serve_request(request, client, &mut tracked).await {
+            Ok(reply) => {
+                tracked.answered(reply.status().as_u16(), RequestOutcome::Served);
+                reply
+            }
+            Err(refusal) => {
+                tracked.answered(refusal.status.as_u16(), refusal.outcome);
+                respond(refusal)
+            }
         }
     }
 
@@ -102,35 +113,54 @@
         self: &Rc<Self>,
         request: Request<Incoming>,
         client: &Rc<Client>,
+        tracked: &mut TrackedRequest,
     ) -> Result<Reply, Refusal> {
         let arrived = self.platform.now();
         let (head, body) = request.into_parts();
-        let routed = self.route(&head.headers, head.uri.path())?;
+        let routed = self.route(&head.headers, head.uri.path(), tracked)?;
         let id = one_header(&head.headers, &ATTEMPT_ID)
-            .ok_or(Refusal::new(StatusCode::BAD_REQUEST, "no attempt id").ending())?
+            .ok_or(
+                Refusal::new(StatusCode::BAD_REQUEST, "no attempt id", RequestOutcome::BadRequest).ending(),
+            )?
             .clone();
         let patience = patience(&head.headers).min(routed.route.timeout);
         let until = arrived + patience;
         if self.collector.is_too_long(&body) {
-            return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large").ending());
+            return Err(Refusal::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body too large",
+                RequestOutcome::BadRequest,
+            )
+            .ending());
         }
         let body = self.collector.read(body, patience).await.map_err(|error| match error {
-            CollectError::TooSlow => {
-                Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body takes too long").ending()
+            CollectError::TooSlow => Refusal::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body takes too long",
+                RequestOutcome::BadRequest,
+            )
+            .ending(),
+            CollectError::BadFraming => {
+                Refusal::new(StatusCode::BAD_REQUEST, "bad framing", RequestOutcome::BadRequest).ending()
             }
-            CollectError::BadFraming => Refusal::new(StatusCode::BAD_REQUEST, "bad framing").ending(),
         })?;
         if until <= self.platform.now() + TIME_LEAST {
-            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no time left").after(RETRY_LEAST));
+            return Err(Refusal::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no time left",
+                RequestOutcome::NoTimeLeft,
+            )
+            .after(RETRY_LEAST));
         }
         // The body may have taken its time: what is in force now decides.
-        let routed = self.route(&head.headers, head.uri.path()).unwrap_or(routed);
-        let service = self.service_for(&routed)?;
+        let routed = self.route(&head.headers, head.uri.path(), tracked).unwrap_or(routed);
+        tracked.routed(&routed.route.name, &routed.tenant_name());
+        let service = self.service_for(&routed, tracked)?;
         self.admit(&routed)?;
         let tenant = routed.tenant_name();
         let class = service.class(Terms::of(&routed.route));
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
-        let uri = uri.ok_or(Refusal::new(StatusCode::BAD_REQUEST, "bad path"))?;
+        let uri = uri.ok_or(Refusal::new(StatusCode::BAD_REQUEST, "bad path", RequestOutcome::BadRequest))?;
         let flow = match &body {
             RequestBody::Flow(flow) => Some(flow.clone()),
             RequestBody::Whole(_) => None,
@@ -146,9 +176,14 @@
             parts: Parts { method: head.method, uri, id, headers: passed_on(head.headers, &tenant), body },
         };
         client.busy.set(true);
+        tracked.sending(&taken.parts.id);
         let admitted = Admitted { proxy: self.clone(), tenant, ran: true };
         let Some((ticket, answer)) = service.driver.take(taken) else {
-            return Err(Refusal::new(StatusCode::CONFLICT, "a request with this id is open"));
+            return Err(Refusal::new(
+                StatusCode::CONFLICT,
+                "a request with this id is open",
+                RequestOutcome::DuplicateId,
+            ));
         };
         let answer = answer.await;
         if let Some(flow) = flow {
@@ -176,48 +211,81 @@
             }
             Some(Answer::Refused(wait)) => {
                 admitted.ran = false;
-                let refusal =
-                    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "refused: the request has not run");
+                let refusal = Refusal::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "refused: the request has not run",
+                    RequestOutcome::NoWorker,
+                );
                 Err(refusal.after(Duration::from_micros(wait)))
             }
             Some(Answer::Failed { late: true }) => {
-                Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
+                Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time", RequestOutcome::TimedOut))
             }
-            _ => Err(Refusal::new(StatusCode::BAD_GATEWAY, "failed")),
+            _ => Err(Refusal::new(StatusCode::BAD_GATEWAY, "failed", RequestOutcome::Failed)),
         }
     }
 
     /// Finds a request's route and tenant in the configuration in force.
-    fn route(&self, headers: &HeaderMap, path: &str) -> Result<Routed, Refusal> {
+    fn route(
+        &self,
+        headers: &HeaderMap,
+        path: &str,
+        tracked: &mut TrackedRequest,
+    ) -> Result<Routed, Refusal> {
         let active = self.view.borrow().active().cloned();
         let active = active.ok_or(
-            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet").after(RETRY_ELSEWHERE),
+            Refusal::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration yet",
+                RequestOutcome::NoConfiguration,
+            )
+            .after(RETRY_ELSEWHERE),
         )?;
         let host = one_header(headers, &HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
         let route = active.routes.find(host, path).cloned();
-        let route = route.ok_or(Refusal::new(StatusCode::NOT_FOUND, "no such route").ending())?;
+        let route = route.ok_or(
+            Refusal::new(StatusCode::NOT_FOUND, "no such route", RequestOutcome::UnknownRoute).ending(),
+        )?;
+        tracked.routed(&route.name, &CompactString::default());
         let tenant = self.tenant(&active, &route, headers)?;
-        Ok(Routed { active, route, tenant })
+        let routed = Routed { active, route, tenant };
+        tracked.routed(&routed.route.name, &routed.tenant_name());
+        Ok(routed)
     }
 
     fn tenant(&self, active: &Active, route: &Route, headers: &HeaderMap) -> Result<Option<usize>, Refusal> {
         if route.public || active.configuration.tenants.is_empty() {
             return Ok(None);
         }
-        let unknown = Refusal::new(StatusCode::UNAUTHORIZED, "no key that is known").ending();
+        let unknown =
+            Refusal::new(StatusCode::UNAUTHORIZED, "no key that is known", RequestOutcome::UnknownKey)
+                .ending();
         let key = one_header(headers, &API_KEY).and_then(|value| value.to_str().ok()).ok_or(unknown)?;
         if !self.view.borrow().keys_hold(self.now()) {
-            let cut_off = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "keys can't be checked for now");
+            let cut_off = Refusal::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "keys can't be checked for now",
+                RequestOutcome::KeysUnchecked,
+            );
             return Err(cut_off.after(RETRY_ELSEWHERE).ending());
         }
         active.keys.find(key).map(Some).ok_or(unknown)
     }
 
-    fn service_for(&self, routed: &Routed) -> Result<Rc<crate::services::Service>, Refusal> {
+    fn service_for(
+        &self,
+        routed: &Routed,
+        tracked: &mut TrackedRequest,
+    ) -> Result<Rc<crate::services::Service>, Refusal> {
         let tenant_regions = routed.tenant().map_or(&[][..], |tenant| &tenant.allow_regions);
         let name = routed.route.choose(fastrand::f64());
-        let nowhere =
-            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no region may serve this").after(RETRY_ELSEWHERE);
+        tracked.bound_for(&CompactString::from(name));
+        let nowhere = Refusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no region may serve this",
+            RequestOutcome::NoRegion,
+        )
+        .after(RETRY_ELSEWHERE);
         let key = ServiceKey::within(name, &routed.route.allow_regions, tenant_regions).ok_or(nowhere)?;
         self.services.get(key, &self.view.borrow(), self.now()).ok_or(nowhere)
     }
@@ -241,14 +309,25 @@
             self.tenants.borrow_mut().admit(self.now(), &tenant.name, limits, part, fastrand::u64(..));
         match admission {
             Admission::Admitted => Ok(()),
-            Admission::Refused { retry_after, .. } => {
-                let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "beyond the tenant's quota");
+            Admission::Refused { retry_after, reason } => {
+                let message = "beyond the tenant's quota";
+                let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, message, quota_outcome(reason));
                 Err(refusal.after(Duration::from_micros(retry_after)))
             }
         }
     }
 }
 
+/// A quota's refusal as operators are told of it.
+fn quota_outcome(reason: RefusalReason) -> RequestOutcome {
+    match reason {
+        RefusalReason::PenaltyBox => RequestOutcome::QuotaPenaltyBox,
+        RefusalReason::OpenCap => RequestOutcome::QuotaOpenCap,
+        RefusalReason::NoLease => RequestOutcome::QuotaNoLease,
+        RefusalReason::HardBound => RequestOutcome::QuotaUsedUp,
+    }
+}
+
 /// Part of a quota's slack that is planned with; the rest is for error.
 const SLACK_USED: f64 = 0.85;
 
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The proxy put together: serves from its start until all is answered after it is told to end.
 
+use crate::request_log::RequestLog;
 use crate::services::Services;
 use crate::view::{Spans, View};
 use crate::{control, peers, readiness};
@@ -15,6 +16,7 @@
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus, RegistryAddress, WorkersVersion};
+use hingestage_rpc::serve as serve_calls;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -84,6 +86,8 @@
     pub(crate) view: RefCell<View>,
     pub(crate) services: Services,
     pub(crate) tenants: RefCell<TenantTable>,
+    /// What became of requests, for operators.
+    pub(crate) requests: Rc<RequestLog>,
     pub(crate) collector: Collector<Tokio>,
     pub(crate) registries: RefCell<Vec<RegistryAddress>>,
     /// When a registry of this region last answered.
@@ -113,6 +117,9 @@
         spawn_local(readiness::serve(listener, proxy.clone()));
     }
     peers::start(&proxy).await?;
+    let inner = settings.inner(InnerPort::Proxy);
+    let calls = TcpListener::bind(inner).await.wrap_err_with(|| format!("{inner}"))?;
+    spawn_local(serve_calls(calls, proxy.clone()));
     spawn_local(control::run(proxy.clone()));
     spawn_local(proxy.clone().follow_time());
     spawn_local(proxy.clone().tidy());
@@ -171,10 +178,12 @@
             part_lease: micros(PART_LEASE),
         };
         let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let requests: Rc<RequestLog> = Rc::default();
         Proxy {
             platform: Tokio,
             view: RefCell::new(View::new(spans)),
-            services: Services::new(settings.clone(), Tokio),
+            services: Services::new(settings.clone(), Tokio, requests.clone()),
+            requests,
             tenants: RefCell::new(TenantTable::new(0, Incarnation(incarnation), table_settings())),
             collector: Collector::new(Tokio, collect_settings(&settings)),
             registries: RefCell::default(),
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -1,12 +1,13 @@
 //! One driver of the decisions for each service, and for each set of regions that requests to it are bound to.
 
+use crate::attempts::AttemptObserver;
 use crate::classes::{Classes, Terms};
 use crate::dialect::WorkerDialect;
+use crate::request_log::RequestLog;
 use crate::view::{Usability, View};
 use compact_str::CompactString;
 use hingestage_dataplane::dialect::Dialect;
 use hingestage_dataplane::driver::{gatekeeper, Driver, DriverSettings};
-use hingestage_dataplane::hooks::NoSubsystems;
 use hingestage_node::Settings;
 use hingestage_platform::Tokio;
 use hingestage_policy::{
@@ -93,6 +94,7 @@
 pub struct Services {
     settings: Rc<Settings>,
     platform: Tokio,
+    requests: Rc<RequestLog>,
     services: RefCell<BTreeMap<ServiceKey, Rc<Service>>>,
     /// Numbers of workers by id.
     numbers: RefCell<HashMap<CompactString, WorkerId>>,
@@ -103,10 +105,11 @@
 
 impl Services {
     /// None is known.
-    pub fn new(settings: Rc<Settings>, platform: Tokio) -> Self {
+    pub fn new(settings: Rc<Settings>, platform: Tokio, requests: Rc<RequestLog>) -> Self {
         Services {
             settings,
             platform,
+            requests,
             services: RefCell::default(),
             numbers: RefCell::default(),
             next: Cell::new(1),
@@ -139,7 +142,8 @@
             worker_idle: WORKER_IDLE,
             dialect: dialect.clone() as Rc<dyn Dialect>,
         };
-        let driver = Driver::new(self.platform, settings, Rc::new(NoSubsystems), gatekeeper);
+        let observer = Rc::new(AttemptObserver::new(self.requests.clone(), dialect.clone()));
+        let driver = Driver::new(self.platform, settings, observer, gatekeeper);
         Service { driver, dialect, classes: RefCell::default() }
     }
 
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -201,8 +201,28 @@
 
     /// Whether keys may be believed: none that was taken away long ago can be unknown to this proxy.
     pub fn keys_hold(&self, now: Micros) -> bool {
-        let Some(lease) = self.spans.key_lease else { return true };
-        self.fresh_as_of.is_some_and(|at| now < at + lease)
+        self.keys_hold_until().is_none_or(|until| now < until)
+    }
+
+    /// Until when keys may be believed without further news; none where they always may.
+    pub fn keys_hold_until(&self) -> Option<Micros> {
+        let lease = self.spans.key_lease?;
+        Some(self.fresh_as_of.map_or(0, |at| at + lease))
+    }
+
+    /// The latest moment at which nothing newer than what is in force here can have been acknowledged.
+    pub fn fresh_as_of(&self) -> Option<Micros> {
+        self.fresh_as_of
+    }
+
+    /// Proxies that share common limits, as far as is known.
+    pub fn members(&self) -> u32 {
+        self.members
+    }
+
+    /// Whether this proxy may use its part of common limits.
+    pub fn settled(&self) -> bool {
+        self.settled
     }
 
     /// This proxy's part of what all share.
--- /dev/null
+++ b/crates/proxy/tests/operator_calls.rs
@@ -0,0 +1,231 @@
+//! What a running proxy tells operators, over sockets on loopback, beside a registry that is played by the test.
+
+use hingestage_node::settings::InnerPort;
+use hingestage_node::Settings;
+use hingestage_proxy::server;
+use hingestage_replication::digest;
+use hingestage_rpc::messages::{
+    ConfigDocument, ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, WorkerList, WorkerRecord,
+    WorkersVersion, ZoneDrain,
+};
+use hingestage_rpc::status::{
+    AttemptOutcome, Explanation, KeyLease, ProxyAnswer, ProxyRequest, ProxyState, RequestOutcome, WorkerGroup,
+};
+use hingestage_rpc::{serve, Client, Handler};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Time that no test needs unless something hangs.
+const PLENTY: Duration = Duration::from_secs(20);
+const DOCUMENT: &str = r#"{"serial": "0000002a", "backends": [{"name": "blue"}], "routes": [
+    {"name": "shop", "host": "shop.example", "prefix": "/shop/", "kind": "idempotent", "timeout": "500ms",
+     "prio": 1, "backend": "blue"}],
+    "tenants": [{"name": "alpha", "api_keys": ["key-alpha"], "rate_per_s": 0},
+                {"name": "beta", "api_keys": ["key-beta"], "rate_per_s": 5, "burst": 5}]}"#;
+const VERSION: WorkersVersion = WorkersVersion { fence: 1, number: 1 };
+
+/// A registry that has one configuration, one worker and one evacuated zone.
+struct Registry {
+    /// Whether it knows that nothing newer has been acknowledged.
+    fresh: bool,
+    worker: SocketAddr,
+}
+
+impl Registry {
+    fn document() -> ConfigDocument {
+        let json = DOCUMENT.as_bytes().to_vec();
+        ConfigDocument { version: ConfigVersion { serial: 0x2a, digest: digest(&json) }, json }
+    }
+
+    fn worker(&self) -> WorkerRecord {
+        WorkerRecord {
+            id: "w-1".into(),
+            service: "blue".into(),
+            addr: self.worker,
+            zone: "north-1".into(),
+            capacity: 4,
+            draining: false,
+            cold_left: 0,
+        }
+    }
+}
+
+impl Handler for Registry {
+    type Request = RegistryRequest;
+    type Answer = RegistryAnswer;
+
+    async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
+        match request {
+            RegistryRequest::FetchConfig => RegistryAnswer::Config(Some(Self::document())),
+            RegistryRequest::FetchWorkers => {
+                RegistryAnswer::Workers(WorkerList { version: VERSION, workers: vec![self.worker()] })
+            }
+            RegistryRequest::Watch { have, .. } if have.config.is_none() => {
+                let drain = ZoneDrain { order: 1, drained: true };
+                let have = Have {
+                    config: Some(Self::document().version),
+                    drains: [("south-1".into(), drain)].into(),
+                    workers: VERSION,
+                    directory: 0,
+                };
+                let fresh_age = self.fresh.then_some(0);
+                RegistryAnswer::Watched(Box::new(Watched {
+                    have,
+                    fresh_age,
+                    members: 3,
+                    ..Watched::default()
+                }))
+            }
+            // There is never any other news.
+            _ => std::future::pending().await,
+        }
+    }
+}
+
+/// A proxy and its registry, on an address that no other test has.
+struct Stage {
+    http: SocketAddr,
+    calls: Client<ProxyRequest, ProxyAnswer>,
+}
+
+impl Stage {
+    async fn start(number: u8, fresh: bool) -> Stage {
+        let process = std::process::id();
+        let ip = format!("127.{}.{}.{number}", 100 + process / 250 % 100, process % 250);
+        let text = format!(
+            "{{node: edge-1, ip: {ip}, zone: north-1, region: north, zones: {{north-1: north, south-1: south}}, \
+             listen: {{http: '{ip}:8200'}}, port_range: [7600, 7615], seeds: ['{ip}:8202']}}"
+        );
+        let settings = Rc::new(Settings::parse(&text).expect("settings"));
+        let registry = TcpListener::bind(settings.inner(InnerPort::Registry)).await.expect("a port");
+        // Nobody listens at the worker's address.
+        let worker = SocketAddr::new(settings.ip, 9);
+        spawn_local(serve(registry, Rc::new(Registry { fresh, worker })));
+        let stage = Stage {
+            http: settings.listen.http.expect("an address"),
+            calls: Client::new(settings.inner(InnerPort::Proxy)),
+        };
+        spawn_local(async move { server::serve(settings).await.expect("the proxy runs") });
+        while stage.try_state().await.is_none_or(|state| state.config.is_none()) {
+            tokio::task::yield_now().await;
+        }
+        stage
+    }
+
+    async fn try_state(&self) -> Option<ProxyState> {
+        match self.calls.call(&ProxyRequest::Status, PLENTY).await {
+            Ok(ProxyAnswer::Status(state)) => Some(*state),
+            _ => None,
+        }
+    }
+
+    async fn state(&self) -> ProxyState {
+        self.try_state().await.expect("a state")
+    }
+
+    async fn explain(&self, id_or_tenant: &str) -> Explanation {
+        let request = ProxyRequest::Explain { id_or_tenant: id_or_tenant.into() };
+        match self.calls.call(&request, PLENTY).await {
+            Ok(ProxyAnswer::Explained(explanation)) => explanation,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Sends a request, and gives the status of its answer.
+    async fn get(&self, path: &str, id: &str, key: &str) -> u16 {
+        let mut stream = TcpStream::connect(self.http).await.expect("a connection");
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nhost: shop.example\r\napi-key: {key}\r\nconnection: close\r\n\
+             x-hingestage-attempt-id: {id}\r\nx-hingestage-deadline-ms: 400\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    }
+
+    /// Sends a request, and gives its status and what the proxy tells of it.
+    async fn outcome(&self, path: &str, id: &str, key: &str) -> (u16, RequestOutcome) {
+        let status = self.get(path, id, key).await;
+        let explained = self.explain(id).await;
+        let [record] = explained.requests.as_slice() else { panic!("{explained:?}") };
+        assert_eq!(record.status, Some(status));
+        (status, record.outcome)
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let test = async { tokio::time::timeout(PLENTY, test).await.expect("in time") };
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn a_proxy_tells_what_it_knows() {
+    run(async {
+        let stage = Stage::start(1, true).await;
+        let state = stage.state().await;
+        assert_eq!(state.status.id.node, "edge-1");
+        assert_eq!(state.config, Some(Registry::document().version));
+        assert_eq!(state.workers_version, VERSION);
+        let group = WorkerGroup { ready: 1, ..WorkerGroup::new("blue", "north-1") };
+        assert_eq!(state.workers, [group]);
+        assert_eq!(state.drained, ["south-1"]);
+        assert_eq!((state.members, state.settled, state.part_left), (3, false, None));
+        assert_eq!((state.attempts, state.requests.len()), (0, 0));
+    });
+}
+
+#[test]
+fn freshness_and_the_lease_of_keys_count_from_the_registrys_news() {
+    run(async {
+        let stage = Stage::start(2, true).await;
+        // The news counts once the configuration it speaks of is in force.
+        while stage.state().await.fresh_age.is_none() {
+            tokio::task::yield_now().await;
+        }
+        assert!(matches!(stage.state().await.keys, KeyLease::Left(left) if left <= 4_500));
+    });
+}
+
+#[test]
+fn without_fresh_news_requests_with_a_key_are_refused_and_explained() {
+    run(async {
+        let stage = Stage::start(3, false).await;
+        let state = stage.state().await;
+        assert_eq!((state.keys, state.fresh_age), (KeyLease::Expired, None));
+        assert_eq!(stage.outcome("/shop/1", "id-1", "key-alpha").await, (503, RequestOutcome::KeysUnchecked));
+        assert_eq!(stage.outcome("/other", "id-2", "key-alpha").await, (404, RequestOutcome::UnknownRoute));
+    });
+}
+
+#[test]
+fn refusals_and_attempts_are_counted_and_explained_by_id_and_tenant() {
+    run(async {
+        let stage = Stage::start(4, true).await;
+        while stage.state().await.fresh_age.is_none() {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(stage.outcome("/shop/1", "id-1", "key-gone").await, (401, RequestOutcome::UnknownKey));
+        assert_eq!(stage.outcome("/shop/1", "id-2", "key-beta").await, (429, RequestOutcome::QuotaNoLease));
+        assert_eq!(stage.outcome("/shop/1", "id-3", "key-alpha").await, (503, RequestOutcome::NoWorker));
+        let beta = stage.explain("beta").await;
+        let counters = beta.tenant.expect("counters");
+        assert_eq!((counters.refused, counters.last_refusal), (1, Some(RequestOutcome::QuotaNoLease)));
+        let alpha = &stage.explain("alpha").await.requests[0];
+        assert_eq!((&*alpha.id, &*alpha.route, &*alpha.service), ("id-3", "shop", "blue"));
+        let failed = |attempt: &hingestage_rpc::status::AttemptRecord| {
+            attempt.worker == "w-1" && attempt.outcome == AttemptOutcome::ConnectFailed
+        };
+        assert!(!alpha.attempts.is_empty() && alpha.attempts.iter().all(failed), "{alpha:?}");
+        let state = stage.state().await;
+        assert_eq!(state.attempts, alpha.attempts.len() as u64);
+        assert_eq!(state.requests.iter().map(|entry| entry.count).sum::<u64>(), 3);
+        assert_eq!(stage.explain("id-9").await, Explanation::default());
+    });
+}
--- a/crates/registry/src/duty.rs
+++ b/crates/registry/src/duty.rs
@@ -121,6 +121,11 @@
         Some(WorkersVersion { fence, number })
     }
 
+    /// Number under which this registry reads the list, while it has the duty.
+    pub fn fence(&self) -> Option<u64> {
+        self.fence
+    }
+
     /// How a read ended. After some failures the duty is left to others for a while.
     pub fn has_read(&mut self, now: Micros, good: bool) {
         self.failed = if good { 0 } else { self.failed + 1 };
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -10,4 +10,5 @@
 mod http;
 pub mod platform_list;
 pub mod server;
+mod state;
 mod watch;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -58,7 +58,7 @@
     pub(crate) store: StoreClient,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) in_force: RefCell<InForce>,
-    duty: RefCell<Duty>,
+    pub(crate) duty: RefCell<Duty>,
     started: Instant,
     /// Told when something has changed that proxies go by.
     changed: Notify,
@@ -293,7 +293,7 @@
     }
 
     /// What this registry has of the state that proxies go by.
-    fn have(&self) -> Have {
+    pub(crate) fn have(&self) -> Have {
         let in_force = self.in_force.borrow();
         Have {
             config: in_force.summary.config,
@@ -409,7 +409,7 @@
             }
             RegistryRequest::FetchConfig => RegistryAnswer::Config(self.in_force.borrow().config.clone()),
             RegistryRequest::FetchWorkers => RegistryAnswer::Workers(self.in_force.borrow().workers.clone()),
-            RegistryRequest::Status => RegistryAnswer::Status(self.status()),
+            RegistryRequest::Status => RegistryAnswer::Status(Box::new(self.state())),
         }
     }
 }
--- /dev/null
+++ b/crates/registry/src/state.rs
@@ -0,0 +1,55 @@
+//! What an operator is told of a registry.
+
+use crate::server::Registry;
+use compact_str::CompactString;
+use hingestage_node::settings::InnerPort;
+use hingestage_replication::Micros;
+use hingestage_rpc::messages::{WorkerRecord, ZoneDrains};
+use hingestage_rpc::status::{RegistryStatus, WorkerGroup};
+use std::collections::BTreeMap;
+
+/// Microseconds in a millisecond.
+const MILLI: Micros = 1_000;
+
+impl Registry {
+    /// The registry's state.
+    pub(crate) fn state(&self) -> RegistryStatus {
+        let now = self.now();
+        let have = self.have();
+        let in_force = self.in_force.borrow();
+        let duty = self.duty.borrow();
+        let drained = have.drains.iter().filter(|(_, drain)| drain.drained);
+        RegistryStatus {
+            member: duty.me(now),
+            config: have.config,
+            fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / MILLI),
+            fence: duty.fence(),
+            workers_version: have.workers,
+            workers_age: now.saturating_sub(in_force.workers_at) / MILLI,
+            workers: group(&in_force.workers.workers, &have.drains),
+            drained: drained.map(|(zone, _)| zone.clone()).collect(),
+            members: in_force.proxies.len() as u32,
+            store: self.settings.inner(InnerPort::ConfigStore),
+            registries: duty.members(now),
+            proxies: self.directory.borrow().living(now).cloned().collect(),
+        }
+    }
+}
+
+/// Counts workers by service and zone, as the list tells of them.
+fn group(workers: &[WorkerRecord], drains: &ZoneDrains) -> Vec<WorkerGroup> {
+    let mut groups: BTreeMap<(CompactString, CompactString), WorkerGroup> = BTreeMap::new();
+    for worker in workers {
+        let key = (worker.service.clone(), worker.zone.clone());
+        let group = groups.entry(key).or_insert_with(|| WorkerGroup::new(&worker.service, &worker.zone));
+        let drained = drains.get(&worker.zone).is_some_and(|drain| drain.drained);
+        if worker.draining || drained {
+            group.leaving += 1;
+        } else if worker.cold_left > 0 {
+            group.cold += 1;
+        } else {
+            group.ready += 1;
+        }
+    }
+    groups.into_values().collect()
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -9,6 +9,7 @@
 mod frame;
 pub mod messages;
 mod server;
+pub mod status;
 
 pub use client::{CallError, Client};
 pub use frame::{FrameError, PROTOCOL_VERSION};
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -1,5 +1,6 @@
 //! What the processes of the system say to each other.
 
+use crate::status::{RegistryStatus, StoreStatus};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -114,6 +115,8 @@
         /// How long to wait for the other stores.
         wait: Millis,
     },
+    /// An operator asks for its state.
+    Status,
 }
 
 /// A change as a registry asks for it.
@@ -152,6 +155,8 @@
     Read(Option<ConfigDocument>, ReadState),
     /// The disk refuses.
     Failed,
+    /// To an operator.
+    Status(Box<StoreStatus>),
 }
 
 /// Whether a read reached enough stores.
@@ -308,7 +313,7 @@
     FetchConfig,
     /// The list of workers.
     FetchWorkers,
-    /// Something for an operator to read.
+    /// An operator asks for its state.
     Status,
 }
 
@@ -330,8 +335,8 @@
     Config(Option<ConfigDocument>),
     /// The list of workers.
     Workers(WorkerList),
-    /// Text for an operator.
-    Status(String),
+    /// To an operator.
+    Status(Box<RegistryStatus>),
 }
 
 /// What a registry tells a proxy.
