--- a/crates/capacity/src/workers.rs
+++ b/crates/capacity/src/workers.rs
@@ -40,7 +40,8 @@
 }
 
 fn measure_services(report: &Report, count: usize, view: &mut View, workers: usize) {
-    let services = Services::new(Rc::new(fixtures::proxy_settings()), std::time::Instant::now(), Tokio);
+    let settings = Rc::new(fixtures::proxy_settings());
+    let services = Services::new(settings, std::time::Instant::now(), Tokio, Rc::default());
     let before = resident();
     let started = thread_cpu();
     for service in 0..count {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -416,5 +416,6 @@
         size: target.capacity_hint.filter(|n| n.is_finite() && *n > 0.0).unwrap_or(1.0),
         started,
         tier: 0,
+        cold_rate: None,
     }
 }
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -1,12 +1,13 @@
 //! One driver of the decisions for each service, and for each set of regions that requests to it are bound to.
 
+use crate::attempts::AttemptObserver;
 use crate::classes::{Classes, Terms};
 use crate::dialect::WorkerDialect;
+use crate::request_log::RequestLog;
 use crate::view::{Usability, View};
 use compact_str::CompactString;
 use hingestage_dataplane::dialect::Dialect;
 use hingestage_dataplane::driver::{gatekeeper, Driver, DriverSettings};
-use hingestage_dataplane::hooks::NoSubsystems;
 use hingestage_node::Settings;
 use hingestage_platform::Tokio;
 use hingestage_policy::{
@@ -112,6 +113,7 @@
     /// The proxy's clock counts from here.
     started: Instant,
     platform: Tokio,
+    requests: Rc<RequestLog>,
     services: RefCell<BTreeMap<ServiceKey, Rc<Service>>>,
     /// Numbers of workers by id.
     numbers: RefCell<HashMap<CompactString, WorkerId>>,
@@ -124,11 +126,12 @@
 
 impl Services {
     /// None is known.
-    pub fn new(settings: Rc<Settings>, started: Instant, platform: Tokio) -> Self {
+    pub fn new(settings: Rc<Settings>, started: Instant, platform: Tokio, requests: Rc<RequestLog>) -> Self {
         Services {
             settings,
             started,
             platform,
+            requests,
             services: RefCell::default(),
             numbers: RefCell::default(),
             cold_since: RefCell::default(),
@@ -162,7 +165,8 @@
             worker_idle: WORKER_IDLE,
             dialect: dialect.clone() as Rc<dyn Dialect>,
         };
-        let driver = Driver::new(self.platform, settings, Rc::new(NoSubsystems), gatekeeper);
+        let observer = Rc::new(AttemptObserver::new(self.requests.clone(), dialect.clone()));
+        let driver = Driver::new(self.platform, settings, observer, gatekeeper);
         Service { driver, dialect, classes: RefCell::default() }
     }
 
