A request that never reaches the decisions is given back to its tenant's quota

Cause, found by reading: a tenant's count was taken before the path was parsed, and what gives it back was made only after; with a bad path the tenant's open count stayed up for good, and a duplicate id was charged as if it had run.

Change: `admit` gives the guard itself, which counts as run only once the request is with the decisions.

Ruled out: admitting later, as the count belongs to the moment of sending.

--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -156,7 +156,7 @@
         let routed = self.route(&head.headers, head.uri.path(), tracked).unwrap_or(routed);
         tracked.routed(&routed.route.name, &routed.tenant_name());
         let service = self.service_for(&routed, tracked)?;
-        self.admit(&routed)?;
+        let mut admitted = self.admit(&routed)?;
         let tenant = routed.tenant_name();
         let class = service.class(Terms::of(&routed.route));
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
@@ -177,7 +177,6 @@
         };
         client.busy.set(true);
         tracked.sending(&taken.parts.id);
-        let admitted = Admitted { proxy: self.clone(), tenant, ran: true };
         let Some((ticket, answer)) = service.driver.take(taken) else {
             return Err(Refusal::new(
                 StatusCode::CONFLICT,
@@ -185,6 +184,7 @@
                 RequestOutcome::DuplicateId,
             ));
         };
+        admitted.ran = true;
         let answer = answer.await;
         if let Some(flow) = flow {
             client.waste_rest(&self.platform, flow);
@@ -290,9 +290,10 @@
         self.services.get(key, &self.view.borrow(), self.now()).ok_or(nowhere)
     }
 
-    /// Whether the tenant is within its quota.
-    fn admit(&self, routed: &Routed) -> Result<(), Refusal> {
-        let Some(tenant) = routed.tenant() else { return Ok(()) };
+    /// Takes a request into its tenant's quota, until what is given is dropped.
+    fn admit(self: &Rc<Self>, routed: &Routed) -> Result<Admitted, Refusal> {
+        let admitted = || Admitted { proxy: self.clone(), tenant: routed.tenant_name(), ran: false };
+        let Some(tenant) = routed.tenant() else { return Ok(admitted()) };
         let bounds = &self.settings.bounds;
         let part = self.view.borrow().part();
         let window = bounds.quota_window.as_secs_f64();
@@ -308,7 +309,7 @@
         let admission =
             self.tenants.borrow_mut().admit(self.now(), &tenant.name, limits, part, fastrand::u64(..));
         match admission {
-            Admission::Admitted => Ok(()),
+            Admission::Admitted => Ok(admitted()),
             Admission::Refused { retry_after, reason } => {
                 let message = "beyond the tenant's quota";
                 let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, message, quota_outcome(reason));
