One piece for regions, incarnations and fetches in place of twins

Cause, found by reading the change whole: whether a zone is in another region was worked out in five places, the number of a process's life in two; two types spread fetches over time, one for each kind of version; the times since when workers have been cold were never forgotten; versions were compared by way of a copy of all orders.

Change: `Settings::region_of` and `is_far`, `incarnation` in `crates/node`, `Fetching<V>`, `View::config_version` and `workers_version`; cold times go with their workers. Behaviour is as before.

Ruled out: one accept loop for calls, HTTP and readiness, and one FNV for three packages: they would need a package below all of them.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -145,11 +145,11 @@
 
     fn exchange_period(&self, name: &CompactString) -> Duration {
         let members = self.replica.borrow().members();
-        let zone = members.iter().find(|member| member.name == *name).map(|member| &member.zone);
-        let region = zone.and_then(|zone| self.settings.zones.get(zone.as_str()));
-        match region {
-            Some(region) if *region != self.settings.region => EXCHANGE_PERIOD_FAR,
-            _ => EXCHANGE_PERIOD,
+        let member = members.iter().find(|member| member.name == *name);
+        if member.is_some_and(|member| self.settings.is_far(&member.zone)) {
+            EXCHANGE_PERIOD_FAR
+        } else {
+            EXCHANGE_PERIOD
         }
     }
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -6,11 +6,18 @@
 use std::future::Future;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::task::LocalSet;
 
 /// Exit code for settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
 
+/// A number that tells the lives of a process apart: the time of day at its start, microseconds. A clock that was set
+/// back in between may make it smaller.
+pub fn incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
 /// What a program is called and does.
 pub struct Program {
     /// Its name, as in the log.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -255,6 +255,16 @@
         Ok(settings)
     }
 
+    /// The region of a zone, where the platform names it.
+    pub fn region_of(&self, zone: &str) -> Option<&str> {
+        self.zones.get(zone).map(String::as_str)
+    }
+
+    /// Whether a zone is known to be in another region than this machine.
+    pub fn is_far(&self, zone: &str) -> bool {
+        self.region_of(zone).is_some_and(|region| region != self.region)
+    }
+
     /// The address for the system's own traffic of a kind of process on this machine.
     pub fn inner(&self, port: InnerPort) -> SocketAddr {
         self.inner_at(self.ip, port)
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -29,8 +29,9 @@
 
     /// Notes an attempt, where its request is open.
     pub fn note(&mut self, id: &HeaderValue, attempt: AttemptRecord) {
-        let attempts = self.0.get_mut(id).filter(|attempts| attempts.len() < ATTEMPTS_MAX);
-        attempts.into_iter().for_each(|attempts| attempts.push(attempt.clone()));
+        if let Some(attempts) = self.0.get_mut(id).filter(|attempts| attempts.len() < ATTEMPTS_MAX) {
+            attempts.push(attempt);
+        }
     }
 
     /// Gives a request's attempts, and forgets them.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,7 +1,6 @@
 //! The link to the registries: one watch at each, answered when there is news.
 
 use crate::server::Proxy;
-use eyre::Result;
 use hingestage_node::settings::InnerPort;
 use hingestage_node::SettingsFile;
 use hingestage_replication::Micros;
@@ -9,7 +8,7 @@
     ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, WorkersVersion,
 };
 use hingestage_rpc::Client;
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +22,8 @@
 const NEAR_SILENT: Micros = 1_500_000;
 /// How long an answer may take beyond that.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+/// How long another registry is not asked for the same list of workers.
+const WORKERS_HEDGE: Duration = Duration::from_millis(400);
 /// How long a configuration may take to come, besides its transfer.
 const CONFIG_WITHIN: Duration = Duration::from_millis(1_200);
 /// How long another registry is not asked for the same one, besides its transfer: the first may have died.
@@ -39,8 +40,8 @@
 type Registry = Client<RegistryRequest, RegistryAnswer>;
 
 /// Starts watching registries as they become known.
-pub(crate) async fn run(proxy: Rc<Proxy>) -> Result<()> {
-    let mut watched: BTreeMap<SocketAddr, ()> = BTreeMap::new();
+pub(crate) async fn run(proxy: Rc<Proxy>) {
+    let mut watched: BTreeSet<SocketAddr> = BTreeSet::new();
     let file = SettingsFile::new(proxy.settings.clone());
     loop {
         let settings = file.current();
@@ -48,7 +49,7 @@
         let known: Vec<SocketAddr> =
             seeds.chain(proxy.registries.borrow().iter().map(|registry| registry.addr)).collect();
         for addr in known {
-            if watched.len() < REGISTRIES_MAX && watched.insert(addr, ()).is_none() {
+            if watched.len() < REGISTRIES_MAX && watched.insert(addr) {
                 spawn_local(keep_watching(proxy.clone(), Rc::new(Registry::new(addr))));
             }
         }
@@ -111,7 +112,8 @@
 }
 
 async fn fetch_workers(proxy: &Rc<Proxy>, registry: &Registry, version: WorkersVersion) -> bool {
-    if version <= proxy.view.borrow().have().workers || !proxy.fetching_workers.begin(version, proxy.now()) {
+    let is_newer = version > proxy.view.borrow().workers_version();
+    if !is_newer || proxy.fetching_workers.begin(version, proxy.now(), WORKERS_HEDGE).is_err() {
         return false;
     }
     match registry.call(&RegistryRequest::FetchWorkers, ANSWER_WITHIN).await {
@@ -122,7 +124,7 @@
 
 /// Whether a configuration is newer than the one in force here.
 fn is_newer(proxy: &Proxy, version: ConfigVersion) -> bool {
-    Some(version) > proxy.view.borrow().have().config
+    Some(version) > proxy.view.borrow().config_version()
 }
 
 async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, within: Duration) {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -10,7 +10,7 @@
 use hingestage_dataplane::collect::{CollectSettings, Collector};
 use hingestage_dataplane::connections::{ConnectionSettings, Connections, Stopping};
 use hingestage_node::settings::InnerPort;
-use hingestage_node::{Settings, Signals};
+use hingestage_node::{incarnation, Settings, Signals};
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
@@ -22,7 +22,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -62,36 +62,21 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Kept back of the time between SIGTERM and SIGKILL.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
-/// How long a fetch of a version keeps others from fetching it, too.
-const FETCH_TIMEOUT: Micros = 400_000;
+/// Spreads fetches of one version over time: the next registry is asked only when the one before has had its time.
+pub(crate) struct Fetching<V>(Cell<Option<(V, Micros)>>);
 
-/// Keeps the same version from being fetched from several registries at a time.
-#[derive(Default)]
-pub(crate) struct Fetching(Cell<(WorkersVersion, Micros)>);
-
-impl Fetching {
-    /// Whether to fetch a version now.
-    pub fn begin(&self, version: WorkersVersion, now: Micros) -> bool {
-        let (under_way, since) = self.0.get();
-        if version <= under_way && now < since + FETCH_TIMEOUT {
-            return false;
-        }
-        self.0.set((version, now));
-        true
+impl<V> Default for Fetching<V> {
+    fn default() -> Self {
+        Fetching(Cell::new(None))
     }
 }
 
-/// Spreads fetches of one configuration over time: the next registry is asked only when the one before has had its
-/// time.
-#[derive(Default)]
-pub(crate) struct FetchingConfig(Cell<Option<(ConfigVersion, Micros)>>);
-
-impl FetchingConfig {
+impl<V: Copy + Ord> Fetching<V> {
     /// Begins a fetch, unless one of this version or of a newer one has had less than its time.
     ///
     /// # Errors
     /// The time that is left to the fetch under way.
-    pub fn begin(&self, version: ConfigVersion, now: Micros, time: Duration) -> Result<(), Duration> {
+    pub fn begin(&self, version: V, now: Micros, time: Duration) -> Result<(), Duration> {
         let under_way = self.0.get().filter(|(under_way, _)| *under_way >= version);
         let left = under_way.map(|(_, since)| (since + micros(time)).saturating_sub(now)).unwrap_or_default();
         if left > 0 {
@@ -116,8 +101,8 @@
     /// When a registry of this region last answered.
     pub(crate) near_heard_at: Cell<Micros>,
     pub(crate) registries_changed: Notify,
-    pub(crate) fetching_workers: Fetching,
-    pub(crate) fetching_config: FetchingConfig,
+    pub(crate) fetching_workers: Fetching<WorkersVersion>,
+    pub(crate) fetching_config: Fetching<ConfigVersion>,
     id: ProcessId,
     http: SocketAddr,
     started: Instant,
@@ -202,7 +187,7 @@
             part_lease: micros(PART_LEASE),
         };
         let started = Instant::now();
-        let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let incarnation = incarnation();
         let requests: Rc<RequestLog> = Rc::default();
         Proxy {
             platform: Tokio,
@@ -215,7 +200,7 @@
             near_heard_at: Cell::new(0),
             registries_changed: Notify::new(),
             fetching_workers: Fetching::default(),
-            fetching_config: FetchingConfig::default(),
+            fetching_config: Fetching::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
             started,
@@ -265,9 +250,8 @@
     /// Whether a registry is in this proxy's region, as far as is known.
     pub(crate) fn is_near(&self, addr: SocketAddr) -> bool {
         let registries = self.registries.borrow();
-        let zone = registries.iter().find(|registry| registry.addr == addr).map(|registry| &registry.zone);
-        let region = zone.and_then(|zone| self.settings.zones.get(zone.as_str()));
-        region.is_none_or(|region| *region == self.settings.region)
+        let registry = registries.iter().find(|registry| registry.addr == addr);
+        !registry.is_some_and(|registry| self.settings.is_far(&registry.zone))
     }
 
     pub(crate) fn take_peers(&self, peers: Vec<ProxyStatus>) {
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -211,7 +211,10 @@
         for (key, service) in services {
             self.feed_workers(&key, &service, view, now);
         }
-        self.numbers.borrow_mut().retain(|id, _| view.lists(id));
+        let mut numbers = self.numbers.borrow_mut();
+        numbers.retain(|id, _| view.lists(id));
+        let listed: HashSet<WorkerId> = numbers.values().copied().collect();
+        self.cold_since.borrow_mut().retain(|number, _| listed.contains(number));
     }
 
     /// Forgets services that no configuration names any more.
@@ -289,17 +292,16 @@
 
     /// Whether a worker may get a service's requests at all.
     fn serves(&self, key: &ServiceKey, worker: &WorkerRecord) -> bool {
-        let region = self.settings.zones.get(worker.zone.as_str());
-        let allowed = |region: &String| key.regions.iter().any(|allowed| allowed == region);
+        let region = self.settings.region_of(&worker.zone);
+        let allowed = |region: &str| key.regions.iter().any(|allowed| allowed == region);
         worker.service == key.service && (key.regions.is_empty() || region.is_some_and(allowed))
     }
 
     /// Nearer workers come first: bytes between zones and regions cost.
     fn tier(&self, worker: &WorkerRecord) -> u32 {
-        let region = self.settings.zones.get(worker.zone.as_str());
         if worker.zone == self.settings.zone {
             TIER_ZONE
-        } else if region == Some(&self.settings.region) {
+        } else if self.settings.region_of(&worker.zone) == Some(&self.settings.region) {
             TIER_REGION
         } else {
             TIER_FAR
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -5,7 +5,7 @@
 use hingestage_quota::Part;
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, Have, ProxyStatus, WorkerList, WorkerRecord, ZoneDrains,
+    ConfigDocument, ConfigVersion, Have, ProxyStatus, WorkerList, WorkerRecord, WorkersVersion, ZoneDrains,
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -92,10 +92,20 @@
         self.active.as_ref()
     }
 
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> Option<ConfigVersion> {
+        self.active.as_ref().map(|active| active.version)
+    }
+
+    /// Version of the list of workers.
+    pub fn workers_version(&self) -> WorkersVersion {
+        self.workers.version
+    }
+
     /// What is known, in short.
     pub fn have(&self) -> Have {
         Have {
-            config: self.active.as_ref().map(|active| active.version),
+            config: self.config_version(),
             drains: self.drains.clone(),
             workers: self.workers.version,
             directory: 0,
@@ -169,7 +179,7 @@
     /// Takes in how recent the news is: asked for at `asked_at`, and `age` old when it was answered. It counts
     /// only where what it speaks of is in force here.
     pub fn take_freshness(&mut self, asked_at: Micros, age: Option<u64>, config: Option<ConfigVersion>) {
-        let up_to_date = self.active.as_ref().map(|active| active.version) >= config;
+        let up_to_date = self.config_version() >= config;
         if let Some(age) = age.filter(|_| up_to_date) {
             let fresh = asked_at.saturating_sub(age * MILLI);
             self.fresh_as_of = self.fresh_as_of.max(Some(fresh));
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use eyre::{eyre, Context, Result};
 use hingestage_node::settings::InnerPort;
-use hingestage_node::{Settings, SettingsFile, Signals};
+use hingestage_node::{incarnation, Settings, SettingsFile, Signals};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
     Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAddress, RegistryAnswer,
@@ -20,7 +20,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -106,11 +106,6 @@
     Ok(())
 }
 
-/// Tells the lives of a process apart.
-fn incarnation() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
-}
-
 impl Registry {
     pub(crate) fn now(&self) -> Micros {
         self.started.elapsed().as_micros() as Micros
@@ -228,11 +223,11 @@
 
     fn meet_period(&self, addr: SocketAddr) -> Duration {
         let members = self.duty.borrow().members(self.now());
-        let zone = members.iter().find(|member| member.addr == addr).map(|member| &member.zone);
-        let region = zone.and_then(|zone| self.settings.zones.get(zone.as_str()));
-        match region {
-            Some(region) if *region != self.settings.region => MEET_PERIOD_FAR,
-            _ => MEET_PERIOD,
+        let member = members.iter().find(|member| member.addr == addr);
+        if member.is_some_and(|member| self.settings.is_far(&member.zone)) {
+            MEET_PERIOD_FAR
+        } else {
+            MEET_PERIOD
         }
     }
 
