--- a/crates/capacity/src/directory.rs
+++ b/crates/capacity/src/directory.rs
@@ -30,13 +30,13 @@
     report.seconds(
         "Directory::version",
         seconds_each(calls, || {
-            black_box(directory.version(NOW));
+            black_box(directory.version(NOW, &fixtures::zone(1)));
         }),
     );
     report.seconds(
-        "Directory::living, copied",
+        "Directory::neighbors, copied",
         seconds_each(calls, || {
-            black_box(directory.living(NOW).cloned().collect::<Vec<_>>());
+            black_box(directory.neighbors(NOW, &fixtures::zone(1)).into_iter().cloned().collect::<Vec<_>>());
         }),
     );
     report.seconds(
@@ -61,7 +61,7 @@
     report.bytes("Watch, orders about all zones", encoded(&watch_with_drains()).len() as u64);
     let quiet = RegistryAnswer::Watched(Box::new(watched(None)));
     report.bytes("Watched without the directory", encoded(&quiet).len() as u64);
-    let living = directory.living(NOW).cloned().collect();
+    let living = directory.neighbors(NOW, &fixtures::zone(1)).into_iter().cloned().collect();
     let whole = RegistryAnswer::Watched(Box::new(watched(Some(living))));
     report.bytes("Watched with the directory", encoded(&whole).len() as u64);
     report.seconds(
@@ -91,6 +91,7 @@
         zone: fixtures::zone(number),
     });
     Watched {
+        services: Default::default(),
         config_bytes: 0,
         have: have(0),
         directory,
--- a/crates/capacity/src/fixtures.rs
+++ b/crates/capacity/src/fixtures.rs
@@ -3,9 +3,8 @@
 use compact_str::{format_compact, CompactString};
 use hingestage_node::Settings;
 use hingestage_replication::digest;
-use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, ProcessId, ProxyStatus, WorkerList, WorkerRecord, WorkersVersion,
-};
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProcessId, ProxyStatus};
+use hingestage_rpc::workers::{ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -120,10 +119,34 @@
     format_compact!("region-{}", number % ZONES % REGIONS)
 }
 
-/// A list of workers, spread over services and zones.
-pub fn worker_list(number: u64, count: usize) -> WorkerList {
+/// The workers of all services, spread over services and zones.
+pub fn all_workers(number: u64, count: usize) -> Vec<ServiceUpdate> {
     let services = services_of(count);
-    let workers = (0..count).map(|worker| WorkerRecord {
+    let update = |place: usize| {
+        let workers = (place..count).step_by(services).map(|worker| worker_record(worker, services));
+        service_update(place, number, ServiceNews::Snapshot(workers.collect()))
+    };
+    (0..services).map(update).collect()
+}
+
+/// One worker of the first service changes, after a list of the number before.
+pub fn worker_change(number: u64, count: usize) -> ServiceUpdate {
+    let draining = number.is_multiple_of(2);
+    let listed = vec![WorkerRecord { draining, ..worker_record(0, services_of(count)) }];
+    let since = version(number - 1);
+    service_update(0, number, ServiceNews::Changes { since, listed, removed: Vec::new() })
+}
+
+fn service_update(place: usize, number: u64, news: ServiceNews) -> ServiceUpdate {
+    ServiceUpdate { service: service(place), version: version(number), news }
+}
+
+fn version(number: u64) -> WorkersVersion {
+    WorkersVersion { fence: 1, reader: 1, number }
+}
+
+fn worker_record(worker: usize, services: usize) -> WorkerRecord {
+    WorkerRecord {
         id: format_compact!("worker-{worker:08x}"),
         service: service(worker % services),
         addr: address(worker),
@@ -131,8 +154,7 @@
         capacity: 8,
         draining: false,
         cold_left: 0,
-    });
-    WorkerList { version: WorkersVersion { fence: 1, number }, workers: workers.collect() }
+    }
 }
 
 /// What a proxy tells of itself.
--- a/crates/capacity/src/workers.rs
+++ b/crates/capacity/src/workers.rs
@@ -6,7 +6,7 @@
 use hingestage_platform::Tokio;
 use hingestage_proxy::services::{ServiceKey, Services};
 use hingestage_proxy::view::{Spans, View};
-use hingestage_rpc::messages::{RegistryAnswer, WorkerList};
+use hingestage_rpc::messages::RegistryAnswer;
 use hingestage_rpc::{decoded, encoded};
 use std::hint::black_box;
 use std::rc::Rc;
@@ -34,7 +34,7 @@
 fn measure_view_memory(report: &Report, count: usize) -> View {
     let before = resident();
     let mut view = View::new(SPANS);
-    view.take_workers(NOW, fixtures::worker_list(1, count));
+    view.followed_mut().take(NOW, fixtures::all_workers(1, count));
     report.bytes("memory of the view", resident().saturating_sub(before));
     view
 }
@@ -50,24 +50,38 @@
     }
     report.seconds("Services::get, all services", (thread_cpu() - started).as_secs_f64());
     report.bytes("memory of the services' decisions", resident().saturating_sub(before));
-    view.take_workers(NOW, fixtures::worker_list(2, workers));
-    report.seconds("Services::refresh", seconds_each(1, || services.refresh(view, NOW)));
+    view.followed_mut().take(NOW, fixtures::all_workers(2, workers));
+    report.seconds("Services::refresh, all services", seconds_each(1, || services.refresh(view, NOW)));
+    let changed = fixtures::service(0);
+    let refresh = || services.refresh_those(view, NOW, |name| *name == changed);
+    report.seconds("Services::refresh_those, one service", seconds_each(1, refresh));
 }
 
 fn measure_take(report: &Report, view: &mut View, count: usize) {
-    let mut lists: Vec<WorkerList> =
-        (3..3 + (RUNS * TAKEN) as u64).rev().map(|number| fixtures::worker_list(number, count)).collect();
-    let take = || {
-        black_box(view.take_workers(NOW, lists.pop().unwrap_or_default()));
+    let mut numbers = 3..;
+    let take_all = || {
+        let updates = fixtures::all_workers(numbers.next().unwrap_or_default(), count);
+        black_box(view.followed_mut().take(NOW, updates));
     };
-    report.seconds("View::take_workers, with the old list dropped", seconds_each(TAKEN, take));
+    report.seconds("Follower::take, all services, and making them", seconds_each(TAKEN, take_all));
+    let mut numbers = (3 + (RUNS * TAKEN) as u64)..;
+    let take_change = || {
+        let update = fixtures::worker_change(numbers.next().unwrap_or_default(), count);
+        black_box(view.followed_mut().take(NOW, vec![update]));
+    };
+    report.seconds("Follower::take, a change of one worker", seconds_each(TAKEN, take_change));
 }
 
 fn measure_message(report: &Report, count: usize) {
     let calls = (HANDLED / count).max(1);
-    let answer = RegistryAnswer::Workers(fixtures::worker_list(1, count));
+    let change = RegistryAnswer::Services(vec![fixtures::worker_change(2, count)]);
+    report.bytes("rpc message, a change of one worker", encoded(&change).len() as u64);
+    let one_service: Vec<_> = fixtures::all_workers(1, count).into_iter().take(1).collect();
+    let one_service = RegistryAnswer::Services(one_service);
+    report.bytes("rpc message, snapshot of one service", encoded(&one_service).len() as u64);
+    let answer = RegistryAnswer::Services(fixtures::all_workers(1, count));
     let message = encoded(&answer);
-    report.bytes("rpc message", message.len() as u64);
+    report.bytes("rpc message, snapshots of all services", message.len() as u64);
     let encode = || {
         black_box(encoded(&answer));
     };
--- a/crates/control-tool/src/survey.rs
+++ b/crates/control-tool/src/survey.rs
@@ -177,13 +177,13 @@
 fn proxy_state(answer: ProxyAnswer) -> Option<ProxyState> {
     match answer {
         ProxyAnswer::Status(state) => Some(*state),
-        ProxyAnswer::Explained(_) => None,
+        _ => None,
     }
 }
 
 fn explanation(answer: ProxyAnswer) -> Option<Explanation> {
     match answer {
         ProxyAnswer::Explained(explanation) => Some(explanation),
-        ProxyAnswer::Status(_) => None,
+        _ => None,
     }
 }
--- a/crates/control-tool/tests/tool.rs
+++ b/crates/control-tool/tests/tool.rs
@@ -2,12 +2,13 @@
 
 use hingestage_rpc::messages::{
     ConfigVersion, ProcessId, ProxyStatus, RegistryAnswer, RegistryMember, RegistryRequest, StoreAnswer,
-    StoreMember, StoreRequest, WorkersVersion,
+    StoreMember, StoreRequest,
 };
 use hingestage_rpc::status::{
     AttemptOutcome, AttemptRecord, Explanation, KeyLease, OutcomeCount, ProxyAnswer, ProxyRequest,
     ProxyState, RegistryStatus, RequestOutcome, RequestRecord, StoreStatus, TenantCounters, WorkerGroup,
 };
+use hingestage_rpc::workers::WorkersVersion;
 use hingestage_rpc::{serve, Handler};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -17,7 +18,7 @@
 use tokio::task::{spawn_blocking, spawn_local, LocalSet};
 
 const VERSION: Option<ConfigVersion> = Some(ConfigVersion { serial: 0x2a, digest: 1 });
-const LIST: WorkersVersion = WorkersVersion { fence: 3, number: 17 };
+const LIST: WorkersVersion = WorkersVersion { fence: 3, reader: 1, number: 17 };
 
 struct Registry(RegistryStatus);
 struct Store(StoreStatus);
@@ -51,7 +52,7 @@
             ProxyRequest::Explain { id_or_tenant } if id_or_tenant == "beta" => {
                 ProxyAnswer::Explained(self.1.clone())
             }
-            ProxyRequest::Explain { .. } => ProxyAnswer::Explained(Explanation::default()),
+            _ => ProxyAnswer::Explained(Explanation::default()),
         }
     }
 }
--- /dev/null
+++ b/crates/discovery/tests/homes.rs
@@ -0,0 +1,106 @@
+//! Which proxies are homes, and which are known.
+
+use compact_str::{format_compact, CompactString};
+use hingestage_discovery::neighbors::{counters, zone_members, COUNTERS_MAX, ZONE_MAX};
+use hingestage_discovery::{Home, Homes, PeerProxy};
+
+const S: u64 = 1_000_000;
+
+fn proxy(number: usize) -> PeerProxy {
+    let addr = format!("10.0.0.{number}:7602").parse().expect("an address");
+    PeerProxy { name: format_compact!("edge-{number}"), addr }
+}
+
+/// The homes as a proxy sees them that knows some others.
+fn homes(me: usize, of: &[usize]) -> Homes {
+    let mut homes = Homes::new(&proxy(me).name);
+    homes.take(of.iter().map(|number| proxy(*number)));
+    homes
+}
+
+fn home_of(homes: &Homes, me: usize, now: u64, key: &str) -> CompactString {
+    match homes.home(now, key) {
+        Home::Me => proxy(me).name,
+        Home::Peer(peer) => peer.name,
+    }
+}
+
+#[test]
+fn all_proxies_of_a_zone_name_the_same_home_and_services_are_spread_over_them() {
+    let zone: Vec<usize> = (1..=5).collect();
+    let mut services_of = [0; 6];
+    for service in 0..500 {
+        let key = format!("service-{service}");
+        let named: Vec<CompactString> =
+            zone.iter().map(|me| home_of(&homes(*me, &zone), *me, S, &key)).collect();
+        assert!(named.iter().all(|name| *name == named[0]), "{named:?}");
+        let home = zone.iter().find(|number| proxy(**number).name == named[0]).expect("one of the zone");
+        services_of[*home] += 1;
+    }
+    assert!(services_of[1..].iter().all(|count| (60..140).contains(count)), "{services_of:?}");
+}
+
+#[test]
+fn when_a_home_goes_only_its_services_change_hands() {
+    let (all, left) = (homes(1, &[1, 2, 3, 4]), homes(1, &[1, 2, 4]));
+    for service in 0..200 {
+        let key = format!("service-{service}");
+        let before = home_of(&all, 1, S, &key);
+        if before != proxy(3).name {
+            assert_eq!(home_of(&left, 1, S, &key), before);
+        }
+    }
+}
+
+#[test]
+fn a_home_that_is_late_is_passed_over_until_its_time_is_over_or_it_answers() {
+    let mut homes = homes(1, &[1, 2]);
+    let key = (0..).map(|number| format!("s{number}")).find(|key| homes.is_home(S, key, "edge-2"));
+    let key = key.expect("one of them");
+    homes.silent("edge-2", 4 * S);
+    assert_eq!(homes.home(4 * S - 1, &key), Home::Me);
+    assert!(homes.is_home(4 * S, &key, "edge-2"));
+    homes.silent("edge-2", 9 * S);
+    assert!(!homes.take([proxy(1), proxy(2)]), "told of again: nothing new");
+    assert_eq!(homes.home(5 * S, &key), Home::Me, "being told of is no answer");
+    homes.answered("edge-2");
+    assert!(homes.is_home(5 * S, &key, "edge-2"));
+}
+
+#[test]
+fn a_proxy_alone_is_the_home_of_everything_and_others_that_come_or_move_are_news() {
+    let mut homes = Homes::new("edge-1");
+    assert_eq!(homes.home(S, "s"), Home::Me);
+    assert!(!homes.take([proxy(1)]));
+    assert!(homes.take([proxy(1), proxy(2)]));
+    let moved = PeerProxy { addr: proxy(9).addr, ..proxy(2) };
+    assert!(homes.take([proxy(1), moved]));
+    assert!(homes.take([proxy(1)]));
+    assert_eq!(homes.peers().count(), 0);
+}
+
+#[test]
+fn any_part_of_the_fleet_that_holds_the_counters_names_the_same_ones() {
+    let fleet: Vec<String> = (0..3_600).map(|number| format!("edge-{number}")).collect();
+    let all = counters(&fleet, |name| name);
+    assert_eq!(all.len(), COUNTERS_MAX);
+    let zone: Vec<&String> = fleet.iter().step_by(79).collect();
+    let known: Vec<&String> = zone.into_iter().chain(all.iter().copied()).collect();
+    let mut again = counters(known, |name| name);
+    again.sort();
+    again.dedup();
+    let mut all_sorted = all.clone();
+    all_sorted.sort();
+    assert_eq!(again, all_sorted);
+    let without_one: Vec<&String> = fleet.iter().filter(|name| *name != all[0]).collect();
+    let after = counters(without_one, |name| name);
+    assert_eq!(all.iter().filter(|name| after.contains(name)).count(), COUNTERS_MAX - 1);
+}
+
+#[test]
+fn few_proxies_all_know_each_other_and_a_large_zone_is_bounded() {
+    let few: Vec<String> = (0..11).map(|number| format!("edge-{number}")).collect();
+    assert_eq!(counters(&few, |name| name).len(), 11);
+    let many: Vec<String> = (0..200).map(|number| format!("edge-{number}")).collect();
+    assert_eq!(zone_members("a", &many, |name| name).len(), ZONE_MAX);
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,12 +1,12 @@
 //! The link to the registries: one watch at each, answered when there is news.
 
 use crate::server::Proxy;
+use hingestage_discovery::Home;
 use hingestage_node::settings::InnerPort;
 use hingestage_node::SettingsFile;
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{
-    ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, WorkersVersion,
-};
+use hingestage_rpc::messages::{ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched};
+use hingestage_rpc::workers::ServiceHave;
 use hingestage_rpc::Client;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -22,8 +22,14 @@
 const NEAR_SILENT: Micros = 1_500_000;
 /// How long an answer may take beyond that.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
-/// How long another registry is not asked for the same list of workers.
-const WORKERS_HEDGE: Duration = Duration::from_millis(400);
+/// How long an answer about workers is awaited before they are asked for elsewhere.
+const SERVICES_HEDGE: Duration = Duration::from_millis(400);
+/// How long a home may take with news that a registry has told of.
+const HOME_PATIENCE: Duration = Duration::from_millis(200);
+/// For how long a proxy that was too late with news is no home.
+pub(crate) const HOME_SILENT: Duration = Duration::from_secs(3);
+/// What the home of the configuration in a zone goes by.
+pub(crate) const CONFIGURATION: &str = "configuration";
 /// How long a configuration may take to come, besides its transfer.
 const CONFIG_WITHIN: Duration = Duration::from_millis(1_200);
 /// How long another registry is not asked for the same one, besides its transfer: the first may have died.
@@ -87,18 +93,23 @@
     if let Some(peers) = news.directory {
         proxy.take_peers(peers);
     }
-    let mut changed = proxy.view.borrow_mut().take_drains(proxy.now(), &news.have.drains);
-    changed |= fetch_workers(proxy, registry, news.have.workers).await;
-    if changed {
+    if proxy.view.borrow_mut().take_drains(proxy.now(), &news.have.drains) {
         proxy.refresh_workers();
     }
+    if proxy.view.borrow_mut().followed_mut().told(proxy.now(), &news.services) {
+        proxy.relay.asks_anew();
+    }
+    if !proxy.view.borrow().followed().is_complete() {
+        spawn_local(fetch_services(proxy.clone(), registry.clone()));
+    }
     if let Some(version) = news.have.config.filter(|version| is_newer(proxy, *version)) {
         let transfer = Duration::from_secs_f64(news.config_bytes as f64 / CONFIG_BYTES_PER_SECOND);
-        let under_way = proxy.fetching_config.begin(version, proxy.now(), CONFIG_HEDGE + transfer);
+        let time = HOME_PATIENCE + CONFIG_HEDGE + transfer;
+        let under_way = proxy.fetching_config.begin(version, proxy.now(), time);
         match under_way {
             // A large document takes its time: heartbeats go on meanwhile.
             Ok(()) => {
-                spawn_local(fetch_config(proxy.clone(), registry.clone(), CONFIG_WITHIN + transfer));
+                spawn_local(fetch_config(proxy.clone(), registry.clone(), version, transfer));
             }
             Err(left) => tokio::time::sleep(left.min(CONFIG_HEDGE)).await,
         }
@@ -111,15 +122,37 @@
     proxy.part_changed();
 }
 
-async fn fetch_workers(proxy: &Rc<Proxy>, registry: &Registry, version: WorkersVersion) -> bool {
-    let is_newer = version > proxy.view.borrow().workers_version();
-    if !is_newer || proxy.fetching_workers.begin(version, proxy.now(), WORKERS_HEDGE).is_err() {
-        return false;
+/// Gets the workers of services that this proxy is the home of at once, and those that another home is late with
+/// after a moment.
+async fn fetch_services(proxy: Rc<Proxy>, registry: Rc<Registry>) {
+    let ours = |name: &str| proxy.relay.home(proxy.now(), name) == Home::Me;
+    fetch_due(&proxy, &registry, |name, _| ours(name)).await;
+    tokio::time::sleep(HOME_PATIENCE).await;
+    let patience = HOME_PATIENCE.as_micros() as Micros;
+    let late = fetch_due(&proxy, &registry, |_, waited| waited >= patience).await;
+    for have in late {
+        proxy.relay.home_is_late(proxy.now(), &have.service);
+    }
+}
+
+/// Gets what is due from a registry. Tells what that was.
+async fn fetch_due(
+    proxy: &Proxy,
+    registry: &Registry,
+    due: impl Fn(&str, Micros) -> bool,
+) -> Vec<ServiceHave> {
+    let now = proxy.now();
+    let until = now + SERVICES_HEDGE.as_micros() as Micros;
+    let asked = proxy.view.borrow_mut().followed_mut().ask(now, until, |name, waited| due(name, waited));
+    if asked.is_empty() {
+        return asked;
     }
-    match registry.call(&RegistryRequest::FetchWorkers, ANSWER_WITHIN).await {
-        Ok(RegistryAnswer::Workers(list)) => proxy.view.borrow_mut().take_workers(proxy.now(), list),
-        _ => false,
+    let answer = registry.call(&RegistryRequest::FetchServices(asked.clone()), ANSWER_WITHIN).await;
+    if let Ok(RegistryAnswer::Services(updates)) = answer {
+        proxy.take_services(updates);
     }
+    proxy.view.borrow_mut().followed_mut().unanswered(&asked);
+    asked
 }
 
 /// Whether a configuration is newer than the one in force here.
@@ -127,9 +160,13 @@
     Some(version) > proxy.view.borrow().config_version()
 }
 
-async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, within: Duration) {
-    let answer = registry.call(&RegistryRequest::FetchConfig, within).await;
+/// Gets a configuration from its home in this zone, or where that is late from a registry.
+async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, version: ConfigVersion, transfer: Duration) {
+    if proxy.relay.follow_config(&proxy, version, HOME_PATIENCE + transfer).await {
+        return;
+    }
+    let answer = registry.call(&RegistryRequest::FetchConfig, CONFIG_WITHIN + transfer).await;
     if let Ok(RegistryAnswer::Config(Some(document))) = answer {
-        proxy.take_config(&document);
+        proxy.take_config(document);
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! The proxy: carries clients' requests to workers, by the configuration in force, within every tenant's quota.
 //!
 //! [`view`] is what the proxy knows, [`control`] brings it from the registries, [`services`] holds the decisions
-//! about each service's workers, [`requests`] answers clients.
+//! about each service's workers, [`relay`] passes news on within a zone, [`requests`] answers clients.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -14,6 +14,7 @@
 mod peers;
 mod readiness;
 pub mod recent;
+mod relay;
 pub mod request_log;
 mod requests;
 pub mod server;
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -1,4 +1,5 @@
-//! Calls of operators: the proxy's state, and what became of recent requests.
+//! Calls to this proxy: operators ask for its state and what became of recent requests, other proxies of the zone follow
+//! it.
 
 use crate::server::Proxy;
 use crate::view::{Usability, View};
@@ -9,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
@@ -20,6 +22,12 @@
     async fn handle(self: Rc<Self>, _from: SocketAddr, request: ProxyRequest) -> ProxyAnswer {
         match request {
             ProxyRequest::Status => ProxyAnswer::Status(Box::new(self.state())),
+            ProxyRequest::FollowServices { have, wait } => {
+                ProxyAnswer::Services(self.services_for(have, Duration::from_millis(wait)).await)
+            }
+            ProxyRequest::FollowConfig { version, wait } => {
+                ProxyAnswer::Config(self.config_for(version, Duration::from_millis(wait)).await)
+            }
             ProxyRequest::Explain { id_or_tenant } => {
                 ProxyAnswer::Explained(self.requests.explain(self.now(), &id_or_tenant))
             }
@@ -44,7 +52,7 @@
             part_left: part.valid_until.checked_sub(now).filter(|left| *left > 0).map(|left| left / MILLI),
             settled: view.settled(),
             members: view.members(),
-            workers_version: have.workers,
+            workers_version: view.workers_version(),
             workers: group(&view, now),
             drained: drained.map(|(zone, _)| zone.clone()).collect(),
             peers: view.peers().iter().map(|peer| peer.id.node.clone()).collect(),
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,9 +4,11 @@
 
 use crate::server::Proxy;
 use eyre::{Context, Result};
+use hingestage_discovery::neighbors;
 use hingestage_node::settings::InnerPort;
 use hingestage_quota::{owner, Adds, GatewayId, OwnerSettings, OwnerTable, Totals};
 use hingestage_replication::digest;
+use hingestage_rpc::messages::ProxyStatus;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -50,12 +52,18 @@
     Ok(())
 }
 
+/// The proxies that keep totals, as every proxy names them.
+fn counters(peers: &[ProxyStatus]) -> Vec<GatewayId> {
+    let counters = neighbors::counters(peers, |peer| &peer.id.node);
+    counters.into_iter().map(|peer| gateway_id(&peer.id.node)).collect()
+}
+
 async fn push(proxy: Rc<Proxy>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(PUSH_PERIOD).await;
         let peers: BTreeMap<GatewayId, SocketAddr> =
             proxy.view.borrow().peers().iter().map(|peer| (gateway_id(&peer.id.node), peer.peer)).collect();
-        let living: Vec<GatewayId> = peers.keys().copied().collect();
+        let living: Vec<GatewayId> = counters(proxy.view.borrow().peers());
         let batches = proxy.tenants.borrow_mut().collect_adds(proxy.now(), |tenant| owner(tenant, &living));
         let me = gateway_id(&proxy.settings.node);
         for (owner, adds) in batches {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The proxy put together: serves from its start until all is answered after it is told to end.
 
+use crate::relay::{self, Relay};
 use crate::request_log::RequestLog;
 use crate::services::Services;
 use crate::view::{Spans, View};
@@ -15,10 +16,9 @@
 use hingestage_platform::Tokio;
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress, WorkersVersion,
-};
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress};
 use hingestage_rpc::serve as serve_calls;
+use hingestage_rpc::workers::ServiceUpdate;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -101,8 +101,8 @@
     /// When a registry of this region last answered.
     pub(crate) near_heard_at: Cell<Micros>,
     pub(crate) registries_changed: Notify,
-    pub(crate) fetching_workers: Fetching<WorkersVersion>,
     pub(crate) fetching_config: Fetching<ConfigVersion>,
+    pub(crate) relay: Relay,
     id: ProcessId,
     http: SocketAddr,
     started: Instant,
@@ -130,6 +130,7 @@
     let calls = TcpListener::bind(inner).await.wrap_err_with(|| format!("{inner}"))?;
     spawn_local(serve_calls(calls, proxy.clone()));
     spawn_local(control::run(proxy.clone()));
+    spawn_local(relay::run(proxy.clone()));
     spawn_local(proxy.clone().follow_time());
     spawn_local(proxy.clone().tidy());
     tokio::select! {
@@ -199,8 +200,8 @@
             registries: RefCell::default(),
             near_heard_at: Cell::new(0),
             registries_changed: Notify::new(),
-            fetching_workers: Fetching::default(),
             fetching_config: Fetching::default(),
+            relay: Relay::new(&settings.node),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
             started,
@@ -255,11 +256,12 @@
     }
 
     pub(crate) fn take_peers(&self, peers: Vec<ProxyStatus>) {
+        self.relay.take_peers(&peers, &self.settings.zone);
         self.view.borrow_mut().take_peers(peers);
     }
 
-    pub(crate) fn take_config(&self, document: &ConfigDocument) {
-        if !self.view.borrow_mut().take_config(document) {
+    pub(crate) fn take_config(&self, document: ConfigDocument) {
+        if !self.view.borrow_mut().take_config(&document) {
             return;
         }
         log::info!("configuration {:08x} in force", document.version.serial);
@@ -267,6 +269,18 @@
             let backends = &active.configuration.backends;
             self.services.keep_only(|name| backends.iter().any(|backend| backend.name == name));
         }
+        self.relay.pass_config_on(self.now(), document);
+    }
+
+    /// Takes in news of services' workers.
+    pub(crate) fn take_services(&self, updates: Vec<ServiceUpdate>) {
+        let changed = self.view.borrow_mut().followed_mut().take(self.now(), updates);
+        if changed.is_empty() {
+            return;
+        }
+        self.services.refresh_those(&self.view.borrow(), self.now(), |name| changed.contains(name));
+        self.workers_changed.notify_waiters();
+        self.relay.services_changed();
     }
 
     /// Tells all services of workers that came, left or changed.
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -15,7 +15,7 @@
     WorkerInfo, WorkerList, Zone,
 };
 use hingestage_replication::{digest, Micros};
-use hingestage_rpc::messages::WorkerRecord;
+use hingestage_rpc::workers::WorkerRecord;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -107,6 +107,12 @@
     rate: f64,
 }
 
+/// A worker as the decisions know it.
+struct Numbered {
+    number: WorkerId,
+    service: CompactString,
+}
+
 /// All services.
 pub struct Services {
     settings: Rc<Settings>,
@@ -115,8 +121,8 @@
     platform: Tokio,
     requests: Rc<RequestLog>,
     services: RefCell<BTreeMap<ServiceKey, Rc<Service>>>,
-    /// Numbers of workers by id.
-    numbers: RefCell<HashMap<CompactString, WorkerId>>,
+    /// Workers by id.
+    numbers: RefCell<HashMap<CompactString, Numbered>>,
     /// Since when each cold worker has been, on the decisions' clock.
     cold_since: RefCell<HashMap<WorkerId, Micros>>,
     next: Cell<u64>,
@@ -206,15 +212,31 @@
 
     /// Brings all services' workers up to date.
     pub fn refresh(&self, view: &View, now: Micros) {
-        let services: Vec<(ServiceKey, Rc<Service>)> =
-            self.services.borrow().iter().map(|(key, service)| (key.clone(), service.clone())).collect();
+        self.refresh_those(view, now, |_| true);
+    }
+
+    /// Brings the workers of some services up to date.
+    pub fn refresh_those(&self, view: &View, now: Micros, changed: impl Fn(&CompactString) -> bool) {
+        let services: Vec<(ServiceKey, Rc<Service>)> = {
+            let services = self.services.borrow();
+            let changed = services.iter().filter(|(key, _)| changed(&key.service));
+            changed.map(|(key, service)| (key.clone(), service.clone())).collect()
+        };
         for (key, service) in services {
             self.feed_workers(&key, &service, view, now);
         }
-        let mut numbers = self.numbers.borrow_mut();
-        numbers.retain(|id, _| view.lists(id));
-        let listed: HashSet<WorkerId> = numbers.values().copied().collect();
-        self.cold_since.borrow_mut().retain(|number, _| listed.contains(number));
+        self.forget_unlisted(view, changed);
+    }
+
+    fn forget_unlisted(&self, view: &View, changed: impl Fn(&CompactString) -> bool) {
+        let mut cold_since = self.cold_since.borrow_mut();
+        self.numbers.borrow_mut().retain(|id, worker| {
+            let listed = !changed(&worker.service) || view.lists(&worker.service, id);
+            if !listed {
+                cold_since.remove(&worker.number);
+            }
+            listed
+        });
     }
 
     /// Forgets services that no configuration names any more.
@@ -231,11 +253,13 @@
         self.started.elapsed().as_micros() as Micros
     }
 
-    fn number(&self, id: &CompactString) -> WorkerId {
-        *self.numbers.borrow_mut().entry(id.clone()).or_insert_with(|| {
-            let number = self.next.replace(self.next.get() + 1);
-            WorkerId(number)
-        })
+    fn number(&self, worker: &WorkerRecord) -> WorkerId {
+        let mut numbers = self.numbers.borrow_mut();
+        let numbered = numbers.entry(worker.id.clone()).or_insert_with(|| {
+            let number = WorkerId(self.next.replace(self.next.get() + 1));
+            Numbered { number, service: worker.service.clone() }
+        });
+        numbered.number
     }
 
     fn feed_workers(&self, key: &ServiceKey, service: &Service, view: &View, now: Micros) {
@@ -244,7 +268,7 @@
         for (worker, usability) in
             view.workers_of(now, &key.service).filter(|(worker, _)| self.serves(key, worker))
         {
-            let number = self.number(&worker.id);
+            let number = self.number(worker);
             let cold = self.cold_start(service, number, usability, worker, view);
             let ready = usability == Usability::Ready || cold.is_some();
             service.dialect.name(number, &worker.id);
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -2,12 +2,12 @@
 
 use compact_str::CompactString;
 use hingestage_configuration::{Configuration, KeyTable, RouteTable};
+use hingestage_discovery::{Follower, Listed};
 use hingestage_quota::Part;
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, Have, ProxyStatus, WorkerList, WorkerRecord, WorkersVersion, ZoneDrains,
-};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, Have, ProxyStatus, ZoneDrains};
+use hingestage_rpc::workers::{WorkerRecord, WorkersVersion};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Microseconds in a millisecond.
@@ -56,11 +56,7 @@
     active: Option<Rc<Active>>,
     drains: ZoneDrains,
     returned_at: BTreeMap<CompactString, Micros>,
-    workers: WorkerList,
-    /// Places in the list by service, and the ids that it names.
-    places: HashMap<CompactString, Vec<usize>>,
-    listed: HashSet<CompactString>,
-    cold_until: HashMap<CompactString, Micros>,
+    workers: Follower,
     /// The latest moment at which nothing newer than `active` can have been acknowledged.
     fresh_as_of: Option<Micros>,
     members: u32,
@@ -76,10 +72,7 @@
             active: None,
             drains: ZoneDrains::new(),
             returned_at: BTreeMap::new(),
-            workers: WorkerList::default(),
-            places: HashMap::new(),
-            listed: HashSet::new(),
-            cold_until: HashMap::new(),
+            workers: Follower::default(),
             fresh_as_of: None,
             members: 0,
             settled: false,
@@ -97,9 +90,19 @@
         self.active.as_ref().map(|active| active.version)
     }
 
-    /// Version of the list of workers.
+    /// Version up to which all changes of workers are known.
     pub fn workers_version(&self) -> WorkersVersion {
-        self.workers.version
+        self.workers.catalog().version()
+    }
+
+    /// Workers by service, and what is lacking of them.
+    pub fn followed(&self) -> &Follower {
+        &self.workers
+    }
+
+    /// The same, to be told news.
+    pub fn followed_mut(&mut self) -> &mut Follower {
+        &mut self.workers
     }
 
     /// What is known, in short.
@@ -107,7 +110,7 @@
         Have {
             config: self.config_version(),
             drains: self.drains.clone(),
-            workers: self.workers.version,
+            workers: self.workers.told_version(),
             directory: 0,
         }
     }
@@ -154,28 +157,6 @@
         changed
     }
 
-    /// Takes a list of workers in, unless the one held is as new. Tells whether it was taken.
-    pub fn take_workers(&mut self, now: Micros, list: WorkerList) -> bool {
-        if list.version <= self.workers.version {
-            return false;
-        }
-        self.workers = list;
-        self.index_workers();
-        let margin = self.spans.cold_margin;
-        let cold = self.workers.workers.iter().filter(|worker| worker.cold_left > 0);
-        let until = cold.map(|worker| (worker.id.clone(), now + worker.cold_left * MILLI + margin));
-        self.cold_until = until.collect();
-        true
-    }
-
-    fn index_workers(&mut self) {
-        self.places.clear();
-        for (place, worker) in self.workers.workers.iter().enumerate() {
-            self.places.entry(worker.service.clone()).or_default().push(place);
-        }
-        self.listed = self.workers.workers.iter().map(|worker| worker.id.clone()).collect();
-    }
-
     /// Takes in how recent the news is: asked for at `asked_at`, and `age` old when it was answered. It counts
     /// only where what it speaks of is in force here.
     pub fn take_freshness(&mut self, asked_at: Micros, age: Option<u64>, config: Option<ConfigVersion>) {
@@ -194,25 +175,24 @@
 
     /// All workers, and whether each may get requests now.
     pub fn workers(&self, now: Micros) -> impl Iterator<Item = (&WorkerRecord, Usability)> {
-        self.workers.workers.iter().map(move |worker| (worker, self.usability(now, worker)))
+        self.workers.catalog().workers().map(move |listed| (&listed.record, self.usability(now, listed)))
     }
 
     /// A service's workers, and whether each may get requests now.
     pub fn workers_of(&self, now: Micros, service: &str) -> impl Iterator<Item = (&WorkerRecord, Usability)> {
-        let places = self.places.get(service).into_iter().flatten();
-        let workers = places.filter_map(|place| self.workers.workers.get(*place));
-        workers.map(move |worker| (worker, self.usability(now, worker)))
+        let workers = self.workers.catalog().service(service).into_iter().flat_map(|list| list.workers());
+        workers.map(move |listed| (&listed.record, self.usability(now, listed)))
     }
 
-    fn usability(&self, now: Micros, worker: &WorkerRecord) -> Usability {
+    fn usability(&self, now: Micros, listed: &Listed) -> Usability {
+        let worker = &listed.record;
         let drained = self.drains.get(&worker.zone).is_some_and(|drain| drain.drained);
         let returned = self.returned_at.get(&worker.zone);
         let returning = returned.is_some_and(|at| now < at + self.spans.return_after);
         if worker.draining || drained || returning {
             return Usability::Leaving;
         }
-        let cold = self.cold_until.get(&worker.id).is_some_and(|until| now < *until);
-        if cold {
+        if self.cold_until(listed).is_some_and(|until| now < until) {
             Usability::Cold
         } else {
             Usability::Ready
@@ -222,12 +202,17 @@
     /// When a worker next becomes usable by mere passing of time.
     pub fn next_change(&self, now: Micros) -> Option<Micros> {
         let returns = self.returned_at.values().map(|at| at + self.spans.return_after);
-        returns.chain(self.cold_until.values().copied()).filter(|at| *at > now).min()
+        let warm = self.workers.catalog().workers().filter_map(|listed| self.cold_until(listed));
+        returns.chain(warm).filter(|at| *at > now).min()
+    }
+
+    fn cold_until(&self, listed: &Listed) -> Option<Micros> {
+        listed.cold_until.map(|until| until + self.spans.cold_margin)
     }
 
-    /// Whether a worker's id is on the list.
-    pub fn lists(&self, id: &str) -> bool {
-        self.listed.contains(id)
+    /// Whether a worker is on the list of its service.
+    pub fn lists(&self, service: &str, id: &str) -> bool {
+        self.workers.catalog().service(service).is_some_and(|list| list.lists(id))
     }
 
     /// Whether keys may be believed: none that was taken away long ago can be unknown to this proxy.
@@ -271,6 +256,6 @@
 
     /// Whether clients can be served.
     pub fn can_serve(&self) -> bool {
-        self.active.is_some() && !self.workers.workers.is_empty()
+        self.active.is_some() && !self.workers.catalog().is_empty()
     }
 }
--- a/crates/proxy/tests/operator_calls.rs
+++ b/crates/proxy/tests/operator_calls.rs
@@ -5,12 +5,12 @@
 use hingestage_proxy::server;
 use hingestage_replication::digest;
 use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, WorkerList, WorkerRecord,
-    WorkersVersion, ZoneDrain,
+    ConfigDocument, ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, ZoneDrain,
 };
 use hingestage_rpc::status::{
     AttemptOutcome, Explanation, KeyLease, ProxyAnswer, ProxyRequest, ProxyState, RequestOutcome, WorkerGroup,
 };
+use hingestage_rpc::workers::{ServiceIndex, ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
 use hingestage_rpc::{serve, Client, Handler};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -27,7 +27,7 @@
      "prio": 1, "backend": "blue"}],
     "tenants": [{"name": "alpha", "api_keys": ["key-alpha"], "rate_per_s": 0},
                 {"name": "beta", "api_keys": ["key-beta"], "rate_per_s": 5, "burst": 5}]}"#;
-const VERSION: WorkersVersion = WorkersVersion { fence: 1, number: 1 };
+const VERSION: WorkersVersion = WorkersVersion { fence: 1, reader: 1, number: 1 };
 
 /// A registry that has one configuration, one worker and one evacuated zone.
 struct Registry {
@@ -62,8 +62,13 @@
     async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
         match request {
             RegistryRequest::FetchConfig => RegistryAnswer::Config(Some(Self::document())),
-            RegistryRequest::FetchWorkers => {
-                RegistryAnswer::Workers(WorkerList { version: VERSION, workers: vec![self.worker()] })
+            RegistryRequest::FetchServices(_) => {
+                let news = ServiceNews::Snapshot(vec![self.worker()]);
+                RegistryAnswer::Services(vec![ServiceUpdate {
+                    service: "blue".into(),
+                    version: VERSION,
+                    news,
+                }])
             }
             RegistryRequest::Watch { have, .. } if have.config.is_none() => {
                 let drain = ZoneDrain { order: 1, drained: true };
@@ -78,6 +83,11 @@
                     have,
                     fresh_age,
                     members: 3,
+                    services: ServiceIndex {
+                        version: VERSION,
+                        whole: false,
+                        services: vec![("blue".into(), VERSION)],
+                    },
                     ..Watched::default()
                 }))
             }
--- /dev/null
+++ b/crates/proxy/tests/relay.rs
@@ -0,0 +1,276 @@
+//! News within a zone, between running proxies on loopback, beside a registry that is played by the test.
+
+use compact_str::{format_compact, CompactString};
+use hingestage_discovery::{Home, Homes, PeerProxy};
+use hingestage_node::settings::InnerPort;
+use hingestage_node::Settings;
+use hingestage_proxy::server;
+use hingestage_replication::digest;
+use hingestage_rpc::messages::{
+    ConfigDocument, ConfigVersion, Have, ProcessId, ProxyStatus, RegistryAnswer, RegistryRequest, Watched,
+};
+use hingestage_rpc::status::{ProxyAnswer, ProxyRequest, ProxyState};
+use hingestage_rpc::workers::{
+    ServiceHave, ServiceIndex, ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion,
+};
+use hingestage_rpc::{serve, Client, Handler};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+
+/// Time that no test needs unless something hangs.
+const PLENTY: Duration = Duration::from_secs(20);
+const SERVICES: usize = 8;
+
+fn service(number: usize) -> CompactString {
+    format_compact!("service-{number}")
+}
+
+fn version(number: u64) -> WorkersVersion {
+    WorkersVersion { fence: 1, reader: 1, number }
+}
+
+fn edge(number: u8) -> CompactString {
+    format_compact!("edge-{number}")
+}
+
+/// A registry that names all proxies, and says who fetched what from it.
+struct Registry {
+    number: Cell<u64>,
+    proxies: Vec<ProxyStatus>,
+    changed: Notify,
+    /// Services that were fetched since the list last changed, with how many each.
+    fetched: RefCell<BTreeMap<CompactString, usize>>,
+    configs_fetched: Cell<usize>,
+}
+
+impl Registry {
+    fn document() -> ConfigDocument {
+        let backends: Vec<String> =
+            (0..SERVICES).map(|number| format!(r#"{{"name":"{}"}}"#, service(number))).collect();
+        let json = format!(r#"{{"serial":"00000001","routes":[],"backends":[{}]}}"#, backends.join(","));
+        let json = json.into_bytes();
+        ConfigDocument { version: ConfigVersion { serial: 1, digest: digest(&json) }, json }
+    }
+
+    /// Another list: each service's worker is replaced.
+    fn change(&self) {
+        self.fetched.borrow_mut().clear();
+        self.number.set(self.number.get() + 1);
+        self.changed.notify_waiters();
+    }
+
+    fn index(&self) -> ServiceIndex {
+        let version = version(self.number.get());
+        let services = (0..SERVICES).map(|number| (service(number), version)).collect();
+        ServiceIndex { version, whole: false, services }
+    }
+
+    fn update(&self, have: ServiceHave) -> ServiceUpdate {
+        let version = version(self.number.get());
+        let worker = WorkerRecord {
+            id: format_compact!("{}-{}", have.service, version.number),
+            service: have.service.clone(),
+            addr: "127.0.0.1:9".parse().expect("an address"),
+            zone: "north-1".into(),
+            capacity: 1,
+            draining: false,
+            cold_left: 0,
+        };
+        ServiceUpdate { service: have.service, version, news: ServiceNews::Snapshot(vec![worker]) }
+    }
+}
+
+impl Handler for Registry {
+    type Request = RegistryRequest;
+    type Answer = RegistryAnswer;
+
+    async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
+        match request {
+            RegistryRequest::FetchConfig => {
+                self.configs_fetched.set(self.configs_fetched.get() + 1);
+                RegistryAnswer::Config(Some(Self::document()))
+            }
+            RegistryRequest::FetchServices(asked) => {
+                for have in &asked {
+                    *self.fetched.borrow_mut().entry(have.service.clone()).or_default() += 1;
+                }
+                RegistryAnswer::Services(asked.into_iter().map(|have| self.update(have)).collect())
+            }
+            RegistryRequest::Watch { have, .. } => {
+                loop {
+                    let changed = self.changed.notified();
+                    if have.workers < version(self.number.get()) {
+                        break;
+                    }
+                    changed.await;
+                }
+                let config = Some(Self::document().version);
+                let have =
+                    Have { config, workers: version(self.number.get()), directory: 1, ..Have::default() };
+                RegistryAnswer::Watched(Box::new(Watched {
+                    have,
+                    directory: Some(self.proxies.clone()),
+                    services: self.index(),
+                    ..Watched::default()
+                }))
+            }
+            _ => std::future::pending().await,
+        }
+    }
+}
+
+/// Proxies of one zone beside one registry.
+struct Zone {
+    registry: Rc<Registry>,
+    proxies: Vec<(JoinHandle<()>, Client<ProxyRequest, ProxyAnswer>)>,
+}
+
+impl Zone {
+    /// So many that run, and so many that take calls and never answer.
+    async fn start(test: u8, count: u8, silent: u8) -> Zone {
+        let process = std::process::id();
+        let network = format!("127.{}.{}", 100 + process / 250 % 100, process % 250);
+        let ip = |number: u8| format!("{network}.{}", 10 * test + number);
+        let seed = ip(0);
+        let settings: Vec<Rc<Settings>> = (1..=count + silent)
+            .map(|number| {
+                let (name, ip) = (edge(number), ip(number));
+                let text = format!(
+                    "{{node: {name}, ip: {ip}, zone: north-1, region: north, zones: {{north-1: north}}, \
+                     listen: {{http: '{ip}:8200'}}, port_range: [7600, 7615], seeds: ['{seed}:8202']}}"
+                );
+                Rc::new(Settings::parse(&text).expect("settings"))
+            })
+            .collect();
+        let proxies = settings.iter().map(|settings| ProxyStatus {
+            id: ProcessId { node: settings.node.as_str().into(), incarnation: 1 },
+            zone: "north-1".into(),
+            region: "north".into(),
+            http: SocketAddr::new(settings.ip, 8200),
+            peer: settings.inner(InnerPort::Proxy),
+            ready: true,
+        });
+        let registry = Rc::new(Registry {
+            number: Cell::new(1),
+            proxies: proxies.collect(),
+            changed: Notify::new(),
+            fetched: RefCell::default(),
+            configs_fetched: Cell::new(0),
+        });
+        let seed = settings[0].inner_at(seed.parse().expect("an address"), InnerPort::Registry);
+        let listener = TcpListener::bind(seed).await.expect("a port");
+        spawn_local(serve(listener, registry.clone()));
+        let (running, standing) = settings.split_at(usize::from(count));
+        for settings in standing {
+            let listener = TcpListener::bind(settings.inner(InnerPort::Proxy)).await.expect("a port");
+            spawn_local(serve(listener, Rc::new(Silent)));
+        }
+        let start = |settings: &Rc<Settings>| {
+            let settings = settings.clone();
+            let calls = Client::new(settings.inner(InnerPort::Proxy));
+            let running = async move { server::serve(settings).await.expect("the proxy runs") };
+            (spawn_local(running), calls)
+        };
+        let zone = Zone { registry, proxies: running.iter().map(start).collect() };
+        zone.all_have(1).await;
+        zone
+    }
+
+    async fn state(&self, place: usize) -> Option<ProxyState> {
+        match self.proxies[place].1.call(&ProxyRequest::Status, PLENTY).await {
+            Ok(ProxyAnswer::Status(state)) => Some(*state),
+            _ => None,
+        }
+    }
+
+    /// Waits until all running proxies have a list.
+    async fn all_have(&self, number: u64) {
+        for place in 0..self.proxies.len() {
+            while !self.has(place, number).await {
+                assert!(!self.proxies[place].0.is_finished(), "the proxy ended");
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+
+    async fn has(&self, place: usize, number: u64) -> bool {
+        let state = self.state(place).await;
+        state.is_some_and(|state| state.workers_version == version(number) && state.config.is_some())
+    }
+
+    /// The home of a service, as a place among the proxies.
+    fn home(&self, service: &str) -> usize {
+        let living = self.registry.proxies.iter();
+        let living = living.map(|proxy| PeerProxy { name: proxy.id.node.clone(), addr: proxy.peer });
+        let mut homes = Homes::new(&edge(1));
+        homes.take(living);
+        let Home::Peer(peer) = homes.home(0, service) else { return 0 };
+        let place = self.registry.proxies.iter().position(|proxy| proxy.id.node == peer.name);
+        place.expect("one of the zone")
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let test = async { tokio::time::timeout(PLENTY, test).await.expect("in time") };
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn each_service_is_fetched_once_for_the_zone_and_passed_on_by_its_home() {
+    run(async {
+        let zone = Zone::start(1, 4, 0).await;
+        zone.registry.change();
+        zone.all_have(2).await;
+        let fetched = zone.registry.fetched.borrow().clone();
+        assert_eq!(fetched.len(), SERVICES);
+        let more: usize = fetched.values().map(|count| count - 1).sum();
+        assert_eq!(more, 0, "{fetched:?}");
+        assert!(zone.registry.configs_fetched.get() < 4, "the configuration was passed on as well");
+    });
+}
+
+#[test]
+fn a_home_killed_while_it_relays_keeps_nobody_from_the_news() {
+    run(async {
+        let mut zone = Zone::start(2, 3, 0).await;
+        let killed = zone.home(&service(0));
+        // Its sockets end with it: the others' calls break, or hang where its connections stay open.
+        zone.proxies.remove(killed).0.abort();
+        for number in 2..6 {
+            zone.registry.change();
+            zone.all_have(number).await;
+        }
+    });
+}
+
+#[test]
+fn a_home_that_stands_still_is_passed_over() {
+    run(async {
+        let zone = Zone::start(3, 2, 1).await;
+        assert!((0..SERVICES).any(|number| zone.home(&service(number)) == 2), "it is a home");
+        for number in 2..4 {
+            zone.registry.change();
+            zone.all_have(number).await;
+        }
+    });
+}
+
+/// Takes calls and never answers.
+struct Silent;
+
+impl Handler for Silent {
+    type Request = ProxyRequest;
+    type Answer = ProxyAnswer;
+
+    async fn handle(self: Rc<Self>, _from: SocketAddr, _request: ProxyRequest) -> ProxyAnswer {
+        std::future::pending().await
+    }
+}
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -2,9 +2,8 @@
 
 use hingestage_proxy::view::{Spans, Usability, View};
 use hingestage_replication::digest;
-use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, WorkerList, WorkerRecord, WorkersVersion, ZoneDrain, ZoneDrains,
-};
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ZoneDrain, ZoneDrains};
+use hingestage_rpc::workers::{ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
 
 const S: u64 = 1_000_000;
 /// Milliseconds in a second, as ages are told.
@@ -39,8 +38,15 @@
     }
 }
 
-fn list(fence: u64, number: u64, workers: &[WorkerRecord]) -> WorkerList {
-    WorkerList { version: WorkersVersion { fence, number }, workers: workers.to_vec() }
+/// All workers of the service under a version.
+fn list(fence: u64, number: u64, workers: &[WorkerRecord]) -> ServiceUpdate {
+    let version = WorkersVersion { fence, reader: 1, number };
+    ServiceUpdate { service: "s".into(), version, news: ServiceNews::Snapshot(workers.to_vec()) }
+}
+
+/// Takes an update in. Tells whether it changed anything.
+fn take(view: &mut View, now: u64, update: ServiceUpdate) -> bool {
+    !view.followed_mut().take(now, vec![update]).is_empty()
 }
 
 fn usability(view: &View, now: u64) -> Vec<Usability> {
@@ -51,7 +57,7 @@
 fn view() -> View {
     let mut view = View::new(SPANS);
     assert!(view.take_config(&document(5, "one")));
-    assert!(view.take_workers(S, list(1, 1, &[worker("i", 0)])));
+    assert!(take(&mut view, S, list(1, 1, &[worker("i", 0)])));
     view
 }
 
@@ -59,7 +65,7 @@
 fn a_proxy_serves_once_it_has_a_configuration_and_workers() {
     let mut empty = View::new(SPANS);
     assert!(!empty.can_serve());
-    empty.take_workers(S, list(1, 1, &[worker("i", 0)]));
+    take(&mut empty, S, list(1, 1, &[worker("i", 0)]));
     assert!(!empty.can_serve());
     assert!(view().can_serve());
 }
@@ -129,26 +135,26 @@
 #[test]
 fn a_worker_is_cold_for_as_long_as_was_said_and_a_margin_on_top() {
     let mut view = view();
-    view.take_workers(2 * S, list(1, 2, &[worker("i", 3_000)]));
+    take(&mut view, 2 * S, list(1, 2, &[worker("i", 3_000)]));
     assert_eq!(usability(&view, 5 * S), [Usability::Cold]);
     assert_eq!(view.next_change(2 * S), Some(5 * S + SPANS.cold_margin));
     assert_eq!(usability(&view, 5 * S + SPANS.cold_margin), [Usability::Ready]);
-    view.take_workers(6 * S, list(1, 3, &[worker("i", 1_000)]));
+    take(&mut view, 6 * S, list(1, 3, &[worker("i", 1_000)]));
     assert_eq!(usability(&view, 6 * S), [Usability::Cold], "it may turn cold again");
     let leaving = WorkerRecord { draining: true, ..worker("i", 1_000) };
-    view.take_workers(6 * S, list(1, 4, &[leaving]));
+    take(&mut view, 6 * S, list(1, 4, &[leaving]));
     assert_eq!(usability(&view, 6 * S), [Usability::Leaving]);
 }
 
 #[test]
 fn an_older_list_changes_nothing_and_a_higher_fence_holds_whatever_its_number() {
     let mut view = view();
-    view.take_workers(S, list(2, 9, &[worker("j", 0)]));
-    assert!(!view.take_workers(S, list(1, 50, &[worker("i", 0)])));
-    assert!(!view.take_workers(S, list(2, 9, &[])));
-    assert!(view.lists("j") && !view.lists("i"));
-    assert!(view.take_workers(S, list(3, 1, &[worker("i", 0)])));
-    assert!(view.lists("i"));
+    take(&mut view, S, list(2, 9, &[worker("j", 0)]));
+    assert!(!take(&mut view, S, list(1, 50, &[worker("i", 0)])));
+    assert!(!take(&mut view, S, list(2, 9, &[])));
+    assert!(view.lists("s", "j") && !view.lists("s", "i"));
+    assert!(take(&mut view, S, list(3, 1, &[worker("i", 0)])));
+    assert!(view.lists("s", "i"));
 }
 
 #[test]
@@ -223,7 +229,7 @@
     let mut view = view();
     view.take_drains(S, &drains(1, true));
     assert!(view.take_config(&document(4_000, "late")));
-    assert!(view.take_workers(90 * S, list(40, 3, &[worker("k", 0)])));
+    assert!(take(&mut view, 90 * S, list(40, 3, &[worker("k", 0)])));
     assert!(view.take_drains(90 * S, &drains(18, false)));
     assert_eq!(serial(&view), Some(4_000));
     assert_eq!(usability(&view, 90 * S), [Usability::Leaving], "the zone was given back in the meantime");
--- a/crates/registry/src/duty.rs
+++ b/crates/registry/src/duty.rs
@@ -1,11 +1,13 @@
 //! Who reads the platform's list of workers: one registry, under a number that grows with each change of hands.
 //!
 //! Two registries may read for a moment, each taking the other for dead. Their lists carry their numbers, and
-//! the higher one holds everywhere: what two readers cost is calls.
+//! the higher one holds everywhere: what two readers cost is calls. Readers that took the same number are told apart by
+//! their processes, so that one version never stands for two lists.
 
 use compact_str::CompactString;
 use hingestage_replication::{digest, Micros};
-use hingestage_rpc::messages::{RegistryMember, WorkersVersion};
+use hingestage_rpc::messages::RegistryMember;
+use hingestage_rpc::workers::WorkersVersion;
 use std::collections::BTreeMap;
 
 /// Figures of the duty.
@@ -112,13 +114,20 @@
             self.fence = None;
             return None;
         }
+        let reader = self.reader();
         let fence = match self.fence {
-            Some(fence) if fence >= self.seen.fence => fence,
+            Some(fence) if (fence, reader) >= (self.seen.fence, self.seen.reader) => fence,
             _ => self.seen.fence + 1,
         };
         self.fence = Some(fence);
-        let number = if self.seen.fence == fence { self.seen.number + 1 } else { 1 };
-        Some(WorkersVersion { fence, number })
+        let first = WorkersVersion { fence, reader, number: 1 };
+        let number = if self.seen.has_reader_of(&first) { self.seen.number + 1 } else { 1 };
+        Some(WorkersVersion { number, ..first })
+    }
+
+    /// This process, as lists name it.
+    fn reader(&self) -> u64 {
+        digest(format!("{} {}", self.me.id.node, self.me.id.incarnation).as_bytes())
     }
 
     /// Number under which this registry reads the list, while it has the duty.
--- a/crates/registry/src/platform_list.rs
+++ b/crates/registry/src/platform_list.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use hingestage_node::settings::parse_duration;
-use hingestage_rpc::messages::WorkerRecord;
+use hingestage_rpc::workers::WorkerRecord;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::header::HOST;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -7,16 +7,17 @@
 use crate::watch::InForce;
 use compact_str::CompactString;
 use eyre::{eyre, Context, Result};
+use hingestage_discovery::Follower;
 use hingestage_node::settings::InnerPort;
 use hingestage_node::{incarnation, Settings, SettingsFile, Signals};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
     Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAddress, RegistryAnswer,
-    RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, WorkerList, WorkerRecord,
-    WorkersVersion, ZoneDrains,
+    RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, ZoneDrains,
 };
+use hingestage_rpc::workers::{ServiceIndex, WorkerRecord, WorkersVersion};
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,8 +38,8 @@
 const MEET_PERIOD_FAR: Duration = Duration::from_millis(1_000);
 /// Period at which the platform's list is read by the one that has the duty.
 const READ_PERIOD: Duration = Duration::from_millis(900);
-/// Milliseconds by which a worker may stay cold longer than was known without this being news.
-const COLD_TOLERANCE: u64 = 150;
+/// How long an answer about workers is awaited before they are asked for again.
+const SERVICES_WITHIN: Duration = Duration::from_millis(600);
 /// Period of housekeeping.
 const TIDY_PERIOD: Duration = Duration::from_millis(500);
 /// How long a change may take to become durable before its caller is told to come again.
@@ -60,6 +61,10 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) in_force: RefCell<InForce>,
     pub(crate) duty: RefCell<Duty>,
+    /// The workers, as this registry read or was told them.
+    pub(crate) workers: RefCell<Follower>,
+    /// When they last changed.
+    pub(crate) workers_at: Cell<Micros>,
     started: Instant,
     /// Told when something has changed that proxies go by.
     changed: Notify,
@@ -81,6 +86,8 @@
         store: StoreClient::new(settings.inner(InnerPort::ConfigStore)),
         directory: RefCell::new(Directory::new(directory::Figures::default())),
         in_force: RefCell::default(),
+        workers: RefCell::default(),
+        workers_at: Cell::new(0),
         duty: RefCell::new(Duty::new(me, duty::Figures::default())),
         started: Instant::now(),
         changed: Notify::new(),
@@ -149,28 +156,34 @@
 
     /// A list that says what is known already is not handed out again.
     fn has_read(&self, version: WorkersVersion, workers: Vec<WorkerRecord>) {
-        let now = self.now();
-        let unchanged = {
-            let in_force = self.in_force.borrow();
-            let same_reader = in_force.workers.version.fence == version.fence;
-            same_reader && same_workers(&in_force.workers.workers, &workers, now - in_force.workers_at)
-        };
-        if !unchanged {
-            self.take_workers(WorkerList { version, workers });
+        if self.workers.borrow_mut().read(self.now(), version, workers) {
+            self.workers_changed();
         }
     }
 
-    fn take_workers(&self, list: WorkerList) {
-        if list.version <= self.in_force.borrow().workers.version {
+    fn workers_changed(&self) {
+        let version = self.workers.borrow().told_version();
+        self.duty.borrow_mut().saw(version);
+        self.workers_at.set(self.now());
+        self.changed.notify_waiters();
+    }
+
+    /// Gets from another registry what it has newer.
+    async fn follow(&self, peer: &Peer, index: &ServiceIndex) {
+        let now = self.now();
+        self.duty.borrow_mut().saw(index.version);
+        self.workers.borrow_mut().told(now, index);
+        let until = now + SERVICES_WITHIN.as_micros() as Micros;
+        let asked = self.workers.borrow_mut().ask(now, until, |_, _| true);
+        if asked.is_empty() {
             return;
         }
-        self.duty.borrow_mut().saw(list.version);
-        {
-            let mut in_force = self.in_force.borrow_mut();
-            in_force.workers = list;
-            in_force.workers_at = self.now();
+        let answer = peer.call(&RegistryRequest::FetchServices(asked.clone()), SERVICES_WITHIN).await;
+        if let Ok(RegistryAnswer::Services(updates)) = answer {
+            self.workers.borrow_mut().take(self.now(), updates);
+            self.workers_changed();
         }
-        self.changed.notify_waiters();
+        self.workers.borrow_mut().unanswered(&asked);
     }
 
     /// Keeps hearing the other registries.
@@ -204,18 +217,13 @@
             let request = RegistryRequest::Meet {
                 from: self.duty.borrow().me(now),
                 members: self.duty.borrow().members(now),
-                workers: self.in_force.borrow().workers.version,
+                workers: self.workers.borrow().told_version(),
             };
             if let Ok(RegistryAnswer::Met { from, members, workers }) =
                 peer.call(&request, ANSWER_WITHIN).await
             {
                 self.met(from, members);
-                if workers > self.in_force.borrow().workers.version {
-                    let answer = peer.call(&RegistryRequest::FetchWorkers, ANSWER_WITHIN).await;
-                    if let Ok(RegistryAnswer::Workers(list)) = answer {
-                        self.take_workers(list);
-                    }
-                }
+                self.follow(&peer, &workers).await;
             }
             tokio::time::sleep(self.meet_period(peer.addr())).await;
         }
@@ -275,34 +283,34 @@
     }
 
     async fn tidy(self: Rc<Self>) {
-        let mut version = 0;
+        let mut living = 0;
         loop {
             tokio::time::sleep(TIDY_PERIOD).await;
             let now = self.now();
             self.directory.borrow_mut().tidy(now);
             self.duty.borrow_mut().tidy(now);
-            let current = self.directory.borrow().version(now);
-            if current != version {
-                version = current;
+            let current = self.directory.borrow().living_digest(now);
+            if current != living {
+                living = current;
                 self.changed.notify_waiters();
             }
         }
     }
 
-    /// What this registry has of the state that proxies go by.
-    pub(crate) fn have(&self) -> Have {
+    /// What this registry has of the state that proxies of a zone go by.
+    pub(crate) fn have(&self, zone: &str) -> Have {
         let in_force = self.in_force.borrow();
         Have {
             config: in_force.summary.config,
             drains: in_force.summary.drains.clone(),
-            workers: in_force.workers.version,
-            directory: self.directory.borrow().version(self.now()),
+            workers: self.workers.borrow().catalog().version(),
+            directory: self.directory.borrow().version(self.now(), zone),
         }
     }
 
     async fn watch(self: Rc<Self>, status: ProxyStatus, theirs: Have, wait: Duration) -> RegistryAnswer {
         let until = self.now() + wait.as_micros() as Micros;
-        let name = status.id.node.clone();
+        let (name, zone) = (status.id.node.clone(), status.zone.clone());
         if self.directory.borrow_mut().heard(self.now(), status, wait.as_micros() as Micros) {
             self.changed.notify_waiters();
         }
@@ -313,26 +321,28 @@
         }
         loop {
             let changed = self.changed.notified();
-            let have = self.have();
+            let have = self.have(&zone);
             let news = have.config > theirs.config
                 || has_newer_drain(&have.drains, &theirs.drains)
                 || have.workers > theirs.workers
                 || have.directory != theirs.directory;
             let now = self.now();
             if news || now >= until {
-                return RegistryAnswer::Watched(Box::new(self.watched(now, have, &theirs, &name)));
+                return RegistryAnswer::Watched(Box::new(self.watched(now, have, &theirs, &name, &zone)));
             }
             let _ = tokio::time::timeout(Duration::from_micros(until - now), changed).await;
         }
     }
 
-    fn watched(&self, now: Micros, have: Have, theirs: &Have, name: &CompactString) -> Watched {
+    fn watched(&self, now: Micros, have: Have, theirs: &Have, name: &str, zone: &str) -> Watched {
         let in_force = self.in_force.borrow();
         let other_directory = have.directory != theirs.directory;
-        let living = || self.directory.borrow().living(now).cloned().collect();
+        let directory = self.directory.borrow();
+        let neighbors = || directory.neighbors(now, zone).into_iter().cloned().collect();
         Watched {
             config_bytes: in_force.config.as_ref().map_or(0, |config| config.json.len() as u64),
-            directory: other_directory.then(living),
+            services: self.workers.borrow().catalog().index_since(theirs.workers),
+            directory: other_directory.then(neighbors),
             registries: self.registries(now),
             fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000 + 1),
             members: in_force.proxies.len() as u32,
@@ -349,7 +359,7 @@
     /// What an operator reads of this registry.
     pub(crate) fn status(&self) -> String {
         let now = self.now();
-        let have = self.have();
+        let have = self.have(&self.settings.zone);
         let in_force = self.in_force.borrow();
         let living = self.directory.borrow().living(now).count();
         let fresh = in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000);
@@ -357,7 +367,7 @@
             "node": self.settings.node,
             "config": have.config.map(|version| format!("{:08x}", version.serial)),
             "drained": have.drains.iter().filter(|(_, drain)| drain.drained).map(|(zone, _)| zone).collect::<Vec<_>>(),
-            "workers": in_force.workers.workers.len(),
+            "workers": self.workers.borrow().catalog().workers().count(),
             "workers_version": [have.workers.fence, have.workers.number],
             "proxies": living,
             "members": in_force.proxies.len(),
@@ -368,18 +378,6 @@
     }
 }
 
-/// Whether a list read `age` after another says the same: of a cold worker, that it stays cold no longer than was
-/// known.
-fn same_workers(old: &[WorkerRecord], new: &[WorkerRecord], age: Micros) -> bool {
-    let same = |(old, new): (&WorkerRecord, &WorkerRecord)| {
-        let known = old.cold_left.saturating_sub(age / 1_000);
-        let as_cold = new.cold_left <= known + COLD_TOLERANCE;
-        as_cold
-            && WorkerRecord { cold_left: 0, ..old.clone() } == WorkerRecord { cold_left: 0, ..new.clone() }
-    };
-    old.len() == new.len() && old.iter().zip(new).all(same)
-}
-
 /// Whether any order is newer than the one that the other side has. Where the other side has the newer ones there
 /// is nothing to tell it.
 fn has_newer_drain(ours: &ZoneDrains, theirs: &ZoneDrains) -> bool {
@@ -402,11 +400,13 @@
                 RegistryAnswer::Met {
                     from: self.duty.borrow().me(now),
                     members: self.duty.borrow().members(now),
-                    workers: self.in_force.borrow().workers.version,
+                    workers: self.workers.borrow().catalog().index_since(workers),
                 }
             }
             RegistryRequest::FetchConfig => RegistryAnswer::Config(self.in_force.borrow().config.clone()),
-            RegistryRequest::FetchWorkers => RegistryAnswer::Workers(self.in_force.borrow().workers.clone()),
+            RegistryRequest::FetchServices(have) => {
+                RegistryAnswer::Services(self.workers.borrow().catalog().news(self.now(), &have))
+            }
             RegistryRequest::Status => RegistryAnswer::Status(Box::new(self.state())),
         }
     }
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -1,7 +1,7 @@
 //! What is in force, as the local store tells it, and as it is handed on to proxies.
 
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{ConfigDocument, ProxyNames, StoreNews, Summary, WorkerList};
+use hingestage_rpc::messages::{ConfigDocument, ProxyNames, StoreNews, Summary};
 
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
@@ -17,10 +17,6 @@
     pub proxies: ProxyNames,
     /// The latest moment at which nothing newer can have been acknowledged anywhere.
     pub fresh_as_of: Option<Micros>,
-    /// The list of workers.
-    pub workers: WorkerList,
-    /// When it was taken.
-    pub workers_at: Micros,
 }
 
 impl InForce {
--- a/crates/registry/tests/directory.rs
+++ b/crates/registry/tests/directory.rs
@@ -61,14 +61,14 @@
     let mut directory = directory(&[proxy(1, "a", "x")]);
     let mut older = ProxyStatus { ready: false, ..proxy(1, "a", "x") };
     older.id.incarnation -= 1;
-    let before = directory.version(S);
+    let before = directory.version(S, "a");
     assert!(!directory.heard(S + silent_after() - 1, older.clone(), NEXT));
-    assert_eq!(directory.version(S), before);
+    assert_eq!(directory.version(S, "a"), before);
     assert_eq!(named(&directory, S + silent_after()), [0u8; 0], "nor does it make the newer life heard");
     let mut newer = proxy(1, "a", "x");
     newer.id.incarnation += 1;
     assert!(directory.heard(3 * S, newer, NEXT));
-    assert_ne!(directory.version(3 * S), before);
+    assert_ne!(directory.version(3 * S, "a"), before);
 }
 
 #[test]
--- a/crates/registry/tests/duty.rs
+++ b/crates/registry/tests/duty.rs
@@ -1,7 +1,8 @@
 //! Which registry reads the list of workers.
 
 use hingestage_registry::duty::{Duty, Figures};
-use hingestage_rpc::messages::{ProcessId, RegistryMember, WorkersVersion};
+use hingestage_rpc::messages::{ProcessId, RegistryMember};
+use hingestage_rpc::workers::WorkersVersion;
 
 const S: u64 = 1_000_000;
 
@@ -34,22 +35,29 @@
     other.heard(now, one.me(now));
 }
 
+/// A version of a reader that is none of the two.
 fn version(fence: u64, number: u64) -> WorkersVersion {
-    WorkersVersion { fence, number }
+    WorkersVersion { fence, reader: 0, number }
+}
+
+/// Fence and number under which a registry reads.
+fn reads_under(duty: &mut Duty, now: u64) -> Option<(u64, u64)> {
+    duty.read_under(now).map(|version| (version.fence, version.number))
 }
 
 #[test]
 fn of_two_readers_one_stops_when_they_hear_each_other_and_the_lists_go_on_above_both() {
     let (mut first, mut second) = strangers();
-    assert_eq!(first.read_under(S), Some(version(1, 1)));
+    assert_eq!(reads_under(&mut first, S), Some((1, 1)));
     second.saw(version(1, 4));
     second.saw(version(2, 7));
-    assert_eq!(second.read_under(S), Some(version(3, 1)), "what it did not read itself is above no fence");
-    second.saw(version(3, 1));
+    assert_eq!(reads_under(&mut second, S), Some((3, 1)), "what it did not read itself is above no fence");
+    let read = second.read_under(S).expect("it has the duty");
+    second.saw(read);
     hear_each_other(2 * S, &mut first, &mut second);
-    first.saw(version(3, 1));
+    first.saw(read);
     assert_eq!(second.read_under(2 * S), None);
-    assert_eq!(first.read_under(2 * S), Some(version(4, 1)), "the lower fence takes a higher number");
+    assert_eq!(reads_under(&mut first, 2 * S), Some((4, 1)), "the lower fence takes a higher number");
 }
 
 #[test]
@@ -57,7 +65,21 @@
     let (mut first, _) = strangers();
     first.saw(version(9, 2));
     first.saw(version(3, 50));
-    assert_eq!(first.read_under(S), Some(version(10, 1)));
+    assert_eq!(reads_under(&mut first, S), Some((10, 1)));
+}
+
+#[test]
+fn two_readers_that_took_the_same_fence_never_give_two_lists_one_version() {
+    let (mut first, mut second) = strangers();
+    let one = first.read_under(S).expect("it has the duty");
+    let other = second.read_under(S).expect("it thinks so, too");
+    assert_eq!((one.fence, one.number), (other.fence, other.number));
+    assert_ne!(one, other);
+    first.saw(one.max(other));
+    second.saw(one.max(other));
+    let (lower, higher) = if one < other { (&mut first, &mut second) } else { (&mut second, &mut first) };
+    assert_eq!(reads_under(higher, S), Some((1, 2)), "its list holds");
+    assert_eq!(reads_under(lower, S), Some((2, 1)), "the other goes on above it");
 }
 
 #[test]
@@ -65,7 +87,7 @@
     let (mut first, _) = strangers();
     for number in 1..5 {
         let next = first.read_under(S * number).expect("it has the duty");
-        assert_eq!(next, version(1, number));
+        assert_eq!((next.fence, next.number), (1, number));
         first.saw(next);
     }
 }
--- a/crates/registry/tests/http.rs
+++ b/crates/registry/tests/http.rs
@@ -2,9 +2,8 @@
 
 use hingestage_node::Settings;
 use hingestage_registry::server as registry;
-use hingestage_rpc::messages::{
-    Have, ProcessId, ProxyStatus, RegistryAnswer, RegistryRequest, Watched, WorkersVersion,
-};
+use hingestage_rpc::messages::{Have, ProcessId, ProxyStatus, RegistryAnswer, RegistryRequest, Watched};
+use hingestage_rpc::workers::WorkersVersion;
 use hingestage_rpc::Client;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -283,7 +282,8 @@
         core.start_registry(Some(platform().await));
         drop(core.connect(ADMIN_PORT).await);
         let client = Client::new(SocketAddr::from((core.ip(1), FIRST_INNER_PORT)));
-        let mut have = Have { workers: WorkersVersion { fence: 7, number: 300 }, ..Have::default() };
+        let mut have =
+            Have { workers: WorkersVersion { fence: 7, reader: 1, number: 300 }, ..Have::default() };
         for _ in 0..CALLS_MAX {
             let news = watch(&client, &have, 1_000).await;
             if news.have.workers > have.workers {
--- a/crates/registry/tests/platform_list.rs
+++ b/crates/registry/tests/platform_list.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hingestage_registry::platform_list::{read, ListError};
-use hingestage_rpc::messages::WorkerRecord;
+use hingestage_rpc::workers::WorkerRecord;
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod messages;
 mod server;
 pub mod status;
+pub mod workers;
 
 pub use client::{CallError, Client};
 pub use frame::{decoded, encoded, FrameError, PROTOCOL_VERSION};
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -1,6 +1,7 @@
 //! What the processes of the system say to each other.
 
 use crate::status::{RegistryStatus, StoreStatus};
+use crate::workers::{ServiceHave, ServiceIndex, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -216,43 +217,6 @@
     pub ready: bool,
 }
 
-/// Version of the list of workers: who read it under which fence, and how often.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct WorkersVersion {
-    /// Number of the duty; grows each time it changes hands.
-    pub fence: u64,
-    /// Number of the list under it.
-    pub number: u64,
-}
-
-/// A worker as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WorkerRecord {
-    /// Its id; another at each start.
-    pub id: CompactString,
-    /// Its service.
-    pub service: CompactString,
-    /// Its address.
-    pub addr: SocketAddr,
-    /// Its zone.
-    pub zone: CompactString,
-    /// Requests that it works on at a time.
-    pub capacity: u32,
-    /// Whether it leaves.
-    pub draining: bool,
-    /// How much longer it stays cold from when the list was read.
-    pub cold_left: Millis,
-}
-
-/// The list of workers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WorkerList {
-    /// Its version.
-    pub version: WorkersVersion,
-    /// All workers.
-    pub workers: Vec<WorkerRecord>,
-}
-
 /// What a proxy or registry has of the state that registries hand out.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Have {
@@ -311,8 +275,8 @@
     },
     /// The configuration in force.
     FetchConfig,
-    /// The list of workers.
-    FetchWorkers,
+    /// The workers of some services, where they are newer than what the asker has.
+    FetchServices(Vec<ServiceHave>),
     /// An operator asks for its state.
     Status,
 }
@@ -328,13 +292,13 @@
         from: RegistryMember,
         /// Whom it knows.
         members: Vec<RegistryMember>,
-        /// The newest list of workers that it has.
-        workers: WorkersVersion,
+        /// Which services' workers are newer than what the asker has.
+        workers: ServiceIndex,
     },
     /// The configuration in force, where there is one.
     Config(Option<ConfigDocument>),
-    /// The list of workers.
-    Workers(WorkerList),
+    /// The workers of services.
+    Services(Vec<ServiceUpdate>),
     /// To an operator.
     Status(Box<RegistryStatus>),
 }
@@ -346,7 +310,9 @@
     pub have: Have,
     /// Length of the configuration, bytes: how long a fetch may take goes by it.
     pub config_bytes: u64,
-    /// All proxies, where they are others.
+    /// Which services' workers are newer than what the proxy has.
+    pub services: ServiceIndex,
+    /// The proxies that the asker is to know, where they are others.
     pub directory: Option<Vec<ProxyStatus>>,
     /// All registries.
     pub registries: Vec<RegistryAddress>,
--- a/crates/rpc/src/status.rs
+++ b/crates/rpc/src/status.rs
@@ -1,6 +1,7 @@
 //! What operators ask the processes of the system, and the states that these tell.
 
-use crate::messages::{ConfigVersion, Millis, ProxyStatus, RegistryMember, StoreMember, WorkersVersion};
+use crate::messages::{ConfigDocument, ConfigVersion, Millis, ProxyStatus, RegistryMember, StoreMember};
+use crate::workers::{ServiceHave, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -16,6 +17,20 @@
         /// The attempt id of a request, or the name of a tenant.
         id_or_tenant: CompactString,
     },
+    /// Another proxy of the zone asks for the workers of services that this proxy is the home of.
+    FollowServices {
+        /// What it has.
+        have: Vec<ServiceHave>,
+        /// How long to wait for news.
+        wait: Millis,
+    },
+    /// Another proxy of the zone asks for a configuration.
+    FollowConfig {
+        /// The version that it has been told of.
+        version: ConfigVersion,
+        /// How long to wait for it.
+        wait: Millis,
+    },
 }
 
 /// What a proxy answers.
@@ -25,6 +40,10 @@
     Status(Box<ProxyState>),
     /// What became of recent requests.
     Explained(Explanation),
+    /// The workers of services.
+    Services(Vec<ServiceUpdate>),
+    /// A configuration that is as new as was asked for; none where this proxy has none in time.
+    Config(Option<ConfigDocument>),
 }
 
 /// How one request ended.
