A zone that lost all its disks is rebuilt from the others; admissions are a core

Causes, found by reading: (1) with three stores in two zones and both disks of one zone lost, each empty store waited for two others that hold theirs, and there was one: nobody would have spoken again. It takes all stores of other zones now, where all of its own zone say that they lost theirs; a durable change has a copy outside. (2) A store called itself current though another one had names of proxies that it lacked: parts of limits were then counted of too few. Same names are asked for now. Ruled out: counting names, as equal numbers may be different names.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod directory;
 pub mod duty;
 mod http;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -1,5 +1,6 @@
 //! The registry on sockets.
 
+use crate::admission::{self, Admissions};
 use crate::directory::{self, Directory};
 use crate::duty::{self, Duty};
 use crate::http;
@@ -12,8 +13,8 @@
 use hingestage_node::{incarnation, Settings, SettingsFile, Signals};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
-    Change, Have, ProcessId, Proposed, ProxyNames, ProxyStatus, RegistryAddress, RegistryAnswer,
-    RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, ZoneDrains,
+    Change, Have, ProcessId, Proposed, ProxyStatus, RegistryAddress, RegistryAnswer, RegistryMember,
+    RegistryRequest, StoreAnswer, StoreRequest, Watched, ZoneDrains,
 };
 use hingestage_rpc::workers::{ServiceIndex, WorkerRecord, WorkersVersion};
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
@@ -44,11 +45,6 @@
 const TIDY_PERIOD: Duration = Duration::from_millis(500);
 /// How long a change may take to become durable before its caller is told to come again.
 pub(crate) const PROPOSE_WAIT: Duration = Duration::from_millis(850);
-/// Longest time for which a part of a common limit may be used without news from here. A proxy that is new gets
-/// its part once all leases from before are over.
-pub const LEASE: Duration = Duration::from_secs(12);
-/// How long after the first start of the whole system proxies are taken in as settled: nobody holds a lease yet.
-const FIRST_START: Duration = Duration::from_secs(6);
 
 pub(crate) type StoreClient = Client<StoreRequest, StoreAnswer>;
 type Peer = Client<RegistryRequest, RegistryAnswer>;
@@ -68,8 +64,7 @@
     started: Instant,
     /// Told when something has changed that proxies go by.
     changed: Notify,
-    /// Proxies to be taken into common limits, and when each was first seen among them unsettled.
-    newcomers: RefCell<BTreeMap<CompactString, Option<Micros>>>,
+    admissions: RefCell<Admissions>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
 }
 
@@ -91,7 +86,7 @@
         duty: RefCell::new(Duty::new(me, duty::Figures::default())),
         started: Instant::now(),
         changed: Notify::new(),
-        newcomers: RefCell::default(),
+        admissions: RefCell::new(Admissions::new(settings.bootstrap, admission::Figures::default())),
         peers: RefCell::default(),
         file: SettingsFile::new(settings.clone()),
         settings: settings.clone(),
@@ -245,12 +240,11 @@
         members.into_iter().for_each(|member| duty.told_of(member));
     }
 
-    /// Takes proxies into common limits. One that comes later than the system's first start is settled once
-    /// every lease that was given without it is over.
+    /// Takes proxies into common limits.
     async fn admit_newcomers(self: Rc<Self>) {
         loop {
             tokio::time::sleep(TIDY_PERIOD).await;
-            let names = self.due_newcomers();
+            let names = self.admissions.borrow_mut().due(self.now(), &self.in_force.borrow().proxies);
             if names.is_empty() {
                 continue;
             }
@@ -263,25 +257,6 @@
         }
     }
 
-    fn due_newcomers(&self) -> ProxyNames {
-        let now = self.now();
-        let first_start = self.settings.bootstrap && now < FIRST_START.as_micros() as Micros;
-        let in_force = self.in_force.borrow();
-        let mut newcomers = self.newcomers.borrow_mut();
-        newcomers.retain(|name, _| in_force.proxies.get(name) != Some(&true));
-        let mut due = ProxyNames::new();
-        for (name, seen_at) in newcomers.iter_mut() {
-            if in_force.proxies.contains_key(name) {
-                seen_at.get_or_insert(now);
-            }
-            let waited = seen_at.is_some_and(|at| now >= at + LEASE.as_micros() as Micros);
-            if first_start || waited || seen_at.is_none() {
-                due.insert(name.clone(), first_start || waited);
-            }
-        }
-        due
-    }
-
     async fn tidy(self: Rc<Self>) {
         let mut living = 0;
         loop {
@@ -316,9 +291,7 @@
         }
         // After a restart of all registries only the proxies know how far the numbers of lists have come.
         self.duty.borrow_mut().saw(theirs.workers);
-        if self.in_force.borrow().proxies.get(&name) != Some(&true) {
-            self.newcomers.borrow_mut().entry(name.clone()).or_default();
-        }
+        self.admissions.borrow_mut().heard(&name, &self.in_force.borrow().proxies);
         loop {
             let changed = self.changed.notified();
             let have = self.have(&zone);
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -195,24 +195,48 @@
         answer.map(|answer| self.state.missing(&answer.summary)).unwrap_or_default()
     }
 
-    /// A recovering replica speaks again once it has what enough others have. They are asked only when nobody can
-    /// count the copies any more that were lost with the disk: see [`Replica::holds`].
+    /// A recovering replica speaks again once it has what enough others have. Where its whole zone has lost its disks
+    /// there may not be enough: then it takes all replicas of other zones, as a durable change has a copy outside.
+    /// The others are asked only when nobody can count the copies any more that were lost with the disk: see
+    /// [`Replica::holds`].
     fn rebuild(&mut self, now: Micros) {
-        if !self.recovering {
+        let known = self.members.len() >= self.figures.members_min;
+        if !self.recovering || !known {
             return;
         }
-        let asked_from = self.figures.away_after;
-        let whole = |answer: &&PeerAnswer| {
-            answer.asked_at >= asked_from
-                && now < answer.asked_at + self.figures.away_after
-                && covers(&self.state, &answer.summary)
-        };
-        let answers = self.peers.values().filter_map(Peer::valid);
-        if answers.filter(whole).count() >= self.quorum().rebuild() {
+        let enough = self.peers.keys().filter(|name| self.is_made_up_for(now, name)).count();
+        if enough >= self.quorum().rebuild() || (self.zone_is_lost(now) && self.has_all_outside(now)) {
             self.recovering = false;
         }
     }
 
+    /// Whether all replicas of this zone say that they lost their disks as well.
+    fn zone_is_lost(&self, now: Micros) -> bool {
+        let others =
+            self.members.values().filter(|member| member.zone == self.me.zone && member.name != self.me.name);
+        others.map(|member| self.peers.get(&member.name)).all(|peer| {
+            let answer = peer.and_then(|peer| peer.answer.as_ref());
+            answer.is_some_and(|answer| answer.summary.recovering && self.is_recent(now, answer))
+        })
+    }
+
+    /// Whether this replica has what all replicas of other zones have.
+    fn has_all_outside(&self, now: Micros) -> bool {
+        let mut outside = self.members.values().filter(|member| member.zone != self.me.zone).peekable();
+        outside.peek().is_some() && outside.all(|member| self.is_made_up_for(now, &member.name))
+    }
+
+    /// Whether this replica has what another one was asked for lately, and long enough after this one's start.
+    fn is_made_up_for(&self, now: Micros, name: &CompactString) -> bool {
+        let answer = self.peers.get(name).and_then(Peer::valid);
+        answer.is_some_and(|answer| self.is_recent(now, answer) && covers(&self.state, &answer.summary))
+    }
+
+    /// Whether a question was asked lately, and long enough after this replica's start.
+    fn is_recent(&self, now: Micros, answer: &PeerAnswer) -> bool {
+        answer.asked_at >= self.figures.away_after && now < answer.asked_at + self.figures.away_after
+    }
+
     fn quorum(&self) -> Quorum {
         Quorum::of(self.members.len().max(self.figures.members_min))
     }
@@ -287,8 +311,12 @@
             return None;
         }
         let in_force = self.in_force.as_ref().map(|config| config.version);
+        let names = self.state.names_version();
+        // Other names, even as many, may be names that are missing here.
         let says_so = |answer: &&PeerAnswer| {
-            answer.summary.config <= in_force && covers_drains(&self.state, &answer.summary)
+            answer.summary.config <= in_force
+                && covers_drains(&self.state, &answer.summary)
+                && answer.summary.proxies == names
         };
         let answers = self.peers.values().filter_map(Peer::valid).filter(says_so);
         let mut times: Vec<Micros> = answers.map(|answer| answer.asked_at).collect();
@@ -326,6 +354,6 @@
     match update {
         Update::Config(config) => summary.config >= Some(config.version),
         Update::Drain { zone, drain } => summary.drains.get(zone) >= Some(drain),
-        Update::Proxies(_) => summary.proxies == state.summary(false).proxies,
+        Update::Proxies(_) => summary.proxies == state.names_version(),
     }
 }
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -20,7 +20,7 @@
         Summary {
             config: self.config.as_ref().map(|config| config.version),
             drains: self.drains.clone(),
-            proxies: (self.proxies.len() as u64, names_digest(&self.proxies)),
+            proxies: self.names_version(),
             recovering,
         }
     }
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Number and digest of the names of proxies.
+    pub fn names_version(&self) -> (u64, u64) {
+        (self.proxies.len() as u64, names_digest(&self.proxies))
+    }
+
     /// What another replica lacks, by its summary.
     pub fn missing(&self, theirs: &Summary) -> Vec<Update> {
         let mut updates = Vec::new();
@@ -66,7 +71,7 @@
                 updates.push(Update::Drain { zone: zone.clone(), drain: *drain });
             }
         }
-        if theirs.proxies != (self.proxies.len() as u64, names_digest(&self.proxies)) {
+        if theirs.proxies != self.names_version() {
             updates.push(Update::Proxies(self.proxies.clone()));
         }
         updates
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -87,6 +87,40 @@
     assert!(!wiped.is_durable(5 * S, &config(1)));
 }
 
+#[test]
+fn a_zone_that_lost_all_of_its_disks_is_rebuilt_from_the_other_zones_and_from_no_fewer() {
+    let all = members(&["a", "a", "b"]);
+    let mut wiped = replica(&all, 0, State::default(), true);
+    hears(&mut wiped, 5 * S, 1, State::default().summary(true));
+    hears(&mut wiped, 5 * S, 2, summary(&[config(1)]));
+    assert!(wiped.recovering(), "it has not what the other zone has");
+    wiped.adopt(5 * S, config(1));
+    hears(&mut wiped, 5 * S, 2, summary(&[config(1)]));
+    assert!(!wiped.recovering());
+
+    let mut wiped = replica(&all, 0, state(&[config(1)]), true);
+    hears(&mut wiped, 5 * S, 2, summary(&[config(1)]));
+    assert!(wiped.recovering(), "the other one of its zone may hold what nobody else has heard of");
+
+    let wide = members(&["a", "a", "b", "c"]);
+    let mut wiped = replica(&wide, 0, State::default(), true);
+    hears(&mut wiped, 5 * S, 1, State::default().summary(true));
+    hears(&mut wiped, 5 * S, 2, summary(&[]));
+    assert!(wiped.recovering(), "the durable copy may be in the zone that has not spoken");
+}
+
+#[test]
+fn one_who_has_other_names_of_proxies_does_not_say_that_nothing_is_newer() {
+    let all = members(&["a", "b", "c"]);
+    let names = |name: &str| Update::Proxies([(name.into(), false)].into());
+    let mut replica = first_of(&all);
+    replica.adopt(0, names("edge-1"));
+    hears(&mut replica, S, 1, summary(&[names("edge-2")]));
+    assert_eq!(replica.current_as_of(2 * S), None, "as many, but not the same");
+    hears(&mut replica, S, 2, summary(&[names("edge-1")]));
+    assert_eq!(replica.current_as_of(2 * S), Some(S));
+}
+
 #[test]
 fn what_is_said_unasked_neither_rebuilds_nor_counts_as_a_copy_nor_as_current() {
     let all = members(&["a", "b", "c"]);
