--- a/crates/keep/examples/keeper_cost.rs
+++ b/crates/keep/examples/keeper_cost.rs
@@ -1,5 +1,5 @@
 //! What keepers cost: three of them in this process, each with a store on disk, asked by as many gateways as said, and
-//! then given many versions. `cargo run --release -p hingestage-keep --example keeper_cost [GATEWAYS] [VERSIONS]`
+//! then given many versions. `cargo run --release -p hingestage-keep --features measurements --example keeper_cost [GATEWAYS] [VERSIONS]`
 
 use hingestage_change::desk::{Asked, Proposed};
 use hingestage_change::keeper::{Figures, Micros, Mode, Question};
--- a/crates/lab/examples/cost.rs
+++ b/crates/lab/examples/cost.rs
@@ -1,7 +1,7 @@
 //! What a request costs a gateway in CPU, of two builds side by side.
 //!
 //! ```text
-//! cargo run --release -p hingestage-lab --example cost -- BASELINE CANDIDATE [--workers N] [--rounds N]
+//! cargo run --release -p hingestage-lab --features measurements --example cost -- BASELINE CANDIDATE [--workers N] [--rounds N]
 //! ```
 //!
 //! Each round runs both programs in turn on the same stand-ins with the same steady flow, and reads from the
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -6,7 +6,6 @@
 use crate::http;
 use crate::platform_list;
 use crate::watch::InForce;
-use compact_str::CompactString;
 use eyre::{eyre, Context, Result};
 use hingestage_discovery::Follower;
 use hingestage_node::settings::InnerPort;
