News from before a process's start no longer counts as fresh at its start

Cause: a proxy, or a registry, subtracts the age that news has from when it asked, on its own clock, which starts at zero with the process. Where the age reached back beyond the start the difference was cut to zero: news of any age counted as of the start. A proxy that started beside a registry cut off from its quorum believed keys taken away up to 4.5 s longer than it may (`revoke_strict`).

Change: such news says nothing. Tests of the view and of the registry fail without it.

--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -161,10 +161,10 @@
     /// only where what it speaks of is in force here.
     pub fn take_freshness(&mut self, asked_at: Micros, age: Option<u64>, config: Option<ConfigVersion>) {
         let up_to_date = self.config_version() >= config;
-        if let Some(age) = age.filter(|_| up_to_date) {
-            let fresh = asked_at.saturating_sub(age * MILLI);
-            self.fresh_as_of = self.fresh_as_of.max(Some(fresh));
-        }
+        let age = age.filter(|_| up_to_date);
+        // A moment before this process started is none that its clock can tell.
+        let fresh = age.and_then(|age| asked_at.checked_sub(age * MILLI));
+        self.fresh_as_of = self.fresh_as_of.max(fresh);
     }
 
     /// Takes in how many proxies share common limits, and whether this one may use its part.
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -185,6 +185,16 @@
     assert!(view.keys_hold(15 * S), "a registry that knows of none has nothing newer");
 }
 
+#[test]
+fn news_from_before_its_start_is_no_news_to_a_proxy_that_has_just_started() {
+    let mut view = view();
+    let version = view.have().config;
+    view.take_freshness(S, Some(2 * AGE), version);
+    assert!(!view.keys_hold(S), "it may have been acknowledged before this proxy started, too");
+    view.take_freshness(2 * S, Some(2 * AGE), version);
+    assert!(view.keys_hold(2 * S));
+}
+
 #[test]
 fn a_proxy_that_stood_still_for_five_seconds_believes_no_key_until_it_has_asked_again() {
     let mut view = view();
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod platform_list;
 pub mod server;
 mod state;
-mod watch;
+pub mod watch;
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -31,10 +31,9 @@
         if let Some(proxies) = news.proxies {
             self.proxies = proxies;
         }
-        if let Some(age) = news.fresh_age {
-            let fresh = asked_at.saturating_sub(age * MILLI);
-            self.fresh_as_of = self.fresh_as_of.max(Some(fresh));
-        }
+        // A moment before this process started is none that its clock can tell.
+        let fresh = news.fresh_age.and_then(|age| asked_at.checked_sub(age * MILLI));
+        self.fresh_as_of = self.fresh_as_of.max(fresh);
         self.summary = news.summary;
         self.summary.config = self.config.as_ref().map(|config| config.version);
         drains_changed || config_changed
--- /dev/null
+++ b/crates/registry/tests/watch.rs
@@ -0,0 +1,25 @@
+//! What a registry makes of what its store tells.
+
+use hingestage_registry::watch::InForce;
+use hingestage_rpc::messages::StoreNews;
+
+const S: u64 = 1_000_000;
+/// Milliseconds in a second, as ages are told.
+const AGE: u64 = 1_000;
+
+fn fresh(age: u64) -> StoreNews {
+    StoreNews { fresh_age: Some(age), ..StoreNews::default() }
+}
+
+#[test]
+fn freshness_counts_from_the_question_and_never_from_before_the_start() {
+    let mut in_force = InForce::default();
+    in_force.take(S, fresh(2 * AGE));
+    assert_eq!(in_force.fresh_as_of, None, "the store's news is older than this process");
+    in_force.take(3 * S, fresh(2 * AGE));
+    assert_eq!(in_force.fresh_as_of, Some(S));
+    in_force.take(4 * S, fresh(4 * AGE));
+    assert_eq!(in_force.fresh_as_of, Some(S), "older news takes nothing back");
+    in_force.take(5 * S, StoreNews::default());
+    assert_eq!(in_force.fresh_as_of, Some(S));
+}
