The control plane on a virtual clock: stores, registries, proxies under faults

Change: crates/control-sim plays the programs' own cores (Replica, Duty, Admissions, Directory, Follower, Homes, View) on a virtual clock; a seed is one run. Checked from outside: no proxy believes keys 5 s after their removal was acknowledged, in touch or not; parts never sum to more than the whole; one version is one list; nothing goes back; at the end nothing that was acknowledged is lost and everybody has everything. A store's news for its registry and its rule for old serials move into the core of replication.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -7,8 +7,7 @@
 use hingestage_node::{Settings, SettingsFile, Signals};
 use hingestage_replication::{Figures, Micros, Replica};
 use hingestage_rpc::messages::{
-    Change, ConfigDocument, Proposed, ReadState, StoreAnswer, StoreMember, StoreNews, StoreRequest, Summary,
-    Update,
+    Change, ConfigDocument, Proposed, ReadState, StoreAnswer, StoreMember, StoreRequest, Summary, Update,
 };
 use hingestage_rpc::status::StoreStatus;
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
@@ -231,7 +230,7 @@
         if self.replica.borrow().recovering() {
             return StoreAnswer::Proposed(Proposed::Pending);
         }
-        let update = self.replica.borrow().update_for(self.without_conflict(change));
+        let update = self.replica.borrow().update_for(change);
         if !self.take_in(update.clone()) {
             return StoreAnswer::Failed;
         }
@@ -247,17 +246,6 @@
         }
     }
 
-    /// A serial that is held already changes nothing, whatever comes under it.
-    fn without_conflict(&self, change: Change) -> Change {
-        let replica = self.replica.borrow();
-        match (change, &replica.state().config) {
-            (Change::Config(new), Some(held)) if new.version.serial <= held.version.serial => {
-                Change::Config(held.clone())
-            }
-            (change, _) => change,
-        }
-    }
-
     /// Waits for a notification; false where the time is up first.
     async fn wait_until(&self, changed: impl std::future::Future<Output = ()>, until: Micros) -> bool {
         let left = Duration::from_micros(until.saturating_sub(self.now()));
@@ -268,7 +256,7 @@
         let until = self.now() + wait.as_micros() as Micros;
         loop {
             let changed = self.changed.notified();
-            let news = self.news_for(&have);
+            let news = self.replica.borrow_mut().news(self.now(), &have);
             let is_news =
                 news.config.is_some() || news.proxies.is_some() || news.summary.drains != have.drains;
             if is_news || self.now() >= until {
@@ -278,18 +266,6 @@
         }
     }
 
-    fn news_for(&self, have: &Summary) -> StoreNews {
-        let now = self.now();
-        let mut replica = self.replica.borrow_mut();
-        replica.refresh(now);
-        let mut summary = replica.summary();
-        summary.config = replica.in_force().map(|config| config.version);
-        let config = replica.in_force().filter(|config| Some(config.version) > have.config).cloned();
-        let proxies = (summary.proxies != have.proxies).then(|| replica.state().proxies.clone());
-        let fresh_age = replica.current_as_of(now).map(|at| now.saturating_sub(at) / MILLI + 1);
-        StoreNews { summary, config, proxies, fresh_age }
-    }
-
     async fn read(self: Rc<Self>, wait: Duration) -> StoreAnswer {
         let (asked_at, until) = (self.now(), self.now() + wait.as_micros() as Micros);
         self.news.notify_waiters();
--- /dev/null
+++ b/crates/control-sim/src/faults.rs
@@ -0,0 +1,122 @@
+//! Faults, drawn from a seed before a run begins.
+
+use crate::message::NodeId;
+use crate::{Micros, MILLI, SECOND};
+use fastrand::Rng;
+
+/// When faults may begin and when the last one does.
+pub(crate) const FAULTS_FROM: Micros = 8 * SECOND;
+pub(crate) const FAULTS_UNTIL: Micros = 40 * SECOND;
+/// Longest time that a fault lasts.
+const LASTS_MAX: Micros = 7 * SECOND;
+/// Longest time that a machine is down.
+const DOWN_MAX: Micros = 3 * SECOND;
+/// Longest jump of the time of day.
+const JUMP_MAX: Micros = 9 * SECOND;
+
+/// A fault.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// Machines lose power and come back.
+    Power { nodes: Vec<NodeId>, down: Micros },
+    /// The same, and one core machine's disk is lost; where `all`, all core machines lose power with it.
+    Wipe { core: NodeId, all: bool, down: Micros },
+    /// All core machines of a zone lose their disks.
+    WipeZone { zone: usize, down: Micros },
+    /// All core machines lose power right after the next acknowledgement; where `wipe`, one loses its disk.
+    PowerAfterAck { wipe: bool, down: Micros },
+    /// A machine stands still.
+    Freeze { node: NodeId, lasts: Micros },
+    /// Machines are cut off from some others: both ways, or only what they send, or only what is sent to them.
+    Cut { nodes: Vec<NodeId>, others: Vec<NodeId>, direction: Direction, lasts: Micros },
+    /// The time of day jumps.
+    Clock { node: NodeId, to: Micros },
+    /// A proxy that was never there starts.
+    Join { proxy: NodeId },
+}
+
+/// Which way a cut goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Direction {
+    Both,
+    Outward,
+    Inward,
+}
+
+/// How large a system is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub cores: usize,
+    /// Proxies that start with the system.
+    pub proxies: usize,
+    /// Proxies that start later.
+    pub joining: usize,
+    pub zones: usize,
+}
+
+impl Size {
+    /// All machines that there ever are.
+    pub fn nodes(&self) -> usize {
+        self.cores + self.proxies + self.joining
+    }
+}
+
+/// Draws what happens, and when.
+pub(crate) fn draw(random: &mut Rng, size: &Size) -> Vec<(Micros, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = FAULTS_FROM;
+    while at < FAULTS_UNTIL {
+        faults.push((at, draw_one(random, size)));
+        at += random.u64(50 * MILLI..4 * SECOND);
+    }
+    for joining in 0..size.joining {
+        let proxy = size.cores + size.proxies + joining;
+        faults.push((random.u64(FAULTS_FROM..FAULTS_UNTIL), Fault::Join { proxy }));
+    }
+    faults
+}
+
+fn draw_one(random: &mut Rng, size: &Size) -> Fault {
+    let present = size.cores + size.proxies;
+    let down = random.u64(200 * MILLI..DOWN_MAX);
+    let lasts = random.u64(300 * MILLI..LASTS_MAX);
+    let all_cores = || (0..size.cores).collect::<Vec<NodeId>>();
+    match random.u32(..13) {
+        0 => Fault::Power { nodes: vec![random.usize(..present)], down },
+        1 => Fault::Power { nodes: some(random, size.cores..present), down },
+        2 => Fault::Power { nodes: all_cores(), down },
+        3 => Fault::Wipe { core: random.usize(..size.cores), all: random.bool(), down },
+        4 => Fault::WipeZone { zone: random.usize(..size.zones), down },
+        5 | 6 => Fault::PowerAfterAck { wipe: random.bool(), down },
+        7 => Fault::Freeze { node: random.usize(..present), lasts },
+        8 => Fault::Freeze { node: random.usize(size.cores..present), lasts },
+        9 => {
+            let nodes = some(random, 0..size.cores);
+            let others = (0..size.cores).filter(|core| !nodes.contains(core)).collect();
+            Fault::Cut { nodes, others, direction: direction(random), lasts }
+        }
+        10 => {
+            let nodes = some(random, 0..present);
+            let others = (0..size.nodes()).filter(|node| !nodes.contains(node)).collect();
+            Fault::Cut { nodes, others, direction: direction(random), lasts }
+        }
+        11 => {
+            let nodes = some(random, size.cores..present);
+            Fault::Cut { nodes, others: all_cores(), direction: direction(random), lasts }
+        }
+        _ => Fault::Clock { node: random.usize(..present), to: random.u64(..2 * JUMP_MAX) },
+    }
+}
+
+fn direction(random: &mut Rng) -> Direction {
+    match random.u32(..4) {
+        0 => Direction::Outward,
+        1 => Direction::Inward,
+        _ => Direction::Both,
+    }
+}
+
+fn some(random: &mut Rng, of: std::ops::Range<NodeId>) -> Vec<NodeId> {
+    let first = random.usize(of.clone());
+    of.filter(|node| *node == first || random.u32(..3) == 0).collect()
+}
--- /dev/null
+++ b/crates/control-sim/src/judge.rs
@@ -0,0 +1,185 @@
+//! What must hold, looked at from outside.
+
+use crate::core_node::CoreNode;
+use crate::faults::FAULTS_FROM;
+use crate::platform::Platform;
+use crate::proxy_node::ProxyNode;
+use crate::{Micros, SECOND};
+use compact_str::CompactString;
+use hingestage_discovery::Catalog;
+use hingestage_rpc::messages::ConfigVersion;
+use hingestage_rpc::workers::WorkersVersion;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A key that was taken away binds so long after the acknowledgement.
+const REVOKE: Micros = 5 * SECOND;
+/// What rounding may add to a sum of parts.
+const ROUNDING: f64 = 1e-9;
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// The seed of the run.
+    pub seed: u64,
+    /// When, in microseconds from the start.
+    pub at: Micros,
+    /// What.
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "seed {} at {:.3} s: {}", self.seed, self.at as f64 / SECOND as f64, self.what)
+    }
+}
+
+/// What has been seen so far.
+#[derive(Default)]
+pub(crate) struct Judge {
+    acknowledged: Vec<(Micros, ConfigVersion)>,
+    /// What each version of a service's workers has in it.
+    contents: BTreeMap<(CompactString, WorkersVersion), Vec<(CompactString, bool)>>,
+    /// The configuration in force at each proxy, and the life of its process.
+    in_force: BTreeMap<CompactString, (u32, Option<ConfigVersion>)>,
+}
+
+impl Judge {
+    pub fn acknowledged(&mut self, now: Micros, version: ConfigVersion) {
+        self.acknowledged.push((now, version));
+    }
+
+    pub fn acknowledgements(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    /// What must hold at every moment.
+    pub fn check(&mut self, now: Micros, cores: &[CoreNode], proxies: &[ProxyNode]) -> Result<(), String> {
+        let running: Vec<&ProxyNode> = proxies.iter().filter(|proxy| proxy.process.up).collect();
+        for proxy in &running {
+            self.check_keys(now, proxy)?;
+            self.check_going_back(proxy)?;
+            self.check_contents(&proxy.name, proxy.view.followed().catalog())?;
+        }
+        for core in cores.iter().filter(|core| core.process.up) {
+            self.check_contents(&core.member.name, core.workers.catalog())?;
+        }
+        check_parts(now, &running)
+    }
+
+    /// No proxy believes keys by a configuration that is too old, in touch or not.
+    fn check_keys(&self, now: Micros, proxy: &ProxyNode) -> Result<(), String> {
+        if proxy.process.is_frozen(now) || !proxy.view.keys_hold(proxy.clock(now)) {
+            return Ok(());
+        }
+        let binding = self.acknowledged.iter().filter(|(at, _)| *at + REVOKE <= now);
+        let newest = binding.map(|(_, version)| *version).max();
+        let held = proxy.view.config_version();
+        if held < newest {
+            return Err(format!("{} believes keys of {held:?}; {newest:?} binds", proxy.name));
+        }
+        Ok(())
+    }
+
+    fn check_going_back(&mut self, proxy: &ProxyNode) -> Result<(), String> {
+        let held = proxy.view.config_version();
+        let now_in_force = (proxy.process.life, held);
+        let before = self.in_force.insert(proxy.name.clone(), now_in_force);
+        match before {
+            Some((life, version)) if life == proxy.process.life && held < version => {
+                Err(format!("{} went back from {version:?} to {held:?}", proxy.name))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// One version of a service's workers is one list, wherever it is held.
+    fn check_contents(&mut self, node: &CompactString, catalog: &Catalog) -> Result<(), String> {
+        for name in catalog.names() {
+            let Some(list) = catalog.service(name) else { continue };
+            let content: Vec<(CompactString, bool)> =
+                list.workers().map(|worker| (worker.record.id.clone(), worker.record.draining)).collect();
+            let key = (name.clone(), list.version());
+            let first = self.contents.entry(key).or_insert_with(|| content.clone());
+            if *first != content {
+                let version = list.version();
+                return Err(format!("{node} has {content:?} of {name} as {version:?}, others {first:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// What must hold once faults have been over for long.
+    pub fn check_end(
+        &self,
+        now: Micros,
+        cores: &[CoreNode],
+        proxies: &[ProxyNode],
+        platform: &Platform,
+    ) -> Result<(), String> {
+        let newest = self.acknowledged.iter().map(|(_, version)| *version).max();
+        for core in cores {
+            let held = core.replica.state().config.as_ref().map(|config| config.version);
+            if held < newest {
+                return Err(format!("{} has {held:?}; {newest:?} was acknowledged", core.member.name));
+            }
+            if core.replica.recovering() {
+                return Err(format!("{} never speaks again", core.member.name));
+            }
+        }
+        let readers: Vec<&CoreNode> = cores.iter().filter(|core| core.duty.fence().is_some()).collect();
+        if readers.len() != 1 {
+            return Err(format!("{} registries read the list", readers.len()));
+        }
+        let mut shares = 0.0;
+        for proxy in proxies {
+            self.check_proxy_at_end(now, proxy, newest, platform)?;
+            shares += proxy.view.part().share(proxy.clock(now));
+        }
+        if shares < 1.0 - 1e-6 {
+            return Err(format!("parts of {shares} in sum are held, with nothing in the way"));
+        }
+        Ok(())
+    }
+
+    fn check_proxy_at_end(
+        &self,
+        now: Micros,
+        proxy: &ProxyNode,
+        newest: Option<ConfigVersion>,
+        platform: &Platform,
+    ) -> Result<(), String> {
+        let name = &proxy.name;
+        if proxy.view.config_version() < newest {
+            return Err(format!(
+                "{name} has {:?} in force; {newest:?} was acknowledged",
+                proxy.view.config_version()
+            ));
+        }
+        if !proxy.view.keys_hold(proxy.clock(now)) {
+            return Err(format!("{name} believes no key, with nothing in the way"));
+        }
+        let workers = proxy.view.followed().catalog().workers();
+        let mut held: Vec<(CompactString, bool)> =
+            workers.map(|worker| (worker.record.id.clone(), worker.record.draining)).collect();
+        held.sort();
+        if held != platform.truth() {
+            return Err(format!("{name} has the workers {held:?}, the platform {:?}", platform.truth()));
+        }
+        Ok(())
+    }
+}
+
+/// Parts of what is common never come to more than the whole.
+fn check_parts(now: Micros, running: &[&ProxyNode]) -> Result<(), String> {
+    if now < FAULTS_FROM {
+        return Ok(());
+    }
+    let shares: Vec<(&CompactString, f64)> =
+        running.iter().map(|proxy| (&proxy.name, proxy.view.part().share(proxy.clock(now)))).collect();
+    let sum: f64 = shares.iter().map(|(_, share)| share).sum();
+    if sum > 1.0 + ROUNDING {
+        return Err(format!("parts come to {sum}: {shares:?}"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/control-sim/src/main.rs
@@ -0,0 +1,99 @@
+//! `hingestage-control-sim`: plays seeds of the control plane.
+#![forbid(unsafe_code)]
+
+use hingestage_control_sim::{play, play_and_tell, Broken, Defect, Played};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+xflags::xflags! {
+    /// Plays the control plane on a virtual clock, under faults drawn from seeds.
+    ///
+    /// Exit codes: 0 no rule broken, 1 one was, 2 bad usage.
+    cmd hingestage-control-sim {
+        /// The first seed; 0 where it is left out.
+        optional --from seed: u64
+        /// How many seeds; 100 where it is left out.
+        optional --seeds count: u64
+        /// A fault to plant, by its name.
+        optional --defect name: Defect
+        /// Tell what happens in the first seed, and play no other.
+        optional --history
+        /// Threads; all cores where it is left out.
+        optional --jobs count: usize
+    }
+}
+
+/// Broken seeds that are told of.
+const TOLD_MAX: usize = 10;
+
+fn main() -> ExitCode {
+    let flags = match HingestageControlSim::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => return help(&error.to_string()),
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    let from = flags.from.unwrap_or_default();
+    if flags.history {
+        return tell_history(from, flags.defect);
+    }
+    let until = from.saturating_add(flags.seeds.unwrap_or(100));
+    let jobs = flags.jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, usize::from));
+    let (played, broken) = play_all(from, until, flags.defect, jobs.max(1));
+    for broken in broken.iter().take(TOLD_MAX) {
+        println!("{broken}");
+    }
+    let events: u64 = played.iter().map(|played| played.events).sum();
+    let acknowledged: usize = played.iter().map(|played| played.acknowledged).sum();
+    let digest = played.iter().fold(0, |sum, played| sum ^ played.digest);
+    println!(
+        "{} seeds, {} broken; {events} events, {acknowledged} configurations acknowledged",
+        until - from,
+        broken.len()
+    );
+    println!("digest {digest:016x}");
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
+
+fn help(text: &str) -> ExitCode {
+    println!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn tell_history(seed: u64, defect: Option<Defect>) -> ExitCode {
+    let result = play_and_tell(seed, defect, |at, what| println!("{:>10.3} s  {what}", at as f64 / 1e6));
+    match result {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(broken) => {
+            println!("{broken}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn play_all(from: u64, until: u64, defect: Option<Defect>, jobs: usize) -> (Vec<Played>, Vec<Broken>) {
+    let next = AtomicU64::new(from);
+    let results = Mutex::new((Vec::new(), Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..jobs {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= until {
+                    return;
+                }
+                let result = play(seed, defect);
+                let mut results = results.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+                match result {
+                    Ok(played) => results.0.push(played),
+                    Err(broken) => results.1.push(broken),
+                }
+            });
+        }
+    });
+    let (played, mut broken) = results.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner());
+    broken.sort_by_key(|broken| broken.seed);
+    (played, broken)
+}
--- /dev/null
+++ b/crates/control-sim/src/proxy_node.rs
@@ -0,0 +1,184 @@
+//! A proxy: what it knows, without its sockets and its requests.
+
+use crate::message::{Envelope, Message, NodeId};
+use crate::process::Process;
+use crate::{Defect, Micros, MILLI, SECOND};
+use compact_str::{format_compact, CompactString};
+use fastrand::Rng;
+use hingestage_discovery::{Home, Homes, PeerProxy};
+use hingestage_proxy::view::{Spans, View};
+use hingestage_rpc::messages::{ProcessId, ProxyStatus, Watched};
+use hingestage_rpc::workers::ServiceHave;
+
+/// Ticks between watches, questions to homes, and questions about what homes are late with.
+const WATCH_TICKS: u64 = 4;
+const FOLLOW_TICKS: u64 = 3;
+const LATE_TICKS: u64 = 2;
+/// How long a home may take with news that a registry has told of.
+const HOME_PATIENCE: Micros = 200 * MILLI;
+/// For how long a home that was late is none.
+const HOME_SILENT: Micros = 3 * SECOND;
+/// How long an answer about workers is awaited.
+const SERVICES_WITHIN: Micros = 400 * MILLI;
+/// What a proxy goes by.
+const SPANS: Spans = Spans {
+    return_after: 2_500 * MILLI,
+    cold_margin: 300 * MILLI,
+    key_lease: Some(4_500 * MILLI),
+    part_lease: 11 * SECOND,
+};
+
+/// A proxy.
+pub(crate) struct ProxyNode {
+    pub process: Process,
+    pub name: CompactString,
+    zone: CompactString,
+    number: NodeId,
+    cores: usize,
+    defect: Option<Defect>,
+    pub view: View,
+    homes: Homes,
+    ticks: u64,
+}
+
+impl ProxyNode {
+    /// A proxy that has not started.
+    pub fn new(number: NodeId, cores: usize, zone: &str, defect: Option<Defect>) -> ProxyNode {
+        let name = format_compact!("edge-{number}");
+        ProxyNode {
+            process: Process::default(),
+            homes: Homes::new(&name),
+            name,
+            zone: zone.into(),
+            number,
+            cores,
+            defect,
+            view: View::new(SPANS),
+            ticks: 0,
+        }
+    }
+
+    pub fn start(&mut self, now: Micros) {
+        self.process.start(now);
+        if self.defect != Some(Defect::PartKeptOverRestart) {
+            self.view = View::new(SPANS);
+        }
+        self.homes = Homes::new(&self.name);
+    }
+
+    /// The clock that it goes by.
+    pub fn clock(&self, now: Micros) -> Micros {
+        let steady = self.process.clock(now);
+        if self.defect == Some(Defect::WallClock) {
+            steady + self.process.wall_ahead
+        } else {
+            steady
+        }
+    }
+
+    /// A moment has passed.
+    pub fn tick(&mut self, now: Micros, random: &mut Rng) -> Vec<Envelope> {
+        let clock = self.clock(now);
+        self.ticks += 1;
+        let mut sent = Vec::new();
+        if self.ticks.is_multiple_of(WATCH_TICKS) {
+            for core in 0..self.cores {
+                let (status, have) = (self.status(), self.view.have());
+                sent.push(self.envelope(core, Message::Watch { asked_at: clock, status, have }));
+            }
+        }
+        if self.ticks.is_multiple_of(FOLLOW_TICKS) {
+            self.ask_homes(clock, &mut sent);
+        }
+        if self.ticks.is_multiple_of(LATE_TICKS) {
+            let until = clock + SERVICES_WITHIN;
+            let late = self.view.followed_mut().ask(clock, until, |_, waited| waited >= HOME_PATIENCE);
+            for have in &late {
+                if let Home::Peer(peer) = self.homes.home(clock, &have.service) {
+                    self.homes.silent(&peer.name, clock + HOME_SILENT);
+                }
+            }
+            if !late.is_empty() {
+                let core = random.usize(..self.cores);
+                sent.push(self.envelope(core, Message::FetchServices(late)));
+            }
+        }
+        sent
+    }
+
+    fn ask_homes(&self, clock: Micros, sent: &mut Vec<Envelope>) {
+        for peer in self.homes.peers() {
+            let followed = self.view.followed();
+            let names = followed.names().filter(|name| self.homes.is_home(clock, name, &peer.name));
+            let have: Vec<ServiceHave> = names.map(|name| followed.have(name)).collect();
+            if !have.is_empty() {
+                sent.push(self.envelope(peer.addr.port().into(), Message::FetchServices(have)));
+            }
+        }
+    }
+
+    fn envelope(&self, to: NodeId, message: Message) -> Envelope {
+        Envelope { from: self.number, to, to_life: None, from_life: self.process.life, message }
+    }
+
+    fn status(&self) -> ProxyStatus {
+        ProxyStatus {
+            id: ProcessId { node: self.name.clone(), incarnation: self.process.life.into() },
+            zone: self.zone.clone(),
+            region: "r".into(),
+            http: ([10, 1, 0, 0], 80).into(),
+            // The port tells the machine.
+            peer: ([10, 1, 0, 0], self.number as u16).into(),
+            ready: self.view.can_serve(),
+        }
+    }
+
+    /// A message has come.
+    pub fn deliver(&mut self, now: Micros, envelope: Envelope) -> Vec<Envelope> {
+        let clock = self.clock(now);
+        match envelope.message {
+            Message::Watched { asked_at, news } => {
+                let asked_at = if self.defect == Some(Defect::LeaseFromReceipt) { clock } else { asked_at };
+                self.take(clock, envelope.from, asked_at, *news)
+            }
+            Message::Config(document) => {
+                self.view.take_config(&document);
+                Vec::new()
+            }
+            Message::Services(updates) => {
+                self.view.followed_mut().take(clock, updates);
+                Vec::new()
+            }
+            Message::FetchServices(have) => {
+                let updates = self.view.followed().catalog().news(clock, &have);
+                let answer = self.envelope(envelope.from, Message::Services(updates));
+                vec![Envelope { to_life: Some(envelope.from_life), ..answer }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn take(&mut self, clock: Micros, from: NodeId, asked_at: Micros, news: Watched) -> Vec<Envelope> {
+        let mut sent = Vec::new();
+        if let Some(peers) = news.directory {
+            let of_zone = peers.iter().filter(|peer| peer.zone == self.zone);
+            let living = of_zone.map(|peer| PeerProxy { name: peer.id.node.clone(), addr: peer.peer });
+            self.homes.take(living);
+            self.view.take_peers(peers);
+        }
+        self.view.take_drains(clock, &news.have.drains);
+        self.view.followed_mut().told(clock, &news.services);
+        let (homes, until) = (&self.homes, clock + SERVICES_WITHIN);
+        let due = |name: &CompactString, _| homes.home(clock, name) == Home::Me;
+        let asked = self.view.followed_mut().ask(clock, until, due);
+        if !asked.is_empty() {
+            sent.push(self.envelope(from, Message::FetchServices(asked)));
+        }
+        if news.have.config > self.view.config_version() {
+            sent.push(self.envelope(from, Message::FetchConfig));
+        }
+        self.view.take_freshness(asked_at, news.fresh_age, news.have.config);
+        self.view.take_members(news.members, news.settled);
+        sent
+    }
+}
--- /dev/null
+++ b/crates/control-sim/src/world.rs
@@ -0,0 +1,431 @@
+//! The run: events in the order of a virtual clock.
+
+use crate::core_node::CoreNode;
+use crate::faults::{self, Direction, Fault, Size, FAULTS_UNTIL};
+use crate::judge::{Broken, Judge};
+use crate::message::{Envelope, NodeId};
+use crate::platform::Platform;
+use crate::process::Process;
+use crate::proxy_node::ProxyNode;
+use crate::{Defect, Micros, MILLI, SECOND};
+use fastrand::Rng;
+use hingestage_replication::digest;
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+const TICK: Micros = 100 * MILLI;
+const CHECK_PERIOD: Micros = 50 * MILLI;
+/// From then on nothing is in the way.
+const HEALED: Micros = FAULTS_UNTIL + 3 * SECOND;
+/// From then on operator and platform change nothing.
+pub(crate) const QUIET: Micros = FAULTS_UNTIL + 5 * SECOND;
+const END: Micros = QUIET + 30 * SECOND;
+/// How long all core machines have to be whole before a disk may be lost.
+const SYNC_TIME: Micros = 4 * SECOND;
+/// What the time of day is ahead of at the start, so that it can go back.
+const WALL_AHEAD: Micros = 9 * SECOND;
+/// Machines start within so much of each other.
+const START_WITHIN: Micros = 300 * MILLI;
+/// One change in so many is made by two operators at once.
+const RACE_ONCE_IN: u32 = 6;
+
+enum Event {
+    Deliver(Envelope),
+    Tick(NodeId, u32),
+    Start(NodeId),
+    Fault(Fault),
+    Operator,
+    Platform,
+    Check,
+}
+
+struct Queued {
+    at: Micros,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Links that carry nothing.
+struct Cut {
+    from: Vec<NodeId>,
+    to: Vec<NodeId>,
+    until: Micros,
+}
+
+/// How a run went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Played {
+    /// Events.
+    pub events: u64,
+    /// Acknowledged configurations.
+    pub acknowledged: usize,
+    /// A digest of the run: the same for the same seed.
+    pub digest: u64,
+}
+
+struct World {
+    now: Micros,
+    random: Rng,
+    size: Size,
+    queue: BinaryHeap<Reverse<Queued>>,
+    queued: u64,
+    cores: Vec<CoreNode>,
+    proxies: Vec<ProxyNode>,
+    zones: Vec<usize>,
+    cuts: Vec<Cut>,
+    platform: Platform,
+    judge: Judge,
+    serial: u64,
+    /// Since when all core machines have been whole.
+    whole_since: Micros,
+    /// What happens at the next acknowledgement.
+    after_ack: Option<(bool, Micros)>,
+    events: u64,
+    digest: u64,
+    tell: Tell,
+}
+
+/// Tells of what happens, and when.
+type Tell = Box<dyn Fn(Micros, &str)>;
+
+/// Plays a seed.
+///
+/// # Errors
+/// The first rule that was broken.
+pub fn play(seed: u64, defect: Option<Defect>) -> Result<Played, Broken> {
+    play_and_tell(seed, defect, |_, _| {})
+}
+
+/// Plays a seed, and tells of faults, starts and acknowledgements as they happen.
+///
+/// # Errors
+/// The first rule that was broken.
+pub fn play_and_tell(
+    seed: u64,
+    defect: Option<Defect>,
+    tell: impl Fn(Micros, &str) + 'static,
+) -> Result<Played, Broken> {
+    let mut world = World::new(seed, defect, Box::new(tell));
+    let result = world.run();
+    let played =
+        Played { events: world.events, acknowledged: world.judge.acknowledgements(), digest: world.digest };
+    result.map(|()| played).map_err(|what| Broken { seed, at: world.now, what })
+}
+
+impl World {
+    fn new(seed: u64, defect: Option<Defect>, tell: Tell) -> World {
+        let mut random = Rng::with_seed(seed);
+        // Two layouts: three core machines in two zones, and four in as many.
+        let core_zones: &[&str] = if random.bool() { &["a", "a", "b"] } else { &["a", "b", "c", "d"] };
+        let zones = 2 + random.usize(..3);
+        let size = Size {
+            cores: core_zones.len(),
+            proxies: 3 + random.usize(..5),
+            joining: random.usize(..3),
+            zones,
+        };
+        let names = ["a", "b", "c", "d"];
+        let cores = (0..size.cores).map(|number| CoreNode::new(number, core_zones, defect)).collect();
+        let proxies = (size.cores..size.nodes())
+            .map(|number| ProxyNode::new(number, size.cores, names[number % zones], defect))
+            .collect();
+        let zone_of_core = |zone: &&str| names.iter().position(|name| name == zone).unwrap_or_default();
+        let zones_of_cores = core_zones.iter().map(zone_of_core);
+        let zones_of_proxies = (size.cores..size.nodes()).map(|number| number % zones);
+        let mut world = World {
+            now: 0,
+            zones: zones_of_cores.chain(zones_of_proxies).collect(),
+            size,
+            queue: BinaryHeap::new(),
+            queued: 0,
+            cores,
+            proxies,
+            cuts: Vec::new(),
+            platform: Platform::new(),
+            judge: Judge::default(),
+            serial: 0,
+            whole_since: 0,
+            after_ack: None,
+            events: 0,
+            digest: 0,
+            tell,
+            random,
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        for core in 0..self.size.cores {
+            let at = self.random.u64(..TICK);
+            self.push(at, Event::Tick(core, self.cores[core].process.life));
+        }
+        for proxy in self.size.cores..self.size.cores + self.size.proxies {
+            let at = self.random.u64(..START_WITHIN);
+            self.push(at, Event::Start(proxy));
+        }
+        for node in 0..self.size.nodes() {
+            self.process_mut(node).wall_ahead = WALL_AHEAD;
+        }
+        for (at, fault) in faults::draw(&mut self.random, &self.size) {
+            self.push(at, Event::Fault(fault));
+        }
+        self.push(SECOND, Event::Operator);
+        self.push(2 * SECOND, Event::Platform);
+        self.push(0, Event::Check);
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        self.queued += 1;
+        self.queue.push(Reverse(Queued { at, number: self.queued, event }));
+    }
+
+    fn process(&self, node: NodeId) -> &Process {
+        match node.checked_sub(self.size.cores) {
+            Some(proxy) => &self.proxies[proxy].process,
+            None => &self.cores[node].process,
+        }
+    }
+
+    fn process_mut(&mut self, node: NodeId) -> &mut Process {
+        match node.checked_sub(self.size.cores) {
+            Some(proxy) => &mut self.proxies[proxy].process,
+            None => &mut self.cores[node].process,
+        }
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        while let Some(Reverse(next)) = self.queue.pop() {
+            if next.at > END {
+                break;
+            }
+            self.now = next.at;
+            self.events += 1;
+            self.digest = digest(&[self.digest, self.now, self.queued].map(u64::to_le_bytes).concat());
+            self.happen(next.event)?;
+        }
+        self.judge.check_end(self.now, &self.cores, &self.proxies, &self.platform)
+    }
+
+    fn happen(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Deliver(envelope) => self.deliver(envelope),
+            Event::Tick(node, life) => self.tick(node, life),
+            Event::Start(node) => self.start(node),
+            Event::Fault(fault) => self.strike(fault),
+            Event::Operator => self.operate(),
+            Event::Platform => self.change_platform(),
+            Event::Check => {
+                self.note_whole();
+                self.push(self.now + CHECK_PERIOD, Event::Check);
+                return self.judge.check(self.now, &self.cores, &self.proxies);
+            }
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        let process = *self.process(envelope.to);
+        if !process.up || envelope.to_life.is_some_and(|life| life != process.life) || self.is_cut(&envelope)
+        {
+            return;
+        }
+        if process.is_frozen(self.now) {
+            return self.push(process.frozen_until, Event::Deliver(envelope));
+        }
+        let sent = match envelope.to.checked_sub(self.size.cores) {
+            Some(proxy) => self.proxies[proxy].deliver(self.now, envelope),
+            None => self.cores[envelope.to].deliver(self.now, envelope),
+        };
+        self.send(sent);
+        self.note_acknowledged();
+    }
+
+    fn is_cut(&self, envelope: &Envelope) -> bool {
+        let cuts = self.cuts.iter().filter(|cut| self.now < cut.until);
+        cuts.into_iter().any(|cut| cut.from.contains(&envelope.from) && cut.to.contains(&envelope.to))
+    }
+
+    fn send(&mut self, sent: Vec<Envelope>) {
+        for envelope in sent {
+            if !self.is_cut(&envelope) {
+                let near = self.zones[envelope.from] == self.zones[envelope.to];
+                let delay = if near { MILLI..3 * MILLI } else { 2 * MILLI..60 * MILLI };
+                let at = self.now + self.random.u64(delay);
+                self.push(at, Event::Deliver(envelope));
+            }
+        }
+    }
+
+    fn tick(&mut self, node: NodeId, life: u32) {
+        let process = *self.process(node);
+        if !process.up || process.life != life {
+            return;
+        }
+        if process.is_frozen(self.now) {
+            return self.push(process.frozen_until, Event::Tick(node, life));
+        }
+        let sent = match node.checked_sub(self.size.cores) {
+            Some(proxy) => self.proxies[proxy].tick(self.now, &mut self.random),
+            None => self.cores[node].tick(self.now, &mut self.platform, &mut self.random),
+        };
+        self.send(sent);
+        self.push(self.now + TICK, Event::Tick(node, life));
+        self.note_acknowledged();
+    }
+
+    fn start(&mut self, node: NodeId) {
+        if self.process(node).up {
+            return;
+        }
+        match node.checked_sub(self.size.cores) {
+            Some(proxy) => self.proxies[proxy].start(self.now),
+            None => self.cores[node].start(self.now),
+        }
+        let life = self.process(node).life;
+        (self.tell)(self.now, &format!("machine {node} starts, life {life}"));
+        self.push(self.now + MILLI, Event::Tick(node, life));
+    }
+
+    fn note_whole(&mut self) {
+        let cut = self.cuts.iter().any(|cut| {
+            let core = |node: &NodeId| *node < self.size.cores;
+            self.now < cut.until && cut.from.iter().chain(&cut.to).any(core)
+        });
+        if cut || !self.cores.iter().all(|core| core.is_whole(self.now)) {
+            self.whole_since = self.now;
+        }
+    }
+
+    fn note_acknowledged(&mut self) {
+        for core in 0..self.size.cores {
+            if !self.cores[core].process.up || self.cores[core].process.is_frozen(self.now) {
+                continue;
+            }
+            for version in self.cores[core].acknowledged(self.now) {
+                (self.tell)(self.now, &format!("core-{core} acknowledges {:x}", version.serial));
+                self.judge.acknowledged(self.now, version);
+                if let Some((wipe, down)) = self.after_ack.take() {
+                    let wiped = wipe.then_some(core);
+                    self.lose_cores((0..self.size.cores).collect(), wiped, down);
+                }
+            }
+        }
+    }
+
+    /// Core machines lose power, and one of them its disk where that may be borne now.
+    fn lose_cores(&mut self, nodes: Vec<NodeId>, wiped: Option<NodeId>, down: Micros) {
+        let may_wipe = self.may_lose_disks();
+        self.lose_power(nodes, down);
+        if let Some(core) = wiped.filter(|_| may_wipe) {
+            self.cores[core].wipe();
+        }
+    }
+
+    fn may_lose_disks(&self) -> bool {
+        self.now >= self.whole_since + SYNC_TIME
+    }
+
+    fn lose_power(&mut self, nodes: Vec<NodeId>, down: Micros) {
+        for node in nodes {
+            if !self.process(node).up {
+                continue;
+            }
+            match node.checked_sub(self.size.cores) {
+                Some(proxy) => self.proxies[proxy].process.stop(),
+                None => self.cores[node].lose_power(self.now),
+            }
+            self.push((self.now + down).min(HEALED), Event::Start(node));
+        }
+        self.note_whole();
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        let (now, cores) = (self.now, self.size.cores);
+        (self.tell)(now, &format!("{fault:?}"));
+        match fault {
+            Fault::Power { nodes, down } => self.lose_power(nodes, down),
+            Fault::Wipe { core, all, down } => {
+                let nodes = if all { (0..cores).collect() } else { vec![core] };
+                self.lose_cores(nodes, Some(core), down);
+            }
+            Fault::WipeZone { zone, down } => self.wipe_zone(zone, down),
+            Fault::PowerAfterAck { wipe, down } => self.after_ack = Some((wipe, down)),
+            Fault::Freeze { node, lasts } => {
+                self.process_mut(node).frozen_until = (now + lasts).min(HEALED);
+            }
+            Fault::Cut { nodes, others, direction, lasts } => {
+                let until = (now + lasts).min(HEALED);
+                if direction != Direction::Inward {
+                    self.cuts.push(Cut { from: nodes.clone(), to: others.clone(), until });
+                }
+                if direction != Direction::Outward {
+                    self.cuts.push(Cut { from: others, to: nodes, until });
+                }
+                self.note_whole();
+            }
+            Fault::Clock { node, to } => self.process_mut(node).wall_ahead = to,
+            Fault::Join { proxy } => self.start(proxy),
+        }
+    }
+
+    fn wipe_zone(&mut self, zone: usize, down: Micros) {
+        let nodes: Vec<NodeId> = (0..self.size.cores).filter(|core| self.zones[*core] == zone).collect();
+        if self.may_lose_disks() {
+            self.lose_power(nodes.clone(), down);
+            nodes.into_iter().for_each(|core| self.cores[core].wipe());
+        }
+    }
+
+    fn operate(&mut self) {
+        self.serial += self.random.u64(1..4);
+        let races = self.random.u32(..RACE_ONCE_IN) == 0;
+        for content in 0..=u8::from(races) {
+            let core = self.random.usize(..self.size.cores);
+            let process = self.cores[core].process;
+            if process.up && !process.is_frozen(self.now) {
+                self.cores[core].propose(self.now, document(self.serial, content));
+            }
+        }
+        let next = self.now + self.random.u64(300 * MILLI..2 * SECOND);
+        if next < QUIET {
+            self.push(next, Event::Operator);
+        }
+    }
+
+    fn change_platform(&mut self) {
+        self.platform.change(self.now, &mut self.random);
+        let next = self.now + self.random.u64(200 * MILLI..3 * SECOND);
+        if next < QUIET {
+            self.push(next, Event::Platform);
+        }
+    }
+}
+
+fn document(serial: u64, content: u8) -> ConfigDocument {
+    let backend = format!(r#"{{"name":"service-{content}","health_path":"/h","max_conns":9}}"#);
+    let json = format!(r#"{{"serial":"{serial:08x}","routes":[],"backends":[{backend}],"limits":{{}}}}"#);
+    let json = json.into_bytes();
+    ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -4,9 +4,14 @@
 use crate::state::State;
 use crate::Micros;
 use compact_str::CompactString;
-use hingestage_rpc::messages::{Change, ConfigDocument, StoreMember, Summary, Update, ZoneDrain, ZoneDrains};
+use hingestage_rpc::messages::{
+    Change, ConfigDocument, StoreMember, StoreNews, Summary, Update, ZoneDrain, ZoneDrains,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Microseconds in a millisecond.
+const MILLI: Micros = 1_000;
+
 /// Periods by which a replica goes.
 #[derive(Clone, Copy, Debug)]
 pub struct Figures {
@@ -130,10 +135,15 @@
         self.recovering
     }
 
-    /// Turns a change into an update with its version.
+    /// Turns a change into an update with its version. A serial that is held already changes nothing, whatever
+    /// comes under it.
     pub fn update_for(&self, change: Change) -> Update {
         match change {
-            Change::Config(config) => Update::Config(config),
+            Change::Config(new) => {
+                let held = self.state.config.as_ref();
+                let newer = held.filter(|held| held.version.serial >= new.version.serial);
+                Update::Config(newer.cloned().unwrap_or(new))
+            }
             Change::Proxies(names) => Update::Proxies(names),
             Change::Drain { zone, drained } => {
                 let held = self.newest_drain(&zone);
@@ -327,6 +337,17 @@
         times.get(self.quorum().current() - 1).copied()
     }
 
+    /// What is in force, to be told to a registry that has some of it.
+    pub fn news(&mut self, now: Micros, have: &Summary) -> StoreNews {
+        self.refresh(now);
+        let mut summary = self.summary();
+        summary.config = self.in_force.as_ref().map(|config| config.version);
+        let config = self.in_force.as_ref().filter(|config| Some(config.version) > have.config).cloned();
+        let proxies = (summary.proxies != have.proxies).then(|| self.state.proxies.clone());
+        let fresh_age = self.current_as_of(now).map(|at| now.saturating_sub(at) / MILLI + 1);
+        StoreNews { summary, config, proxies, fresh_age }
+    }
+
     /// Whether so many replicas have been asked since a moment that nothing durable can be missing here.
     pub fn is_current_since(&self, now: Micros, since: Micros) -> bool {
         if self.recovering {
