--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -31,7 +31,7 @@
 const RACE_ONCE_IN: u32 = 6;
 
 enum Event {
-    Deliver(Envelope),
+    Deliver(Box<Envelope>),
     Tick(NodeId, u32),
     Start(NodeId),
     Fault(Fault),
@@ -230,7 +230,7 @@
 
     fn happen(&mut self, event: Event) -> Result<(), String> {
         match event {
-            Event::Deliver(envelope) => self.deliver(envelope),
+            Event::Deliver(envelope) => self.deliver(*envelope),
             Event::Tick(node, life) => self.tick(node, life),
             Event::Start(node) => self.start(node),
             Event::Fault(fault) => self.strike(fault),
@@ -252,7 +252,7 @@
             return;
         }
         if process.is_frozen(self.now) {
-            return self.push(process.frozen_until, Event::Deliver(envelope));
+            return self.push(process.frozen_until, Event::Deliver(Box::new(envelope)));
         }
         let sent = match envelope.to.checked_sub(self.size.cores) {
             Some(proxy) => self.proxies[proxy].deliver(self.now, envelope),
@@ -273,7 +273,7 @@
                 let near = self.zones[envelope.from] == self.zones[envelope.to];
                 let delay = if near { MILLI..3 * MILLI } else { 2 * MILLI..60 * MILLI };
                 let at = self.now + self.random.u64(delay);
-                self.push(at, Event::Deliver(envelope));
+                self.push(at, Event::Deliver(Box::new(envelope)));
             }
         }
     }
--- a/crates/rendezvous/src/lib.rs
+++ b/crates/rendezvous/src/lib.rs
@@ -45,7 +45,7 @@
         return members;
     }
     let mut weights: Vec<(u64, u64)> =
-        members.iter().map(|member| number(member)).map(|number| (weight(key, number), number)).collect();
+        members.iter().map(&number).map(|number| (weight(key, number), number)).collect();
     weights.sort_unstable_by(|one, other| other.cmp(one));
     let Some(least) = count.checked_sub(1).map(|last| weights[last]) else { return Vec::new() };
     members.into_iter().filter(|member| (weight(key, number(member)), number(member)) >= least).collect()
