--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -303,7 +303,7 @@
             rate_per_s: tenant.rate_per_s,
             burst: tenant.burst,
             slack,
-            open_cap: None,
+            open_cap: open_cap(tenant, routed.route.timeout),
             exempt: false,
         };
         let admission =
@@ -332,6 +332,19 @@
 /// Part of a quota's slack that is planned with; the rest is for error.
 const SLACK_USED: f64 = 0.85;
 
+/// How many times what a tenant within its quota can have open it may have, over all proxies, and the least cap. Each
+/// proxy holds a part of it by its share of recent counts, which lags: the cap is for requests that pile up.
+const OPEN_CAP_FACTOR: f64 = 4.0;
+const OPEN_CAP_LEAST: f64 = 256.0;
+
+/// Requests that a tenant may have open over all proxies: by its quota and the longest that a request lasts. None where
+/// the tenant has no quota.
+fn open_cap(tenant: &Tenant, timeout: Duration) -> Option<u32> {
+    let within_quota = tenant.rate_per_s * timeout.as_secs_f64() + tenant.burst;
+    let cap = (OPEN_CAP_FACTOR * within_quota).max(OPEN_CAP_LEAST);
+    (tenant.rate_per_s > 0.0).then_some(cap as u32)
+}
+
 /// What the buckets of all proxies may hold together beyond the burst. Each may hold one whole request, however
 /// small its part: where that comes to more than the burst and the slack, the slack is used up by it.
 fn slack(burst: f64, slack: f64, proxies: u32) -> f64 {
