Configurations travel packed, and as a change to the one that a proxy holds

Cause: on the deployments as grown, 1,240 routes come in one change: 300 KB to each of 63 proxies whose links carry 2 Mbit/s, again from other registries every 250 ms.

Change: the registry packs the newest configuration once for all who have the same one, as pieces of it where that is among the last eight, else whole (deflate). How long a fetch may take goes by the packed bytes and the proxy's link (`limits.net_mbps`, read now). Above 16 KB nothing is passed on by homes: their links are as narrow. The receiver checks the digest; a change that leads elsewhere is followed by the whole.

--- a/crates/capacity/src/configuration.rs
+++ b/crates/capacity/src/configuration.rs
@@ -1,14 +1,15 @@
 //! A configuration: its bytes, its reading, its tables, a lookup, its file.
 
 use crate::fixtures::{self, DocumentSize};
-use crate::measure::{resident, seconds_each, Report, RUNS};
+use crate::measure::{resident, seconds_each, thread_cpu, Report, RUNS};
 use crate::servers::TemporaryDir;
 use eyre::Result;
 use hingestage_config_store::files::Files;
 use hingestage_configuration::{Configuration, KeyTable, RouteTable};
+use hingestage_registry::transfers::Transfers;
 use hingestage_replication::State;
 use hingestage_rpc::encoded;
-use hingestage_rpc::messages::{ConfigDocument, RegistryAnswer, Update};
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, RegistryAnswer, Update};
 use std::hint::black_box;
 use std::time::Instant;
 
@@ -23,24 +24,39 @@
     let report = Report::new("configuration", &name);
     let document = fixtures::document(SERIAL, size);
     report.bytes("JSON", document.json.len() as u64);
-    let message = RegistryAnswer::Config(Some(document.clone()));
-    report.bytes("rpc message", encoded(&message).len() as u64);
-    drop(message);
+    measure_transfers(&report, size, &document);
     measure_tables(&report, size, &document)?;
     let calls = (LOOKUPS / routes).clamp(1, 100);
     let parse = || {
         black_box(Configuration::parse(&document.json).is_ok());
     };
     report.seconds("Configuration::parse", seconds_each(calls, parse));
-    report.seconds(
-        "rpc encoding at the registry",
-        seconds_each(calls, || {
-            black_box(encoded(&RegistryAnswer::Config(Some(document.clone()))));
-        }),
-    );
     measure_file(&report, document)
 }
 
+/// The document on its way to a proxy: whole, and as the change to one with another serial.
+fn measure_transfers(report: &Report, size: DocumentSize, document: &ConfigDocument) {
+    let mut transfers = Transfers::default();
+    let mut measure = |newest: ConfigDocument, have: Option<ConfigVersion>, what: &str| {
+        transfers.add(newest);
+        let started = thread_cpu();
+        let Some(transfer) = transfers.newest_for(have).cloned() else { return };
+        report.seconds(&format!("packing, {what}"), (thread_cpu() - started).as_secs_f64());
+        let unpack = || {
+            black_box(transfer.unpack(Some(document)).is_some());
+        };
+        report.seconds(&format!("unpacking, {what}"), seconds_each(1, unpack));
+        let message = RegistryAnswer::Config(Some(transfer.clone()));
+        report.bytes(&format!("rpc message, {what}"), encoded(&message).len() as u64);
+        let encode = || {
+            black_box(encoded(&message));
+        };
+        report.seconds(&format!("rpc encoding, {what}"), seconds_each(1, encode));
+    };
+    measure(document.clone(), None, "whole");
+    measure(fixtures::document(SERIAL + 1, size), Some(document.version), "a change");
+}
+
 fn measure_tables(report: &Report, size: DocumentSize, document: &ConfigDocument) -> Result<()> {
     let before = resident();
     let configuration = Configuration::parse(&document.json)?;
--- a/crates/capacity/src/heartbeats.rs
+++ b/crates/capacity/src/heartbeats.rs
@@ -230,7 +230,8 @@
         }
         if news.have.config > have.config {
             if let Some(RegistryAnswer::Config(Some(document))) =
-                call(registry, &RegistryRequest::FetchConfig, ANSWER_WITHIN, counts).await
+                call(registry, &RegistryRequest::FetchConfig { have: have.config }, ANSWER_WITHIN, counts)
+                    .await
             {
                 have.config = Some(document.version);
                 self.config.set(Some((document.version, Instant::now())));
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Configuration::parse`] reads a JSON document and refuses one that is [`Invalid`]. [`RouteTable`] and
 //! [`KeyTable`] answer, for each request, which route and which tenant it belongs to. [`diff`] and
-//! [`merge`] compare configurations and join changes by entry and field. The crate does no I/O.
+//! [`merge`] compare configurations and join changes by entry and field; [`transfer`] packs documents for their way to
+//! the gateways. The crate does no I/O.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -16,6 +17,7 @@
 mod rules;
 mod serial;
 mod text;
+pub mod transfer;
 
 pub use diff::{diff, Change, Difference};
 pub use invalid::{Entry, Invalid, Rule};
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -106,11 +106,15 @@
     #[garde(range(min = 64))]
     #[serde(default = "default_descriptors")]
     pub max_fds: usize,
+    /// What the machine's link carries, Mbit/s.
+    #[garde(range(min = 0.01))]
+    #[serde(default = "default_link")]
+    pub net_mbps: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { mem_mb: default_memory(), max_fds: default_descriptors() }
+        Limits { mem_mb: default_memory(), max_fds: default_descriptors(), net_mbps: default_link() }
     }
 }
 
@@ -304,6 +308,10 @@
     256
 }
 
+fn default_link() -> f64 {
+    100.0
+}
+
 fn default_descriptors() -> usize {
     1_024
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -34,8 +34,12 @@
 const CONFIG_WITHIN: Duration = Duration::from_millis(1_200);
 /// How long another registry is not asked for the same one, besides its transfer: the first may have died.
 const CONFIG_HEDGE: Duration = Duration::from_millis(250);
-/// Bytes a second that a transfer is taken to make.
-const CONFIG_BYTES_PER_SECOND: f64 = 2e6;
+/// Part of its link that a proxy takes a transfer to get.
+const LINK_SHARE: f64 = 0.25;
+/// The longest configuration that is passed on within a zone, bytes: links of proxies are narrow.
+const PASSED_ON_MAX: u64 = 16 << 10;
+/// Bytes in a million bits.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Pause after a call that failed.
 const CALL_PAUSE: Duration = Duration::from_millis(100);
 /// Period at which the settings file is read again for other seeds.
@@ -103,13 +107,14 @@
         spawn_local(fetch_services(proxy.clone(), registry.clone()));
     }
     if let Some(version) = news.have.config.filter(|version| is_newer(proxy, *version)) {
-        let transfer = Duration::from_secs_f64(news.config_bytes as f64 / CONFIG_BYTES_PER_SECOND);
+        let transfer = transfer_time(proxy, news.config_bytes);
         let time = HOME_PATIENCE + CONFIG_HEDGE + transfer;
         let under_way = proxy.fetching_config.begin(version, proxy.now(), time);
         match under_way {
             // A large document takes its time: heartbeats go on meanwhile.
             Ok(()) => {
-                spawn_local(fetch_config(proxy.clone(), registry.clone(), version, transfer));
+                let passed_on = news.config_bytes <= PASSED_ON_MAX;
+                spawn_local(fetch_config(proxy.clone(), registry.clone(), version, transfer, passed_on));
             }
             Err(left) => tokio::time::sleep(left.min(CONFIG_HEDGE)).await,
         }
@@ -161,12 +166,32 @@
 }
 
 /// Gets a configuration from its home in this zone, or where that is late from a registry.
-async fn fetch_config(proxy: Rc<Proxy>, registry: Rc<Registry>, version: ConfigVersion, transfer: Duration) {
-    if proxy.relay.follow_config(&proxy, version, HOME_PATIENCE + transfer).await {
+async fn fetch_config(
+    proxy: Rc<Proxy>,
+    registry: Rc<Registry>,
+    version: ConfigVersion,
+    transfer: Duration,
+    passed_on: bool,
+) {
+    if passed_on && proxy.relay.follow_config(&proxy, version, HOME_PATIENCE + transfer).await {
         return;
     }
-    let answer = registry.call(&RegistryRequest::FetchConfig, CONFIG_WITHIN + transfer).await;
-    if let Ok(RegistryAnswer::Config(Some(document))) = answer {
-        proxy.take_config(document);
+    let have = proxy.view.borrow().config_version();
+    // Where a change doesn't lead to the version that it is for, the whole does.
+    for have in [have, None] {
+        let request = RegistryRequest::FetchConfig { have };
+        match registry.call(&request, CONFIG_WITHIN + transfer).await {
+            Ok(RegistryAnswer::Config(Some(transfer))) => proxy.take_config(transfer),
+            _ => return,
+        }
+        if !is_newer(&proxy, version) {
+            return;
+        }
     }
 }
+
+/// How long so many bytes may take on this proxy's link, beside its requests.
+fn transfer_time(proxy: &Proxy, bytes: u64) -> Duration {
+    let bytes_per_second = proxy.settings.limits.net_mbps * BYTES_PER_MEGABIT * LINK_SHARE;
+    Duration::from_secs_f64(bytes as f64 / bytes_per_second)
+}
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -25,8 +25,8 @@
             ProxyRequest::FollowServices { have, wait } => {
                 ProxyAnswer::Services(self.services_for(have, Duration::from_millis(wait)).await)
             }
-            ProxyRequest::FollowConfig { version, wait } => {
-                ProxyAnswer::Config(self.config_for(version, Duration::from_millis(wait)).await)
+            ProxyRequest::FollowConfig { version, have, wait } => {
+                ProxyAnswer::Config(self.config_for(version, have, Duration::from_millis(wait)).await)
             }
             ProxyRequest::Explain { id_or_tenant } => {
                 ProxyAnswer::Explained(self.requests.explain(self.now(), &id_or_tenant))
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::server::Proxy;
 use hingestage_discovery::{neighbors, Home, Homes, PeerProxy};
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProxyStatus};
+use hingestage_rpc::messages::{ConfigTransfer, ConfigVersion, ProxyStatus};
 use hingestage_rpc::status::{ProxyAnswer, ProxyRequest};
 use hingestage_rpc::workers::{ServiceHave, ServiceUpdate};
 use hingestage_rpc::Client;
@@ -31,8 +31,8 @@
 pub(crate) struct Relay {
     homes: RefCell<Homes>,
     clients: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
-    /// The configuration in force, while this proxy is its home.
-    document: RefCell<Option<Rc<ConfigDocument>>>,
+    /// The configuration in force as it came, while this proxy is its home.
+    config: RefCell<Option<ConfigTransfer>>,
     /// Told when the proxies of the zone, or the services to follow, are others.
     follows_others: Notify,
     /// Told when there is news for those that follow this proxy.
@@ -44,7 +44,7 @@
         Relay {
             homes: RefCell::new(Homes::new(me)),
             clients: RefCell::default(),
-            document: RefCell::default(),
+            config: RefCell::default(),
             follows_others: Notify::new(),
             news: Notify::new(),
         }
@@ -93,9 +93,9 @@
     }
 
     /// Keeps the configuration for the others of the zone, where this proxy is its home.
-    pub(crate) fn pass_config_on(&self, now: Micros, document: ConfigDocument) {
+    pub(crate) fn pass_config_on(&self, now: Micros, transfer: ConfigTransfer) {
         let is_home = self.home(now, CONFIGURATION) == Home::Me;
-        *self.document.borrow_mut() = is_home.then(|| Rc::new(document));
+        *self.config.borrow_mut() = Some(transfer).filter(|_| is_home);
         self.news.notify_waiters();
     }
 
@@ -111,13 +111,14 @@
         within: Duration,
     ) -> bool {
         let Home::Peer(home) = self.home(proxy.now(), CONFIGURATION) else { return false };
-        let request = ProxyRequest::FollowConfig { version, wait: within.as_millis() as u64 };
+        let have = proxy.view.borrow().config_version();
+        let request = ProxyRequest::FollowConfig { version, have, wait: within.as_millis() as u64 };
         match self.client(home.addr).call(&request, within).await {
-            Ok(ProxyAnswer::Config(Some(document))) => {
-                proxy.take_config(document);
-                true
+            Ok(ProxyAnswer::Config(Some(transfer))) => {
+                proxy.take_config(transfer);
+                proxy.view.borrow().config_version() >= Some(version)
             }
-            // It knows of another home.
+            // It knows of another home, or has a change to another version.
             Ok(_) => false,
             Err(_) => {
                 self.silent(proxy.now(), &home);
@@ -194,15 +195,20 @@
         }
     }
 
-    /// A configuration for another proxy, once this one has it. None where the wait is over, or this proxy keeps
-    /// no document as it is not the home.
-    pub(crate) async fn config_for(&self, version: ConfigVersion, wait: Duration) -> Option<ConfigDocument> {
+    /// A configuration for another proxy, once this one has it. None where the wait is over, this proxy is not the
+    /// home, or what it has is a change to another version than the asker's.
+    pub(crate) async fn config_for(
+        &self,
+        version: ConfigVersion,
+        have: Option<ConfigVersion>,
+        wait: Duration,
+    ) -> Option<ConfigTransfer> {
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.relay.news.notified();
-            let document = self.relay.document.borrow().clone();
-            if let Some(document) = document.filter(|document| document.version >= version) {
-                return Some((*document).clone());
+            let config = self.relay.config.borrow().clone();
+            if let Some(config) = config.filter(|config| config.version >= version) {
+                return Some(config).filter(|config| config.base.is_none() || config.base == have);
             }
             let in_force = self.view.borrow().config_version() >= Some(version);
             let is_home = self.relay.home(self.now(), CONFIGURATION) == Home::Me;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -16,7 +16,9 @@
 use hingestage_platform::Tokio;
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
 use hingestage_replication::Micros;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress};
+use hingestage_rpc::messages::{
+    ConfigDocument, ConfigTransfer, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress,
+};
 use hingestage_rpc::serve as serve_calls;
 use hingestage_rpc::workers::ServiceUpdate;
 use std::cell::{Cell, RefCell};
@@ -103,6 +105,8 @@
     pub(crate) registries_changed: Notify,
     pub(crate) fetching_config: Fetching<ConfigVersion>,
     pub(crate) relay: Relay,
+    /// The configuration in force as it was sent: changes are made to it.
+    document: RefCell<Option<ConfigDocument>>,
     id: ProcessId,
     http: SocketAddr,
     started: Instant,
@@ -202,6 +206,7 @@
             registries_changed: Notify::new(),
             fetching_config: Fetching::default(),
             relay: Relay::new(&settings.node),
+            document: RefCell::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
             started,
@@ -260,7 +265,14 @@
         self.view.borrow_mut().take_peers(peers);
     }
 
-    pub(crate) fn take_config(&self, document: ConfigDocument) {
+    /// Takes in a configuration. One that is a change to another than the one held, or that came out wrong, is
+    /// fetched again: the next question says what is held.
+    pub(crate) fn take_config(&self, transfer: ConfigTransfer) {
+        let document = transfer.unpack(self.document.borrow().as_ref());
+        let Some(document) = document else {
+            log::warn!("configuration {:08x} can't be unpacked", transfer.version.serial);
+            return;
+        };
         if !self.view.borrow_mut().take_config(&document) {
             return;
         }
@@ -269,7 +281,8 @@
             let backends = &active.configuration.backends;
             self.services.keep_only(|name| backends.iter().any(|backend| backend.name == name));
         }
-        self.relay.pass_config_on(self.now(), document);
+        *self.document.borrow_mut() = Some(document);
+        self.relay.pass_config_on(self.now(), transfer);
     }
 
     /// Takes in news of services' workers.
--- a/crates/proxy/tests/operator_calls.rs
+++ b/crates/proxy/tests/operator_calls.rs
@@ -1,11 +1,12 @@
 //! What a running proxy tells operators, over sockets on loopback, beside a registry that is played by the test.
 
+use hingestage_configuration::transfer::pack;
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
 use hingestage_proxy::server;
 use hingestage_replication::digest;
 use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, ZoneDrain,
+    ConfigDocument, ConfigTransfer, ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, ZoneDrain,
 };
 use hingestage_rpc::status::{
     AttemptOutcome, Explanation, KeyLease, ProxyAnswer, ProxyRequest, ProxyState, RequestOutcome, WorkerGroup,
@@ -37,6 +38,11 @@
 }
 
 impl Registry {
+    fn transfer() -> ConfigTransfer {
+        let document = Self::document();
+        ConfigTransfer { version: document.version, base: None, packed: pack(&document.json) }
+    }
+
     fn document() -> ConfigDocument {
         let json = DOCUMENT.as_bytes().to_vec();
         ConfigDocument { version: ConfigVersion { serial: 0x2a, digest: digest(&json) }, json }
@@ -61,7 +67,7 @@
 
     async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
         match request {
-            RegistryRequest::FetchConfig => RegistryAnswer::Config(Some(Self::document())),
+            RegistryRequest::FetchConfig { .. } => RegistryAnswer::Config(Some(Self::transfer())),
             RegistryRequest::FetchServices(_) => {
                 let news = ServiceNews::Snapshot(vec![self.worker()]);
                 RegistryAnswer::Services(vec![ServiceUpdate {
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -1,13 +1,15 @@
 //! News within a zone, between running proxies on loopback, beside a registry that is played by the test.
 
 use compact_str::{format_compact, CompactString};
+use hingestage_configuration::transfer::pack;
 use hingestage_discovery::{Home, Homes, PeerProxy};
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
 use hingestage_proxy::server;
 use hingestage_replication::digest;
 use hingestage_rpc::messages::{
-    ConfigDocument, ConfigVersion, Have, ProcessId, ProxyStatus, RegistryAnswer, RegistryRequest, Watched,
+    ConfigDocument, ConfigTransfer, ConfigVersion, Have, ProcessId, ProxyStatus, RegistryAnswer,
+    RegistryRequest, Watched,
 };
 use hingestage_rpc::status::{ProxyAnswer, ProxyRequest, ProxyState};
 use hingestage_rpc::workers::{
@@ -51,6 +53,11 @@
 }
 
 impl Registry {
+    fn transfer() -> ConfigTransfer {
+        let document = Self::document();
+        ConfigTransfer { version: document.version, base: None, packed: pack(&document.json) }
+    }
+
     fn document() -> ConfigDocument {
         let backends: Vec<String> =
             (0..SERVICES).map(|number| format!(r#"{{"name":"{}"}}"#, service(number))).collect();
@@ -93,9 +100,9 @@
 
     async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
         match request {
-            RegistryRequest::FetchConfig => {
+            RegistryRequest::FetchConfig { .. } => {
                 self.configs_fetched.set(self.configs_fetched.get() + 1);
-                RegistryAnswer::Config(Some(Self::document()))
+                RegistryAnswer::Config(Some(Self::transfer()))
             }
             RegistryRequest::FetchServices(asked) => {
                 for have in &asked {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod platform_list;
 pub mod server;
 mod state;
+pub mod transfers;
 pub mod watch;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -5,6 +5,7 @@
 use crate::duty::{self, Duty};
 use crate::http;
 use crate::platform_list;
+use crate::transfers::Transfers;
 use crate::watch::InForce;
 use eyre::{eyre, Context, Result};
 use hingestage_discovery::Follower;
@@ -12,8 +13,8 @@
 use hingestage_node::{incarnation, Settings, SettingsFile, Signals};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
-    Change, Have, ProcessId, Proposed, ProxyStatus, RegistryAddress, RegistryAnswer, RegistryMember,
-    RegistryRequest, StoreAnswer, StoreRequest, Watched, ZoneDrains,
+    Change, ConfigVersion, Have, ProcessId, Proposed, ProxyStatus, RegistryAddress, RegistryAnswer,
+    RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, ZoneDrains,
 };
 use hingestage_rpc::workers::{ServiceIndex, WorkerRecord, WorkersVersion};
 use hingestage_rpc::{serve as serve_calls, Client, Handler};
@@ -55,6 +56,7 @@
     pub(crate) store: StoreClient,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) in_force: RefCell<InForce>,
+    transfers: RefCell<Transfers>,
     pub(crate) duty: RefCell<Duty>,
     /// The workers, as this registry read or was told them.
     pub(crate) workers: RefCell<Follower>,
@@ -80,6 +82,7 @@
         store: StoreClient::new(settings.inner(InnerPort::ConfigStore)),
         directory: RefCell::new(Directory::new(directory::Figures::default())),
         in_force: RefCell::default(),
+        transfers: RefCell::default(),
         workers: RefCell::default(),
         workers_at: Cell::new(0),
         duty: RefCell::new(Duty::new(me, duty::Figures::default())),
@@ -120,7 +123,9 @@
             let request = StoreRequest::Watch { have, wait: STORE_WAIT.as_millis() as u64 };
             match self.store.call(&request, STORE_WAIT + ANSWER_WITHIN).await {
                 Ok(StoreAnswer::Watched(news)) => {
+                    let config = news.config.clone();
                     if self.in_force.borrow_mut().take(asked_at, *news) {
+                        config.into_iter().for_each(|config| self.transfers.borrow_mut().add(config));
                         self.changed.notify_waiters();
                     }
                 }
@@ -312,7 +317,7 @@
         let directory = self.directory.borrow();
         let neighbors = || directory.neighbors(now, zone).into_iter().cloned().collect();
         Watched {
-            config_bytes: in_force.config.as_ref().map_or(0, |config| config.json.len() as u64),
+            config_bytes: if have.config > theirs.config { self.config_bytes(theirs.config) } else { 0 },
             services: self.workers.borrow().catalog().index_since(theirs.workers),
             directory: other_directory.then(neighbors),
             registries: self.registries(now),
@@ -323,6 +328,12 @@
         }
     }
 
+    /// Length of the configuration as it would be sent to one who has some version, bytes.
+    fn config_bytes(&self, have: Option<ConfigVersion>) -> u64 {
+        let mut transfers = self.transfers.borrow_mut();
+        transfers.newest_for(have).map_or(0, |transfer| transfer.packed.len() as u64)
+    }
+
     fn registries(&self, now: Micros) -> Vec<RegistryAddress> {
         let members = self.duty.borrow().members(now).into_iter();
         members.map(|member| RegistryAddress { addr: member.addr, zone: member.zone }).collect()
@@ -375,7 +386,9 @@
                     workers: self.workers.borrow().catalog().index_since(workers),
                 }
             }
-            RegistryRequest::FetchConfig => RegistryAnswer::Config(self.in_force.borrow().config.clone()),
+            RegistryRequest::FetchConfig { have } => {
+                RegistryAnswer::Config(self.transfers.borrow_mut().newest_for(have).cloned())
+            }
             RegistryRequest::FetchServices(have) => {
                 RegistryAnswer::Services(self.workers.borrow().catalog().news(self.now(), &have))
             }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -7,12 +7,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod digest;
 mod quorum;
 mod replica;
 mod state;
 
-pub use digest::digest;
+pub use hingestage_rpc::digest;
 pub use quorum::Quorum;
 pub use replica::{Figures, Replica};
 pub use state::State;
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -1,6 +1,6 @@
 //! What a replica keeps, and the rule by which of two versions one holds.
 
-use crate::digest::digest;
+use hingestage_rpc::digest;
 use hingestage_rpc::messages::{ConfigDocument, ProxyNames, Summary, Update, ZoneDrains};
 
 /// What a replica keeps.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod client;
+mod digest;
 mod frame;
 pub mod messages;
 mod server;
@@ -13,5 +14,6 @@
 pub mod workers;
 
 pub use client::{CallError, Client};
+pub use digest::digest;
 pub use frame::{decoded, encoded, FrameError, PROTOCOL_VERSION};
 pub use server::{serve, Handler};
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -1,12 +1,17 @@
 //! What the processes of the system say to each other.
 
+use crate::digest;
 use crate::status::{RegistryStatus, StoreStatus};
 use crate::workers::{ServiceHave, ServiceIndex, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
+use hingestage_configuration::transfer;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// The longest document, bytes.
+pub const DOCUMENT_MAX: usize = 48 << 20;
+
 /// Milliseconds, a span.
 pub type Millis = u64;
 
@@ -28,6 +33,33 @@
     pub json: Vec<u8>,
 }
 
+/// A configuration on its way to a proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigTransfer {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The version that it is a change to; none where it is whole.
+    pub base: Option<ConfigVersion>,
+    /// The document, or the change, packed.
+    pub packed: Vec<u8>,
+}
+
+impl ConfigTransfer {
+    /// The document, made from the one that the receiver has. None where it is a change to another one, or its
+    /// digest is not the version's.
+    pub fn unpack(&self, held: Option<&ConfigDocument>) -> Option<ConfigDocument> {
+        let json = match self.base {
+            None => transfer::unpack(&self.packed, DOCUMENT_MAX),
+            Some(base) => {
+                let held = held.filter(|held| held.version == base)?;
+                transfer::unpack_change(&held.json, &self.packed, DOCUMENT_MAX)
+            }
+        };
+        let json = json.ok().filter(|json| digest(json) == self.version.digest)?;
+        Some(ConfigDocument { version: self.version, json })
+    }
+}
+
 /// Whether a zone is evacuated, and by which order: the one with the highest number holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ZoneDrain {
@@ -274,7 +306,10 @@
         workers: WorkersVersion,
     },
     /// The configuration in force.
-    FetchConfig,
+    FetchConfig {
+        /// What the asker has.
+        have: Option<ConfigVersion>,
+    },
     /// The workers of some services, where they are newer than what the asker has.
     FetchServices(Vec<ServiceHave>),
     /// An operator asks for its state.
@@ -296,7 +331,7 @@
         workers: ServiceIndex,
     },
     /// The configuration in force, where there is one.
-    Config(Option<ConfigDocument>),
+    Config(Option<ConfigTransfer>),
     /// The workers of services.
     Services(Vec<ServiceUpdate>),
     /// To an operator.
@@ -308,7 +343,7 @@
 pub struct Watched {
     /// What the registry has: the proxy fetches what is newer.
     pub have: Have,
-    /// Length of the configuration, bytes: how long a fetch may take goes by it.
+    /// Length of the configuration as it would be sent to the proxy, bytes: how long a fetch may take goes by it.
     pub config_bytes: u64,
     /// Which services' workers are newer than what the proxy has.
     pub services: ServiceIndex,
--- a/crates/rpc/src/status.rs
+++ b/crates/rpc/src/status.rs
@@ -1,6 +1,6 @@
 //! What operators ask the processes of the system, and the states that these tell.
 
-use crate::messages::{ConfigDocument, ConfigVersion, Millis, ProxyStatus, RegistryMember, StoreMember};
+use crate::messages::{ConfigTransfer, ConfigVersion, Millis, ProxyStatus, RegistryMember, StoreMember};
 use crate::workers::{ServiceHave, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -28,6 +28,8 @@
     FollowConfig {
         /// The version that it has been told of.
         version: ConfigVersion,
+        /// What it has.
+        have: Option<ConfigVersion>,
         /// How long to wait for it.
         wait: Millis,
     },
@@ -43,7 +45,7 @@
     /// The workers of services.
     Services(Vec<ServiceUpdate>),
     /// A configuration that is as new as was asked for; none where this proxy has none in time.
-    Config(Option<ConfigDocument>),
+    Config(Option<ConfigTransfer>),
 }
 
 /// How one request ended.
