Proxies lend each other tokens of tenants; freshness may lie before a start

Change: a proxy whose part is used up asks two others of its region at a time, three times, for what it lacks of a token, and uses what comes within 50 ms. Whoever lends has given it away by then, so all levels and what is on its way come to at most depth + rate x 50 ms, whether datagrams are lost, doubled or late. Tenants in the penalty box don't borrow. Small quotas over many proxies gather no whole token any more. Freshness is a signed moment, so a lease from before a start holds for what is left of it.

Ruled out: shares by an owner with a tenure (needs tenures that never overlap); keeping what was lent for later (the sum would grow with the time).

--- a/crates/capacity/src/quota.rs
+++ b/crates/capacity/src/quota.rs
@@ -15,8 +15,14 @@
 const REQUESTS: usize = 200_000;
 /// Microseconds between two requests.
 const STEP: u64 = 10;
-const LIMITS: TenantLimits =
-    TenantLimits { rate_per_s: 50.0, burst: 100.0, slack: 20.0, open_cap: None, exempt: false };
+const LIMITS: TenantLimits = TenantLimits {
+    rate_per_s: 50.0,
+    burst: 100.0,
+    slack: 20.0,
+    open_cap: None,
+    exempt: false,
+    whole_tokens: true,
+};
 const PART: Part = Part { gateways: 9, valid_until: u64::MAX };
 
 /// Plays a table of so many tenants.
--- a/crates/control-sim/src/core_node.rs
+++ b/crates/control-sim/src/core_node.rs
@@ -326,7 +326,7 @@
         self.directory.heard(clock, status, WATCH_WITHIN);
         self.duty.saw(theirs.workers);
         self.admissions.heard(&name, &self.in_force.proxies);
-        let fresh = self.in_force.fresh_as_of;
+        let freshness = self.in_force.freshness;
         let summary = &self.in_force.summary;
         Watched {
             have: Have {
@@ -337,7 +337,7 @@
             },
             services: self.workers.catalog().index_since(theirs.workers),
             directory: Some(self.directory.neighbors(clock, &zone).into_iter().cloned().collect()),
-            fresh_age: fresh.map(|at| clock.saturating_sub(at) / MILLI + 1),
+            fresh_age: freshness.age(clock).map(|age| age / MILLI + 1),
             members: self.in_force.proxies.len() as u32,
             settled: self.in_force.proxies.get(&name) == Some(&true),
             ..Watched::default()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 pub mod counters;
 pub mod dialect;
+mod lending;
 mod operators;
 mod peers;
 mod readiness;
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -47,7 +47,7 @@
             status: self.status(),
             uptime: now / MILLI,
             config: have.config,
-            fresh_age: view.fresh_as_of().map(|at| now.saturating_sub(at) / MILLI),
+            fresh_age: view.freshness().age(now).map(|age| age / MILLI),
             keys: key_lease(&view, now),
             part_left: part.valid_until.checked_sub(now).filter(|left| *left > 0).map(|left| left / MILLI),
             settled: view.settled(),
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,8 +1,10 @@
-//! Counts of tenants between proxies: batched adds go to the owner of each tenant, totals come back.
+//! Counts of tenants between proxies: batched adds go to the owner of each tenant, totals come back. Tokens that are lent
+//! go the same way.
 //!
 //! Datagrams: a lost or doubled one changes nothing, as counts are cumulative and told again until confirmed.
 
 use crate::server::Proxy;
+use compact_str::CompactString;
 use eyre::{Context, Result};
 use hingestage_discovery::neighbors;
 use hingestage_node::settings::InnerPort;
@@ -28,11 +30,27 @@
 
 /// What proxies say to each other.
 #[derive(Serialize, Deserialize)]
-enum PeerMessage {
+pub(crate) enum PeerMessage {
     /// Counts, for the owner of the tenants.
     Adds(GatewayId, Adds),
     /// What all proxies together come to.
     Totals(Totals),
+    /// Tokens of a tenant are asked for.
+    Borrow {
+        /// Number of the question.
+        number: u64,
+        /// Name of the tenant.
+        tenant: CompactString,
+        /// How many at the most.
+        most: f64,
+    },
+    /// Tokens are given away.
+    Lend {
+        /// Number of the question.
+        number: u64,
+        /// How many.
+        lent: f64,
+    },
 }
 
 /// The number of a proxy, the same over its restarts.
@@ -47,6 +65,7 @@
 pub(crate) async fn start(proxy: &Rc<Proxy>) -> Result<()> {
     let at = proxy.settings.inner(InnerPort::Proxy);
     let socket = Rc::new(UdpSocket::bind(at).await.wrap_err_with(|| format!("{at}"))?);
+    *proxy.peer_socket.borrow_mut() = Some(socket.clone());
     spawn_local(push(proxy.clone(), socket.clone()));
     spawn_local(receive(proxy.clone(), socket));
     Ok(())
@@ -93,11 +112,26 @@
             Ok((PeerMessage::Totals(totals), _)) => {
                 proxy.tenants.borrow_mut().apply_totals(proxy.now(), &totals);
             }
+            Ok((PeerMessage::Borrow { number, tenant, most }, _)) => {
+                let lent = proxy.lend_tokens(&tenant, most);
+                send(&socket, &PeerMessage::Lend { number, lent }, from).await;
+            }
+            Ok((PeerMessage::Lend { number, lent }, _)) => proxy.loans.take(from, number, lent),
             Err(error) => log::debug!("{from}: {error}"),
         }
     }
 }
 
+impl Proxy {
+    /// Sends a datagram to another proxy.
+    pub(crate) async fn tell_peer(&self, message: &PeerMessage, to: SocketAddr) {
+        let socket = self.peer_socket.borrow().clone();
+        if let Some(socket) = socket {
+            send(&socket, message, to).await;
+        }
+    }
+}
+
 async fn send(socket: &UdpSocket, message: &PeerMessage, to: SocketAddr) {
     let Ok(bytes) = bincode::serde::encode_to_vec(message, bincode::config::standard()) else { return };
     // What is lost is told again.
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -19,7 +19,7 @@
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
 use hingestage_policy::{CustomerId, PlanId};
-use hingestage_quota::{Admission, RefusalReason, TenantLimits};
+use hingestage_quota::{Admission, Part, RefusalReason, TenantLimits};
 use hingestage_rpc::status::RequestOutcome;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -156,7 +156,7 @@
         let routed = self.route(&head.headers, head.uri.path(), tracked).unwrap_or(routed);
         tracked.routed(&routed.route.name, &routed.tenant_name());
         let service = self.service_for(&routed, tracked)?;
-        let mut admitted = self.admit(&routed)?;
+        let mut admitted = self.admit(&routed).await?;
         let tenant = routed.tenant_name();
         let class = service.class(Terms::of(&routed.route));
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
@@ -290,24 +290,18 @@
         self.services.get(key, &self.view.borrow(), self.now()).ok_or(nowhere)
     }
 
-    /// Takes a request into its tenant's quota, until what is given is dropped.
-    fn admit(self: &Rc<Self>, routed: &Routed) -> Result<Admitted, Refusal> {
+    /// Takes a request into its tenant's quota, until what is given is dropped. Where this proxy's part is used up,
+    /// others may lend from theirs.
+    async fn admit(self: &Rc<Self>, routed: &Routed) -> Result<Admitted, Refusal> {
         let admitted = || Admitted { proxy: self.clone(), tenant: routed.tenant_name(), ran: false };
         let Some(tenant) = routed.tenant() else { return Ok(admitted()) };
-        let bounds = &self.settings.bounds;
-        let part = self.view.borrow().part();
-        let window = bounds.quota_window.as_secs_f64();
-        let excess = bounds.quota_excess * (tenant.rate_per_s * window + tenant.burst) + bounds.quota_slack;
-        let slack = slack(tenant.burst, excess * SLACK_USED, part.gateways);
-        let limits = TenantLimits {
-            rate_per_s: tenant.rate_per_s,
-            burst: tenant.burst,
-            slack,
-            open_cap: open_cap(tenant, routed.route.timeout),
-            exempt: false,
-        };
-        let admission =
-            self.tenants.borrow_mut().admit(self.now(), &tenant.name, limits, part, fastrand::u64(..));
+        let mut admission = self.ask_table(tenant, routed, 0.0);
+        if matches!(admission, Admission::Refused { reason: RefusalReason::HardBound, .. }) {
+            let lent = self.borrow_tokens(&tenant.name).await;
+            if lent > 0.0 {
+                admission = self.ask_table(tenant, routed, lent);
+            }
+        }
         match admission {
             Admission::Admitted => Ok(admitted()),
             Admission::Refused { retry_after, reason } => {
@@ -317,6 +311,30 @@
             }
         }
     }
+
+    fn ask_table(&self, tenant: &Tenant, routed: &Routed, lent: f64) -> Admission {
+        let part = self.view.borrow().part();
+        let limits =
+            TenantLimits { open_cap: open_cap(tenant, routed.route.timeout), ..self.limits_of(tenant, part) };
+        let spread = fastrand::u64(..);
+        self.tenants.borrow_mut().admit_with(self.now(), &tenant.name, limits, part, spread, lent)
+    }
+
+    /// A tenant's quota, as all proxies share it.
+    pub(crate) fn limits_of(&self, tenant: &Tenant, part: Part) -> TenantLimits {
+        let bounds = &self.settings.bounds;
+        let window = bounds.quota_window.as_secs_f64();
+        let excess = bounds.quota_excess * (tenant.rate_per_s * window + tenant.burst) + bounds.quota_slack;
+        let slack = excess * SLACK_USED;
+        TenantLimits {
+            rate_per_s: tenant.rate_per_s,
+            burst: tenant.burst,
+            slack,
+            open_cap: None,
+            exempt: false,
+            whole_tokens: tenant.burst + slack >= f64::from(part.gateways),
+        }
+    }
 }
 
 /// A quota's refusal as operators are told of it.
@@ -329,7 +347,7 @@
     }
 }
 
-/// Part of a quota's slack that is planned with; the rest is for error.
+/// Part of a quota's slack that is planned with; the rest is for error, and for tokens on their way between proxies.
 const SLACK_USED: f64 = 0.85;
 
 /// How many times what a tenant within its quota can have open it may have, over all proxies, and the least cap. Each
@@ -345,16 +363,6 @@
     (tenant.rate_per_s > 0.0).then_some(cap as u32)
 }
 
-/// What the buckets of all proxies may hold together beyond the burst. Each may hold one whole request, however
-/// small its part: where that comes to more than the burst and the slack, the slack is used up by it.
-fn slack(burst: f64, slack: f64, proxies: u32) -> f64 {
-    if burst + slack >= f64::from(proxies) {
-        slack
-    } else {
-        0.0
-    }
-}
-
 /// A request that its tenant's quota let pass.
 struct Admitted {
     proxy: Rc<Proxy>,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The proxy put together: serves from its start until all is answered after it is told to end.
 
+use crate::lending::Loans;
 use crate::relay::{self, Relay};
 use crate::request_log::RequestLog;
 use crate::services::Services;
@@ -25,7 +26,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -105,6 +106,9 @@
     pub(crate) registries_changed: Notify,
     pub(crate) fetching_config: Fetching<ConfigVersion>,
     pub(crate) relay: Relay,
+    /// Where datagrams of other proxies come in.
+    pub(crate) peer_socket: RefCell<Option<Rc<UdpSocket>>>,
+    pub(crate) loans: Loans,
     /// The configuration in force as it was sent: changes are made to it.
     document: RefCell<Option<ConfigDocument>>,
     id: ProcessId,
@@ -206,6 +210,8 @@
             registries_changed: Notify::new(),
             fetching_config: Fetching::default(),
             relay: Relay::new(&settings.node),
+            peer_socket: RefCell::default(),
+            loans: Loans::default(),
             document: RefCell::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -4,7 +4,7 @@
 use hingestage_configuration::{Configuration, KeyTable, RouteTable};
 use hingestage_discovery::{Follower, Listed};
 use hingestage_quota::Part;
-use hingestage_replication::Micros;
+use hingestage_replication::{Freshness, Micros};
 use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, Have, ProxyStatus, ZoneDrains};
 use hingestage_rpc::workers::{WorkerRecord, WorkersVersion};
 use std::collections::BTreeMap;
@@ -58,7 +58,7 @@
     returned_at: BTreeMap<CompactString, Micros>,
     workers: Follower,
     /// The latest moment at which nothing newer than `active` can have been acknowledged.
-    fresh_as_of: Option<Micros>,
+    freshness: Freshness,
     members: u32,
     settled: bool,
     peers: Vec<ProxyStatus>,
@@ -73,7 +73,7 @@
             drains: ZoneDrains::new(),
             returned_at: BTreeMap::new(),
             workers: Follower::default(),
-            fresh_as_of: None,
+            freshness: Freshness::default(),
             members: 0,
             settled: false,
             peers: Vec::new(),
@@ -161,10 +161,9 @@
     /// only where what it speaks of is in force here.
     pub fn take_freshness(&mut self, asked_at: Micros, age: Option<u64>, config: Option<ConfigVersion>) {
         let up_to_date = self.config_version() >= config;
-        let age = age.filter(|_| up_to_date);
-        // A moment before this process started is none that its clock can tell.
-        let fresh = age.and_then(|age| asked_at.checked_sub(age * MILLI));
-        self.fresh_as_of = self.fresh_as_of.max(fresh);
+        if let Some(age) = age.filter(|_| up_to_date) {
+            self.freshness.note(asked_at, age * MILLI);
+        }
     }
 
     /// Takes in how many proxies share common limits, and whether this one may use its part.
@@ -223,12 +222,12 @@
     /// Until when keys may be believed without further news; none where they always may.
     pub fn keys_hold_until(&self) -> Option<Micros> {
         let lease = self.spans.key_lease?;
-        Some(self.fresh_as_of.map_or(0, |at| at + lease))
+        Some(self.freshness.lease_until(lease))
     }
 
     /// The latest moment at which nothing newer than what is in force here can have been acknowledged.
-    pub fn fresh_as_of(&self) -> Option<Micros> {
-        self.fresh_as_of
+    pub fn freshness(&self) -> Freshness {
+        self.freshness
     }
 
     /// Proxies that share common limits, as far as is known.
@@ -243,8 +242,8 @@
 
     /// This proxy's part of what all share.
     pub fn part(&self) -> Part {
-        let fresh = self.fresh_as_of.filter(|_| self.settled && self.members > 0);
-        let valid_until = fresh.map_or(0, |at| at + self.spans.part_lease);
+        let holds = self.settled && self.members > 0;
+        let valid_until = if holds { self.freshness.lease_until(self.spans.part_lease) } else { 0 };
         Part { gateways: self.members.max(1), valid_until }
     }
 
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -258,6 +258,23 @@
     });
 }
 
+#[test]
+fn a_home_hands_out_no_configuration_older_than_was_asked_for() {
+    run(async {
+        let zone = Zone::start(4, 1, 0).await;
+        let ask = |serial| {
+            let version = ConfigVersion { serial, digest: 0 };
+            let request = ProxyRequest::FollowConfig { version, have: None, wait: 1 };
+            let calls = &zone.proxies[0].1;
+            async move { calls.call(&request, PLENTY).await }
+        };
+        let held = ask(1).await;
+        assert!(matches!(held, Ok(ProxyAnswer::Config(Some(_)))), "{held:?}");
+        let newer = ask(2).await;
+        assert!(matches!(newer, Ok(ProxyAnswer::Config(None))), "{newer:?}");
+    });
+}
+
 #[test]
 fn a_home_that_stands_still_is_passed_over() {
     run(async {
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -41,6 +41,11 @@
 /// shares come to at most one at any time, so all levels at `s` come to at most `depth` and all refills to at most
 /// `rate x W`. A bucket that begins anew (a restart) begins at a level that the one before it had at least.
 ///
+/// # Tokens lent
+/// A gateway that lacks a token may ask others for it, and use what they give within a time `t` of its question. What is
+/// given has left a level by then, so at any moment the levels and what is on its way come to at most `depth + rate x t`:
+/// the levels of `t` ago, and the refills since. With lending, a window gives out at most `depth + rate x (W + t)`.
+///
 /// # Depths below one
 /// Where the part of the depth is below one token, no whole token would ever be given out. With a `least_cap` of one the
 /// level may still gather up to one. This costs at most one token for each gateway: all levels come to at most
@@ -104,6 +109,38 @@
         Err((rate > 0.0).then(|| micros((1.0 - self.level) / rate)))
     }
 
+    /// Takes one token, made whole by what other gateways lent. What is lent beyond that stays, as far as the part's
+    /// depth goes; where both together are no token, it is kept in the same way.
+    ///
+    /// # Errors
+    /// The wait for the next token.
+    pub fn try_take_with(
+        &mut self,
+        meter: &PartMeter,
+        limit: BucketLimit,
+        lent: f64,
+    ) -> Result<(), Option<Micros>> {
+        self.refresh(meter, limit);
+        let together = self.level + lent;
+        let cap = limit.cap(meter.share());
+        if together < 1.0 - ROUNDING {
+            self.level = together.min(cap);
+            return self.try_take(meter, limit);
+        }
+        // What was lent does not come back where the token is not used.
+        self.returnable += (1.0 - lent).max(0.0);
+        self.level = (together - 1.0).min(cap);
+        Ok(())
+    }
+
+    /// Gives tokens away to another gateway, at most so many. They never come back.
+    pub fn lend(&mut self, meter: &PartMeter, limit: BucketLimit, most: f64) -> f64 {
+        self.refresh(meter, limit);
+        let lent = self.level.min(most).max(0.0);
+        self.level -= lent;
+        lent
+    }
+
     /// A token that was given out has been used for good.
     pub fn settle(&mut self) {
         self.returnable = (self.returnable - 1.0).max(0.0);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod borrowing;
 mod bucket;
 mod cold;
 mod hash;
@@ -23,6 +24,7 @@
 mod sliding;
 mod table;
 
+pub use borrowing::Borrowing;
 pub use bucket::{BucketLimit, SharedBucket};
 pub use cold::{ColdBudget, ColdLimit};
 pub use hash::owner;
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -64,6 +64,9 @@
     pub open_cap: Option<u32>,
     /// Never enters the penalty box.
     pub exempt: bool,
+    /// Whether each gateway may gather a whole token, however small its part of burst and slack is. The parts of all
+    /// then come to as many tokens as there are gateways.
+    pub whole_tokens: bool,
 }
 
 impl TenantLimits {
@@ -87,7 +90,8 @@
 
     fn hard_bound(&self) -> BucketLimit {
         if self.is_limited() {
-            BucketLimit { rate: self.rate_per_s, depth: self.burst + self.slack, least_cap: 1.0 }
+            let least_cap = if self.whole_tokens { 1.0 } else { 0.0 };
+            BucketLimit { rate: self.rate_per_s, depth: self.burst + self.slack, least_cap }
         } else {
             BucketLimit { rate: 0.0, depth: 0.0, least_cap: 0.0 }
         }
@@ -222,6 +226,19 @@
         limits: TenantLimits,
         part: Part,
         spread: u64,
+    ) -> Admission {
+        self.admit_with(now, tenant, limits, part, spread, 0.0)
+    }
+
+    /// The same, with tokens that other gateways have lent for it.
+    pub fn admit_with(
+        &mut self,
+        now: Micros,
+        tenant: &str,
+        limits: TenantLimits,
+        part: Part,
+        spread: u64,
+        lent: f64,
     ) -> Admission {
         self.meter.observe(now, part);
         self.age(now);
@@ -230,7 +247,7 @@
         };
         self.tenants.touch(handle);
         let Some(entry) = self.tenants.get_mut(handle) else { unreachable!("just found") };
-        match entry.judge(now, &limits, &self.meter) {
+        match entry.judge(now, &limits, &self.meter, lent) {
             Ok(()) => {
                 entry.cumulative += 1;
                 entry.open += 1;
@@ -241,6 +258,28 @@
         }
     }
 
+    /// What a tenant's bucket lacks of a whole token; none where the tenant is boxed or not known.
+    pub fn lacks(&self, now: Micros, tenant: &str) -> Option<f64> {
+        let handle = self.tenants.find(tenant)?;
+        let (_, entry) = self.tenants.get(handle)?;
+        let boxed = now < entry.boxed_until;
+        Some(1.0 - entry.bucket.level()).filter(|lacks| !boxed && *lacks > 0.0)
+    }
+
+    /// Gives tokens of a tenant away to another gateway that lacks them, at most so many.
+    pub fn lend(&mut self, now: Micros, tenant: &str, limits: TenantLimits, part: Part, most: f64) -> f64 {
+        self.meter.observe(now, part);
+        if !limits.is_limited() || self.meter.share() <= 0.0 {
+            return 0.0;
+        }
+        let Some(handle) = self.find_or_insert(now, tenant, &limits) else { return 0.0 };
+        let Some(entry) = self.tenants.get_mut(handle) else { return 0.0 };
+        entry.last_used = now;
+        let lent = entry.bucket.lend(&self.meter, limits.hard_bound(), most);
+        self.tenants.touch(handle);
+        lent
+    }
+
     /// An admitted request has ended. One that never ran at a worker is given back.
     pub fn ended(&mut self, now: Micros, tenant: &str, ran: bool) {
         self.meter.advance(now);
@@ -406,11 +445,17 @@
 }
 
 impl Tenant {
-    fn judge(&mut self, now: Micros, limits: &TenantLimits, meter: &PartMeter) -> Result<(), Refusal> {
+    fn judge(
+        &mut self,
+        now: Micros,
+        limits: &TenantLimits,
+        meter: &PartMeter,
+        lent: f64,
+    ) -> Result<(), Refusal> {
         self.last_used = now;
         self.count.set_window(now, limits.window());
         self.count.add(now, 1.0);
-        let judged = self.judge_counted(now, limits, meter);
+        let judged = self.judge_counted(now, limits, meter, lent);
         if judged.is_err() {
             self.count.add(now, -1.0);
         }
@@ -422,8 +467,9 @@
         now: Micros,
         limits: &TenantLimits,
         meter: &PartMeter,
+        lent: f64,
     ) -> Result<(), Refusal> {
-        if limits.is_limited() && meter.share() <= 0.0 {
+        if limits.is_limited() && meter.share() <= 0.0 && lent < 1.0 {
             return Err(Refusal { wait: RETRY_WITHOUT_LEASE, reason: RefusalReason::NoLease });
         }
         self.judge_speed(now, limits);
@@ -433,7 +479,7 @@
             return Err(Refusal { wait, reason: RefusalReason::PenaltyBox });
         }
         self.judge_open(now, limits, meter)?;
-        self.judge_hard_bound(limits, meter)?;
+        self.judge_hard_bound(limits, meter, lent)?;
         if boxed {
             self.boxed_pass_at = now.saturating_add(micros(1.0 / (limits.rate_per_s * meter.share())));
         }
@@ -471,8 +517,13 @@
         Ok(())
     }
 
-    fn judge_hard_bound(&mut self, limits: &TenantLimits, meter: &PartMeter) -> Result<(), Refusal> {
-        let taken = self.bucket.try_take(meter, limits.hard_bound());
+    fn judge_hard_bound(
+        &mut self,
+        limits: &TenantLimits,
+        meter: &PartMeter,
+        lent: f64,
+    ) -> Result<(), Refusal> {
+        let taken = self.bucket.try_take_with(meter, limits.hard_bound(), lent);
         if !limits.is_limited() {
             return Ok(());
         }
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -321,7 +321,7 @@
             services: self.workers.borrow().catalog().index_since(theirs.workers),
             directory: other_directory.then(neighbors),
             registries: self.registries(now),
-            fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000 + 1),
+            fresh_age: in_force.freshness.age(now).map(|age| age / 1_000 + 1),
             members: in_force.proxies.len() as u32,
             settled: in_force.proxies.get(name) == Some(&true),
             have,
@@ -345,7 +345,7 @@
         let have = self.have(&self.settings.zone);
         let in_force = self.in_force.borrow();
         let living = self.directory.borrow().living(now).count();
-        let fresh = in_force.fresh_as_of.map(|at| now.saturating_sub(at) / 1_000);
+        let fresh = in_force.freshness.age(now).map(|age| age / 1_000);
         serde_json::json!({
             "node": self.settings.node,
             "config": have.config.map(|version| format!("{:08x}", version.serial)),
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -23,7 +23,7 @@
         RegistryStatus {
             member: duty.me(now),
             config: have.config,
-            fresh_age: in_force.fresh_as_of.map(|at| now.saturating_sub(at) / MILLI),
+            fresh_age: in_force.freshness.age(now).map(|age| age / MILLI),
             fence: duty.fence(),
             workers_version: have.workers,
             workers_age: now.saturating_sub(self.workers_at.get()) / MILLI,
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -1,6 +1,6 @@
 //! What is in force, as the local store tells it, and as it is handed on to proxies.
 
-use hingestage_replication::Micros;
+use hingestage_replication::{Freshness, Micros};
 use hingestage_rpc::messages::{ConfigDocument, ProxyNames, StoreNews, Summary};
 
 /// Microseconds in a millisecond.
@@ -16,7 +16,7 @@
     /// Proxies that take part in common limits.
     pub proxies: ProxyNames,
     /// The latest moment at which nothing newer can have been acknowledged anywhere.
-    pub fresh_as_of: Option<Micros>,
+    pub freshness: Freshness,
 }
 
 impl InForce {
@@ -31,9 +31,9 @@
         if let Some(proxies) = news.proxies {
             self.proxies = proxies;
         }
-        // A moment before this process started is none that its clock can tell.
-        let fresh = news.fresh_age.and_then(|age| asked_at.checked_sub(age * MILLI));
-        self.fresh_as_of = self.fresh_as_of.max(fresh);
+        if let Some(age) = news.fresh_age {
+            self.freshness.note(asked_at, age * MILLI);
+        }
         self.summary = news.summary;
         self.summary.config = self.config.as_ref().map(|config| config.version);
         drains_changed || config_changed
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -7,10 +7,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod freshness;
 mod quorum;
 mod replica;
 mod state;
 
+pub use freshness::Freshness;
 pub use hingestage_rpc::digest;
 pub use quorum::Quorum;
 pub use replica::{Figures, Replica};
