Four proxies are asked for tokens at once; counters are logged; two far registries

Causes: with 69 proxies two neighbors seldom have a token between them; a proxy without a registry in its region asked all of them every 0.8 s; what a proxy refused for could not be read in its log.

Change: four at once are asked for four tenths each of what is lacking. Where no registry is in the region, two by rendezvous hashing are asked often, the others every 2.5 s. A line of counters every 10 s, where they have changed.

--- a/crates/proxy/src/lending.rs
+++ b/crates/proxy/src/lending.rs
@@ -15,10 +15,10 @@
 use tokio::sync::Notify;
 
 /// Proxies that are asked at once, and how often others are asked.
-const ASKED_AT_ONCE: usize = 2;
+const ASKED_AT_ONCE: usize = 4;
 const ROUNDS: usize = 3;
 /// Part of what is lacking that each of them is asked for.
-const ASKED_OF_EACH: f64 = 0.6;
+const ASKED_OF_EACH: f64 = 0.4;
 /// How long their answers may take.
 const ANSWER_WITHIN: Duration = Duration::from_millis(9);
 /// What comes later than this after the first question is not used, microseconds.
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -16,11 +16,13 @@
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
 use hingestage_quota::{Incarnation, TableSettings, TenantTable};
+use hingestage_rendezvous::{choose, hash_bytes};
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{
     ConfigDocument, ConfigTransfer, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress,
 };
 use hingestage_rpc::serve as serve_calls;
+use hingestage_rpc::status::OutcomeCount;
 use hingestage_rpc::workers::ServiceUpdate;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -39,6 +41,10 @@
 const RETURN_AFTER: Duration = Duration::from_millis(2_500);
 /// Added to the time for which a worker is said to stay cold.
 const COLD_MARGIN: Duration = Duration::from_millis(300);
+/// Registries that are asked often where none is in the region.
+const ASKED_OFTEN: usize = 2;
+/// Rounds of housekeeping between two lines of counters.
+const COUNTERS_EVERY: u64 = 10;
 /// Period of housekeeping.
 const TIDY_PERIOD: Duration = Duration::from_secs(1);
 /// The largest head of a request, bytes.
@@ -259,11 +265,18 @@
         }
     }
 
-    /// Whether a registry is in this proxy's region, as far as is known.
+    /// Whether a registry is one of those that this proxy asks often: those of its region, or a few where there is
+    /// none. One that is not known yet is asked often.
     pub(crate) fn is_near(&self, addr: SocketAddr) -> bool {
         let registries = self.registries.borrow();
-        let registry = registries.iter().find(|registry| registry.addr == addr);
-        !registry.is_some_and(|registry| self.settings.is_far(&registry.zone))
+        let known = registries.iter().any(|registry| registry.addr == addr);
+        let near = |registry: &&RegistryAddress| !self.settings.is_far(&registry.zone);
+        if !known || registries.iter().any(|registry| near(&registry)) {
+            return !known || registries.iter().filter(near).any(|registry| registry.addr == addr);
+        }
+        let number = |registry: &&RegistryAddress| hash_bytes(registry.addr.to_string().as_bytes());
+        let me = hash_bytes(self.settings.node.as_bytes());
+        choose(me, registries.iter(), number, ASKED_OFTEN).iter().any(|registry| registry.addr == addr)
     }
 
     pub(crate) fn take_peers(&self, peers: Vec<ProxyStatus>) {
@@ -335,9 +348,24 @@
     }
 
     async fn tidy(self: Rc<Self>) {
-        loop {
+        let mut logged = Vec::new();
+        for round in 1u64.. {
             tokio::time::sleep(TIDY_PERIOD).await;
             self.services.retire_idle();
+            if round.is_multiple_of(COUNTERS_EVERY) {
+                self.log_counters(&mut logged);
+            }
+        }
+    }
+
+    /// Writes what became of requests since the start, where that has changed.
+    fn log_counters(&self, logged: &mut Vec<OutcomeCount>) {
+        let counts = self.requests.counters().occurred();
+        if counts != *logged {
+            let texts: Vec<String> =
+                counts.iter().map(|entry| format!("{} {}", entry.count, entry.outcome)).collect();
+            log::info!("requests: {}", texts.join(", "));
+            *logged = counts;
         }
     }
 }
