Proxies keep to different workers of their zone

Cause: each set of decisions keeps to about twelve near workers, chosen by the gateway's number, and every proxy had the number 0: all proxies of a zone kept to the same twelve. Where a zone has twelve workers or fewer nothing changes.

Change: a proxy's number is its name's digest. Ruled out: its place among the zone's members, which would move every pair as members come and go.

--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -177,9 +177,11 @@
     }
 
     fn policy(&self) -> PolicySettings {
+        let instances = self.proxies.get().max(1);
         PolicySettings {
-            instances: self.proxies.get().max(1),
-            me: 0,
+            instances,
+            // Any number below that will do, as long as proxies have different ones: it spreads them over workers.
+            me: (digest(self.settings.node.as_bytes()) % u64::from(instances)) as u32,
             resolution: 1_000,
             zone: Zone(self.settings.zone.clone()),
             most_units: 1.0,
