The document before the newest is kept however long; capacity measured again

Cause: at 24,000 routes a document has 27.7 MB, beyond the 8 MB that a registry kept, so the change to it was sent whole (3.7 MB packed). The measure of a start waited for proxies to know all others, which they need no more.

--- a/crates/capacity/src/heartbeats.rs
+++ b/crates/capacity/src/heartbeats.rs
@@ -8,6 +8,7 @@
 use crate::servers::{Machine, Process, TemporaryDir, REGISTRY, STORE};
 use eyre::Result;
 use hingestage_node::settings::InnerPort;
+use hingestage_registry::directory::{Directory, Figures};
 use hingestage_rpc::messages::{ConfigVersion, Have, ProxyStatus, RegistryAnswer, RegistryRequest, Watched};
 use hingestage_rpc::{encoded, Client};
 use std::cell::{Cell, RefCell};
@@ -142,13 +143,19 @@
     /// Waits until every proxy was told of all.
     async fn settle(&self, report: &Report, registry: &Process) {
         let before = self.mark(registry);
-        let knows_all = |proxy: &Rc<Hollow>| proxy.told_of.get() == self.proxies.len();
+        let mut directory = Directory::new(Figures::default());
+        for proxy in &self.proxies {
+            directory.heard(0, proxy.status.borrow().clone(), 0);
+        }
+        let knows_all = |proxy: &Rc<Hollow>| {
+            proxy.told_of.get() == directory.neighbors(0, &proxy.status.borrow().zone).len()
+        };
         while before.at.elapsed() < SETTLES_WITHIN && !self.proxies.iter().all(knows_all) {
             tokio::time::sleep(LOOK_PERIOD).await;
         }
         let after = self.mark(registry);
         let knowing = self.proxies.iter().filter(|proxy| knows_all(proxy)).count();
-        report.row("start: proxies that know all others", knowing as f64, "proxies");
+        report.row("start: proxies that know all their neighbors", knowing as f64, "proxies");
         report.seconds("start: until then, 30 s at the most", before.at.elapsed().as_secs_f64());
         report.seconds("start: registry's processor", (after.registry - before.registry).as_secs_f64());
         report.bytes("start: bytes handed out and taken in", after.counts.bytes - before.counts.bytes);
--- a/crates/registry/src/transfers.rs
+++ b/crates/registry/src/transfers.rs
@@ -4,9 +4,11 @@
 use hingestage_rpc::messages::{ConfigDocument, ConfigTransfer, ConfigVersion};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Documents that are kept to make changes from, and their bytes together.
+/// Documents that are kept to make changes from, and their bytes together; the one before the newest is kept however
+/// long it is.
 const KEPT_MAX: usize = 8;
 const KEPT_BYTES_MAX: usize = 8 << 20;
+const KEPT_LEAST: usize = 2;
 
 /// The newest configuration, packed.
 #[derive(Default)]
@@ -33,7 +35,7 @@
             documents.iter().map(|document| document.json.len()).sum()
         };
         while self.documents.len() > KEPT_MAX
-            || (self.documents.len() > 1 && bytes(&self.documents) > KEPT_BYTES_MAX)
+            || (self.documents.len() > KEPT_LEAST && bytes(&self.documents) > KEPT_BYTES_MAX)
         {
             self.documents.pop_front();
         }
--- a/crates/registry/tests/transfers.rs
+++ b/crates/registry/tests/transfers.rs
@@ -43,6 +43,20 @@
     assert_eq!(change.unpack(Some(&document(39, 3))).as_ref(), Some(&newest));
 }
 
+#[test]
+fn of_long_documents_the_one_before_is_kept_and_no_more() {
+    let mut transfers = Transfers::default();
+    // More than 4 MB each.
+    let long = |serial| document(serial, 300_000);
+    (1..=3).for_each(|serial| transfers.add(long(serial)));
+    let base_of = |transfers: &mut Transfers, serial| {
+        let have = Some(long(serial).version);
+        transfers.newest_for(have).expect("the newest").base.map(|base| base.serial)
+    };
+    assert_eq!(base_of(&mut transfers, 2), Some(2));
+    assert_eq!(base_of(&mut transfers, 1), None);
+}
+
 #[test]
 fn bytes_that_came_out_wrong_are_no_document() {
     let mut transfers = Transfers::default();
