A registry keeps documents in one place; what reading the change again showed

Change: `InForce` has the `Transfers`; the rest is moved, joined or taken out. Behaviour stays: no bound, check or expectation is touched.

--- a/crates/control-sim/src/core_node.rs
+++ b/crates/control-sim/src/core_node.rs
@@ -277,7 +277,7 @@
             Message::Watch { asked_at, status, have } => {
                 Message::Watched { asked_at, news: Box::new(self.watched(clock, status, have)) }
             }
-            Message::FetchConfig => match &self.in_force.config {
+            Message::FetchConfig => match self.in_force.configs.newest() {
                 Some(document) => Message::Config(document.clone()),
                 None => return Vec::new(),
             },
--- a/crates/discovery/src/catalog.rs
+++ b/crates/discovery/src/catalog.rs
@@ -44,11 +44,6 @@
         self.services.values().all(ServiceList::is_empty)
     }
 
-    /// Whether some service has this worker.
-    pub fn lists(&self, id: &str) -> bool {
-        self.services.values().any(|list| list.lists(id))
-    }
-
     /// Takes in the platform's list as it was read under a version above the one held. Tells whether anything
     /// changed. From a reader that is new all of it counts as changed.
     pub fn read(&mut self, now: Micros, version: WorkersVersion, records: Vec<WorkerRecord>) -> bool {
--- a/crates/discovery/src/follower.rs
+++ b/crates/discovery/src/follower.rs
@@ -116,14 +116,13 @@
         for (name, wanted) in &mut self.wanted {
             if now >= wanted.asked_until && due(name, now - wanted.since) {
                 wanted.asked_until = until;
-                let have = self.catalog.have(name);
-                asked.push(ServiceHave { version: have.version.filter(|_| !wanted.needs_snapshot), ..have });
+                asked.push(name.clone());
             }
         }
-        asked
+        asked.iter().map(|name| self.have(name)).collect()
     }
 
-    /// No answer came to what was asked: it may be asked again.
+    /// The question has ended: what no answer brought may be asked again.
     pub fn unanswered(&mut self, asked: &[ServiceHave]) {
         for have in asked {
             if let Some(wanted) = self.wanted.get_mut(&have.service) {
@@ -132,7 +131,7 @@
         }
     }
 
-    /// What is held of a service, as it is told to its home.
+    /// What is held of a service, as it is told to those who are asked for it.
     pub fn have(&self, name: &CompactString) -> ServiceHave {
         let needs_snapshot = self.wanted.get(name).is_some_and(|wanted| wanted.needs_snapshot);
         let have = self.catalog.have(name);
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -26,10 +26,6 @@
 const SERVICES_HEDGE: Duration = Duration::from_millis(400);
 /// How long a home may take with news that a registry has told of.
 const HOME_PATIENCE: Duration = Duration::from_millis(200);
-/// For how long a proxy that was too late with news is no home.
-pub(crate) const HOME_SILENT: Duration = Duration::from_secs(3);
-/// What the home of the configuration in a zone goes by.
-pub(crate) const CONFIGURATION: &str = "configuration";
 /// How long a configuration may take to come, besides its transfer.
 const CONFIG_WITHIN: Duration = Duration::from_millis(1_200);
 /// How long another registry is not asked for the same one, besides its transfer: the first may have died.
--- a/crates/proxy/src/lending.rs
+++ b/crates/proxy/src/lending.rs
@@ -1,6 +1,6 @@
 //! Tokens of tenants that proxies lend each other: parts are even, and requests are not.
 //!
-//! A proxy that lacks a token asks others of its region, two at a time, and uses what comes within a moment of its
+//! A proxy that lacks a token asks others of its region, four at a time, and uses what comes within a moment of its
 //! question. Whoever lends has given the tokens away by then, so the sum over all proxies holds whether datagrams are
 //! lost, doubled or late.
 
@@ -23,6 +23,7 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(9);
 /// What comes later than this after the first question is not used, microseconds.
 const USED_WITHIN: Micros = 50_000;
+
 /// Requests that wait for tokens of other proxies.
 #[derive(Default)]
 pub(crate) struct Loans {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,7 +4,6 @@
 //! Registries still tell every proxy which versions there are. A home that is late with them is passed over: the news
 //! comes from the registry, and the home has lost its duties for a while as seen from here.
 
-use crate::control::{CONFIGURATION, HOME_SILENT};
 use crate::server::Proxy;
 use hingestage_discovery::{neighbors, Home, Homes, PeerProxy};
 use hingestage_replication::Micros;
@@ -20,6 +19,10 @@
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
 
+/// For how long a proxy that was too late with news is no home.
+const HOME_SILENT: Duration = Duration::from_secs(3);
+/// What the home of the configuration in a zone goes by.
+const CONFIGURATION: &str = "configuration";
 /// How long a home waits for news before it answers.
 const FOLLOW_WAIT: Duration = Duration::from_secs(5);
 /// How long its answer may take beyond that.
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -269,14 +269,16 @@
     /// none. One that is not known yet is asked often.
     pub(crate) fn is_near(&self, addr: SocketAddr) -> bool {
         let registries = self.registries.borrow();
-        let known = registries.iter().any(|registry| registry.addr == addr);
-        let near = |registry: &&RegistryAddress| !self.settings.is_far(&registry.zone);
-        if !known || registries.iter().any(|registry| near(&registry)) {
-            return !known || registries.iter().filter(near).any(|registry| registry.addr == addr);
+        if !registries.iter().any(|registry| registry.addr == addr) {
+            return true;
         }
-        let number = |registry: &&RegistryAddress| hash_bytes(registry.addr.to_string().as_bytes());
-        let me = hash_bytes(self.settings.node.as_bytes());
-        choose(me, registries.iter(), number, ASKED_OFTEN).iter().any(|registry| registry.addr == addr)
+        let mut often: Vec<&RegistryAddress> =
+            registries.iter().filter(|registry| !self.settings.is_far(&registry.zone)).collect();
+        if often.is_empty() {
+            let number = |registry: &&RegistryAddress| hash_bytes(registry.addr.to_string().as_bytes());
+            often = choose(hash_bytes(self.settings.node.as_bytes()), registries.iter(), number, ASKED_OFTEN);
+        }
+        often.iter().any(|registry| registry.addr == addr)
     }
 
     pub(crate) fn take_peers(&self, peers: Vec<ProxyStatus>) {
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -5,7 +5,6 @@
 use crate::duty::{self, Duty};
 use crate::http;
 use crate::platform_list;
-use crate::transfers::Transfers;
 use crate::watch::InForce;
 use eyre::{eyre, Context, Result};
 use hingestage_discovery::Follower;
@@ -56,7 +55,6 @@
     pub(crate) store: StoreClient,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) in_force: RefCell<InForce>,
-    transfers: RefCell<Transfers>,
     pub(crate) duty: RefCell<Duty>,
     /// The workers, as this registry read or was told them.
     pub(crate) workers: RefCell<Follower>,
@@ -82,7 +80,6 @@
         store: StoreClient::new(settings.inner(InnerPort::ConfigStore)),
         directory: RefCell::new(Directory::new(directory::Figures::default())),
         in_force: RefCell::default(),
-        transfers: RefCell::default(),
         workers: RefCell::default(),
         workers_at: Cell::new(0),
         duty: RefCell::new(Duty::new(me, duty::Figures::default())),
@@ -123,9 +120,7 @@
             let request = StoreRequest::Watch { have, wait: STORE_WAIT.as_millis() as u64 };
             match self.store.call(&request, STORE_WAIT + ANSWER_WITHIN).await {
                 Ok(StoreAnswer::Watched(news)) => {
-                    let config = news.config.clone();
                     if self.in_force.borrow_mut().take(asked_at, *news) {
-                        config.into_iter().for_each(|config| self.transfers.borrow_mut().add(config));
                         self.changed.notify_waiters();
                     }
                 }
@@ -314,12 +309,13 @@
     }
 
     fn watched(&self, now: Micros, have: Have, theirs: &Have, name: &str, zone: &str) -> Watched {
+        let config_bytes = if have.config > theirs.config { self.config_bytes(theirs.config) } else { 0 };
         let in_force = self.in_force.borrow();
         let other_directory = have.directory != theirs.directory;
         let directory = self.directory.borrow();
         let neighbors = || directory.neighbors(now, zone).into_iter().cloned().collect();
         Watched {
-            config_bytes: if have.config > theirs.config { self.config_bytes(theirs.config) } else { 0 },
+            config_bytes,
             services: self.workers.borrow().catalog().index_since(theirs.workers),
             directory: other_directory.then(neighbors),
             registries: self.registries(now),
@@ -332,8 +328,8 @@
 
     /// Length of the configuration as it would be sent to one who has some version, bytes.
     fn config_bytes(&self, have: Option<ConfigVersion>) -> u64 {
-        let mut transfers = self.transfers.borrow_mut();
-        transfers.newest_for(have).map_or(0, |transfer| transfer.packed.len() as u64)
+        let mut in_force = self.in_force.borrow_mut();
+        in_force.configs.newest_for(have).map_or(0, |transfer| transfer.packed.len() as u64)
     }
 
     fn registries(&self, now: Micros) -> Vec<RegistryAddress> {
@@ -389,7 +385,7 @@
                 }
             }
             RegistryRequest::FetchConfig { have } => {
-                RegistryAnswer::Config(self.transfers.borrow_mut().newest_for(have).cloned())
+                RegistryAnswer::Config(self.in_force.borrow_mut().configs.newest_for(have).cloned())
             }
             RegistryRequest::FetchServices(have) => {
                 RegistryAnswer::Services(self.workers.borrow().catalog().news(self.now(), &have))
--- a/crates/registry/src/transfers.rs
+++ b/crates/registry/src/transfers.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// The newest configuration.
+    pub fn newest(&self) -> Option<&ConfigDocument> {
+        self.documents.back()
+    }
+
     /// The newest configuration for one who has some version; none where there is none.
     pub fn newest_for(&mut self, have: Option<ConfigVersion>) -> Option<&ConfigTransfer> {
         let newest = self.documents.back()?;
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -1,7 +1,8 @@
 //! What is in force, as the local store tells it, and as it is handed on to proxies.
 
+use crate::transfers::Transfers;
 use hingestage_replication::{Freshness, Micros};
-use hingestage_rpc::messages::{ConfigDocument, ProxyNames, StoreNews, Summary};
+use hingestage_rpc::messages::{ProxyNames, StoreNews, Summary};
 
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
@@ -11,8 +12,8 @@
 pub struct InForce {
     /// In short, as the store told it last.
     pub summary: Summary,
-    /// The configuration.
-    pub config: Option<ConfigDocument>,
+    /// The configuration, and those before it, as it is handed out.
+    pub configs: Transfers,
     /// Proxies that take part in common limits.
     pub proxies: ProxyNames,
     /// The latest moment at which nothing newer can have been acknowledged anywhere.
@@ -26,7 +27,7 @@
         let drains_changed = news.summary.drains != self.summary.drains;
         let config_changed = news.config.is_some();
         if let Some(config) = news.config {
-            self.config = Some(config);
+            self.configs.add(config);
         }
         if let Some(proxies) = news.proxies {
             self.proxies = proxies;
@@ -35,7 +36,7 @@
             self.freshness.note(asked_at, age * MILLI);
         }
         self.summary = news.summary;
-        self.summary.config = self.config.as_ref().map(|config| config.version);
+        self.summary.config = self.configs.newest().map(|config| config.version);
         drains_changed || config_changed
     }
 }
