A worker's record keeps the number of a connection that is reset behind a request

Cause: a worker stand-in names a connection by both ends' ports, and asked the system for them anew with each request. Once the other side has reset the connection the system has no peer port any more, while bytes that came before are still read: the attempt was recorded under 41651 << 16 | 0, which is no connection's number, so that its end, recorded under the true one, was not found, and the attempt that followed it in order counted as a second one.

Ruled out: a gateway that sends again while the first attempt is out (its side had been reset at 5002 ms, before it sent again), and the machine's load (the order of events is the same without).

The number is read once, before any byte, and kept with the reader; a connection that was reset before it was taken has none and is dropped, as nothing could be said of it.

--- a/crates/rehearse/src/links.rs
+++ b/crates/rehearse/src/links.rs
@@ -135,8 +135,8 @@
         let Some(far) = far else { return near.reset_on_drop() };
         let _ = near.set_nodelay(true);
         // The worker names the connection by its own port and ours.
-        let port = |at: std::io::Result<SocketAddr>| at.map_or(0, |at| u64::from(at.port()));
-        let id = port(far.peer_addr()) << 16 | port(far.local_addr());
+        let port = far.local_addr().map_or(0, |at| u64::from(at.port()));
+        let id = u64::from(self.to.port()) << 16 | port;
         let conn = Rc::new(Conn {
             id,
             unique: self.worker.map(|worker| self.record.opened(id, worker)),
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -627,8 +627,8 @@
         self.conn.sides.borrow_mut()[self.side].linger_reset = true;
     }
 
-    fn id(&self) -> u64 {
-        self.conn.id
+    fn id(&self) -> Option<u64> {
+        Some(self.conn.id)
     }
 
     fn accepted_at(&self) -> Option<Instant> {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -141,14 +141,14 @@
         loop {
             let mut line = self.idle.borrow_mut().pop()?;
             if line.reader.has_more() {
-                (self.observer)(Seen::Unasked { conn: line.reader.stream.id() });
+                (self.observer)(Seen::Unasked { conn: line.reader.id().unwrap_or_default() });
                 continue;
             }
             if line.reader.stream.is_quiet() {
                 return Some(line);
             }
             if line.reader.begin().await.is_ok() {
-                (self.observer)(Seen::Unasked { conn: line.reader.stream.id() });
+                (self.observer)(Seen::Unasked { conn: line.reader.id().unwrap_or_default() });
             }
         }
     }
@@ -173,7 +173,7 @@
         let written = write(&self.platform, &mut line.reader, &text, ask.manner).await;
         line.written = end;
         if written {
-            (self.observer)(Seen::Asked { id: id.clone(), conn: line.reader.stream.id() });
+            (self.observer)(Seen::Asked { id: id.clone(), conn: line.reader.id().unwrap_or_default() });
         }
         let owed = ask.patience + ask.allowance;
         let stays = match ask.manner {
--- a/crates/standins/src/message.rs
+++ b/crates/standins/src/message.rs
@@ -53,6 +53,8 @@
 pub struct Reader<S> {
     /// The connection.
     pub stream: S,
+    /// The connection's number as of when nothing had been read.
+    id: Option<u64>,
     buffer: BytesMut,
     /// Bytes of messages that were read before.
     passed: u64,
@@ -61,7 +63,13 @@
 impl<S: Peer> Reader<S> {
     /// A connection from which nothing has been read.
     pub fn new(stream: S) -> Self {
-        Reader { stream, buffer: BytesMut::new(), passed: 0 }
+        let id = stream.id();
+        Reader { stream, id, buffer: BytesMut::new(), passed: 0 }
+    }
+
+    /// The connection's number, which stays when the other side resets it; none where it had before it was taken.
+    pub fn id(&self) -> Option<u64> {
+        self.id
     }
 
     /// Bytes of messages that were read before: where the next begins.
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -10,8 +10,9 @@
     /// Lets the drop of this end reset the connection.
     fn reset_on_drop(&self);
 
-    /// A number that tells it from others.
-    fn id(&self) -> u64;
+    /// A number that tells it from others; none once the other side has reset it, as its address is gone then.
+    /// A [`Reader`](crate::Reader) asks for it once and keeps it.
+    fn id(&self) -> Option<u64>;
 
     /// When the program on the other side took the connection in; none while it has not, and the start of the
     /// connection where nobody can tell.
@@ -31,9 +32,9 @@
         let _ = SockRef::from(self).set_linger(Some(Duration::ZERO));
     }
 
-    fn id(&self) -> u64 {
-        let port = |addr: std::io::Result<std::net::SocketAddr>| addr.map_or(0, |a| u64::from(a.port()));
-        port(self.local_addr()) << 16 | port(self.peer_addr())
+    fn id(&self) -> Option<u64> {
+        let (local, peer) = (self.local_addr().ok()?, self.peer_addr().ok()?);
+        Some(u64::from(local.port()) << 16 | u64::from(peer.port()))
     }
 
     fn accepted_at(&self) -> Option<Instant> {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -185,12 +185,16 @@
 
     async fn serve(&self, stream: P::Stream) {
         let mut reader = Reader::new(stream);
+        // Reset before it was taken: nobody could tell whose request is on it.
+        if reader.id().is_none() {
+            return;
+        }
         while self.serve_one(&mut reader).await.is_ok() {}
     }
 
     async fn serve_one(&self, reader: &mut Reader<P::Stream>) -> Result<(), End> {
         reader.begin().await?;
-        let (worker, conn) = (self.spec.number, reader.stream.id());
+        let (worker, conn) = (self.spec.number, reader.id().unwrap_or_default());
         let written = reader.stream.written_at(reader.passed() + 1);
         let began = written.unwrap_or_else(|| self.platform.now());
         (self.observer)(Seen::Began { worker, conn, at: began });
@@ -263,7 +267,7 @@
     }
 
     async fn plain(&self, reader: &mut Reader<P::Stream>, status: &str, headers: &str) {
-        let (worker, conn) = (self.spec.number, reader.stream.id());
+        let (worker, conn) = (self.spec.number, reader.id().unwrap_or_default());
         let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n");
         (self.observer)(Seen::Answering { conn });
         if reader.write(text.as_bytes()).await {
@@ -273,7 +277,7 @@
 
     /// Writes the answer to a request that has run, spoilt as the mood has it.
     async fn answer(&self, reader: &mut Reader<P::Stream>, id: &str, query: &str) -> Result<(), End> {
-        let (worker, conn) = (self.spec.number, reader.stream.id());
+        let (worker, conn) = (self.spec.number, reader.id().unwrap_or_default());
         let mood = self.mood.get();
         if mood == Mood::Error {
             self.plain(reader, "500 Internal Server Error", "").await;
