--- a/crates/capacity/src/directory.rs
+++ b/crates/capacity/src/directory.rs
@@ -95,6 +95,7 @@
         config_bytes: 0,
         have: have(0),
         directory,
+        trials: Vec::new(),
         registries: registries.collect(),
         fresh_age: Some(300),
         members: 3_600,
--- a/crates/capacity/src/quota.rs
+++ b/crates/capacity/src/quota.rs
@@ -21,6 +21,7 @@
     slack: 20.0,
     open_cap: None,
     exempt: false,
+    reserve: 0.0,
     whole_tokens: true,
 };
 const PART: Part = Part { gateways: 9, valid_until: u64::MAX };
--- a/crates/capacity/src/replication.rs
+++ b/crates/capacity/src/replication.rs
@@ -5,7 +5,7 @@
 use crate::servers::{Machine, Process, TemporaryDir, STORE};
 use compact_str::format_compact;
 use eyre::Result;
-use hingestage_replication::{Figures, Replica, State};
+use hingestage_replication::{Figures, Replica, State, TrialSet};
 use hingestage_rpc::encoded;
 use hingestage_rpc::messages::{StoreAnswer, StoreMember, StoreRequest, ZoneDrain};
 use std::hint::black_box;
@@ -85,6 +85,7 @@
         config: Some(fixtures::document(1, fixtures::DocumentSize::of_routes(18))),
         drains: (0..zones).map(|number| (fixtures::zone(number), order)).collect(),
         proxies: (0..proxies).map(|number| (fixtures::proxy_status(number).id.node, true)).collect(),
+        trials: TrialSet::default(),
     };
     Replica::new(members[0].clone(), state, members, false, Figures::default())
 }
--- a/crates/capacity/src/workers.rs
+++ b/crates/capacity/src/workers.rs
@@ -11,8 +11,13 @@
 use std::hint::black_box;
 use std::rc::Rc;
 
-const SPANS: Spans =
-    Spans { return_after: 2_500_000, cold_margin: 300_000, key_lease: None, part_lease: 11_000_000 };
+const SPANS: Spans = Spans {
+    return_after: 2_500_000,
+    cold_margin: 300_000,
+    key_lease: None,
+    part_lease: 11_000_000,
+    trials: hingestage_trial::Spans::DEFAULT,
+};
 /// Workers handled in one run, about.
 const HANDLED: usize = 20_000;
 /// Lists taken in one run.
--- a/crates/config-store/src/files.rs
+++ b/crates/config-store/src/files.rs
@@ -3,6 +3,7 @@
 
 use hingestage_replication::{digest, State};
 use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProxyNames, StoreMember, Update, ZoneDrains};
+use hingestage_rpc::trials::TrialRecord;
 use serde::{de::DeserializeOwned, Serialize};
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -12,6 +13,7 @@
 const CONFIG_PREFIX: &str = "config-";
 const DRAINS: &str = "drains.json";
 const PROXIES: &str = "proxies.json";
+const TRIALS: &str = "trials.json";
 const MEMBERS: &str = "members.json";
 /// Suffix of a file that is being written.
 const UNFINISHED: &str = ".new";
@@ -55,6 +57,7 @@
             config: self.newest_config()?,
             drains: self.read_json::<ZoneDrains>(DRAINS).unwrap_or_default(),
             proxies: self.read_json::<ProxyNames>(PROXIES).unwrap_or_default(),
+            trials: self.read_json::<Vec<TrialRecord>>(TRIALS).into_iter().flatten().collect(),
         };
         // A replica that recovers writes updates first and its members once it has recovered.
         let begun = members.is_some();
@@ -70,6 +73,10 @@
             Update::Config(config) => self.write_config(config),
             Update::Drain { .. } => self.write_json(DRAINS, &after.drains),
             Update::Proxies(_) => self.write_json(PROXIES, &after.proxies),
+            Update::Trials(_) => {
+                let records: Vec<&TrialRecord> = after.trials.records().collect();
+                self.write_json(TRIALS, &records)
+            }
         }
     }
 
--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -230,6 +230,16 @@
         if self.replica.borrow().recovering() {
             return StoreAnswer::Proposed(Proposed::Pending);
         }
+        let terms = match &change {
+            Change::TrialTerms(asked) => Some((asked.tenant.clone(), asked.position)),
+            _ => None,
+        };
+        if terms
+            .as_ref()
+            .is_some_and(|(tenant, _)| !self.replica.borrow().state().trials.has_room_for(tenant))
+        {
+            return StoreAnswer::Proposed(Proposed::Full);
+        }
         let update = self.replica.borrow().update_for(change);
         if !self.take_in(update.clone()) {
             return StoreAnswer::Failed;
@@ -238,7 +248,10 @@
             let changed = self.changed.notified();
             let now = self.now();
             if self.replica.borrow().is_durable(now, &update) {
-                return StoreAnswer::Proposed(Proposed::Durable);
+                let replica = self.replica.borrow();
+                let trials = &replica.state().trials;
+                let holds = terms.is_none_or(|(tenant, position)| trials.has_terms_of(&tenant, &position));
+                return StoreAnswer::Proposed(if holds { Proposed::Durable } else { Proposed::Overtaken });
             }
             if now >= until || !self.wait_until(changed, until).await {
                 return StoreAnswer::Proposed(Proposed::Pending);
@@ -259,6 +272,7 @@
             let news = self.replica.borrow_mut().news(self.now(), &have);
             let is_news =
                 news.config.is_some() || news.proxies.is_some() || news.summary.drains != have.drains;
+            let is_news = is_news || news.trials.is_some();
             if is_news || self.now() >= until {
                 return StoreAnswer::Watched(Box::new(news));
             }
--- a/crates/control-sim/src/core_node.rs
+++ b/crates/control-sim/src/core_node.rs
@@ -10,12 +10,14 @@
 use hingestage_registry::admission::{self, Admissions};
 use hingestage_registry::directory::{self, Directory};
 use hingestage_registry::duty::{self, Duty};
+use hingestage_registry::trials::TrialLog;
 use hingestage_registry::watch::InForce;
 use hingestage_replication::{Replica, State};
 use hingestage_rpc::messages::{
     Change, ConfigDocument, ConfigVersion, Have, ProcessId, ProxyStatus, RegistryMember, StoreMember, Update,
     Watched,
 };
+use hingestage_rpc::trials::TrialRecord;
 use hingestage_rpc::workers::{ServiceIndex, WorkersVersion};
 
 /// Ticks between exchanges of stores, meetings of registries, admissions, and reads of the list.
@@ -23,6 +25,8 @@
 const MEET_TICKS: u64 = 5;
 const ADMIT_TICKS: u64 = 5;
 const READ_TICKS: u64 = 9;
+/// The same between looks for steps of trials that are due.
+const STEP_TICKS: u64 = 3;
 /// How long a caller waits for a change to become durable.
 const PROPOSE_WAIT: Micros = 850 * MILLI;
 /// How long a write takes to reach the disk, where it is acknowledged before.
@@ -87,7 +91,7 @@
             defect,
             disk,
             replica,
-            in_force: InForce::default(),
+            in_force: in_force(0, defect),
             workers: Follower::default(),
             admissions: Admissions::new(true, admission_figures(defect)),
             directory: Directory::new(directory::Figures::default()),
@@ -116,7 +120,7 @@
         let recovering = !self.disk.begun && self.defect != Some(Defect::EmptyDiskVotes);
         let (state, members) = (self.disk.state.clone(), self.disk.members.clone());
         self.replica = Replica::new(self.member.clone(), state, members, recovering, Default::default());
-        self.in_force = InForce::default();
+        self.in_force = in_force(self.process.life, self.defect);
         let me = registry_member(&self.member, self.process.life);
         self.duty = Duty::new(me, duty::Figures::default());
         self.workers = Follower::default();
@@ -176,7 +180,7 @@
             self.disk.members = self.replica.members();
         }
         let news = self.replica.news(clock, &self.in_force.summary);
-        self.in_force.take(clock, news);
+        self.in_force.take(clock, clock, news);
         self.directory.tidy(clock);
         self.duty.tidy(clock);
         let mut sent = Vec::new();
@@ -199,6 +203,9 @@
         if self.ticks.is_multiple_of(ADMIT_TICKS) {
             self.admit(now);
         }
+        if self.ticks.is_multiple_of(STEP_TICKS) {
+            self.announce_steps(now);
+        }
         if self.ticks.is_multiple_of(READ_TICKS) && clock > SECOND / 2 {
             self.read_list(now, platform, random);
         }
@@ -223,6 +230,26 @@
         }
     }
 
+    /// Announces steps of trials that are due by this machine's time of day, where it has the duty.
+    fn announce_steps(&mut self, now: Micros) {
+        if self.duty.fence().is_none() || self.replica.recovering() {
+            return;
+        }
+        let steps = self.in_force.trials.steps_due(self.process.clock(now), self.process.time_of_day(now));
+        if !steps.is_empty() {
+            let update = self.replica.update_for(Change::TrialSteps(steps));
+            self.take_in(now, update);
+        }
+    }
+
+    /// An operator hands terms of a trial over.
+    pub fn propose_terms(&mut self, now: Micros, record: TrialRecord) {
+        if !self.replica.recovering() {
+            let update = self.replica.update_for(Change::TrialTerms(record));
+            self.take_in(now, update);
+        }
+    }
+
     fn read_list(&mut self, now: Micros, platform: &mut Platform, random: &mut Rng) {
         let clock = self.process.clock(now);
         let Some(mut version) = self.duty.read_under(clock) else { return };
@@ -259,7 +286,11 @@
                 return self.heard_store(clock, from, asked_at, summary);
             }
             Message::Replicated { asked_at, summary } => {
-                return self.heard_store(clock, from, asked_at, summary);
+                // Trials that are still missing there go out after the next exchange: the other side may have more of
+                // them, and would be handed the same again with each answer.
+                let mut sent = self.heard_store(clock, from, asked_at, summary);
+                sent.retain(|envelope| !envelope.message.is_trials());
+                return sent;
             }
             Message::Meet { from, members, workers, workers_seen } => {
                 self.met(clock, from, members);
@@ -336,7 +367,9 @@
                 workers: self.workers.catalog().version(),
                 workers_seen: self.workers.seen_version(),
                 directory: 0,
+                trials: self.in_force.trials.revision(),
             },
+            trials: self.in_force.trials.since(clock, theirs.trials),
             services: self.workers.catalog().index_since(theirs.workers),
             directory: Some(self.directory.neighbors(clock, &zone).into_iter().cloned().collect()),
             fresh_age: freshness.age(clock).map(|age| age / MILLI + 1),
@@ -347,6 +380,14 @@
     }
 }
 
+fn in_force(life: u32, defect: Option<Defect>) -> InForce {
+    let mut in_force = InForce::new(life.into());
+    if defect == Some(Defect::StepWithoutNotice) {
+        in_force.trials = TrialLog::new(life.into(), 0);
+    }
+    in_force
+}
+
 fn admission_figures(defect: Option<Defect>) -> admission::Figures {
     let figures = admission::Figures::default();
     let lease = if defect == Some(Defect::NewcomerAtOnce) { 0 } else { figures.lease };
--- a/crates/control-sim/src/defect.rs
+++ b/crates/control-sim/src/defect.rs
@@ -20,11 +20,19 @@
     PartKeptOverRestart,
     /// A new proxy gets its part as soon as its name is known.
     NewcomerAtOnce,
+    /// Each proxy takes steps of trials by its own time of day.
+    StepByOwnClock,
+    /// A proxy takes a step as soon as it hears of it.
+    StepAtOnce,
+    /// The first step is announced as soon as the terms are known.
+    StepWithoutNotice,
+    /// A proxy goes by the steps that it knows however old its news is.
+    StepWithoutLease,
 }
 
 impl Defect {
     /// All of them.
-    pub const ALL: [Defect; 7] = [
+    pub const ALL: [Defect; 11] = [
         Defect::AckBeforeSync,
         Defect::LeaseFromReceipt,
         Defect::WallClock,
@@ -32,8 +40,23 @@
         Defect::DutyWithoutFence,
         Defect::PartKeptOverRestart,
         Defect::NewcomerAtOnce,
+        Defect::StepByOwnClock,
+        Defect::StepAtOnce,
+        Defect::StepWithoutNotice,
+        Defect::StepWithoutLease,
     ];
 
+    /// Whether it shows only where operators set terms of trials.
+    pub fn is_of_trials(self) -> bool {
+        matches!(
+            self,
+            Defect::StepByOwnClock
+                | Defect::StepAtOnce
+                | Defect::StepWithoutNotice
+                | Defect::StepWithoutLease
+        )
+    }
+
     fn name(self) -> &'static str {
         match self {
             Defect::AckBeforeSync => "ack-before-sync",
@@ -43,6 +66,10 @@
             Defect::DutyWithoutFence => "duty-without-fence",
             Defect::PartKeptOverRestart => "part-kept-over-restart",
             Defect::NewcomerAtOnce => "newcomer-at-once",
+            Defect::StepByOwnClock => "step-by-own-clock",
+            Defect::StepAtOnce => "step-at-once",
+            Defect::StepWithoutNotice => "step-without-notice",
+            Defect::StepWithoutLease => "step-without-lease",
         }
     }
 }
--- a/crates/control-sim/src/judge.rs
+++ b/crates/control-sim/src/judge.rs
@@ -4,11 +4,15 @@
 use crate::faults::FAULTS_FROM;
 use crate::platform::Platform;
 use crate::proxy_node::ProxyNode;
-use crate::{Micros, SECOND};
+use crate::proxy_node::TRIAL_SPANS;
+use crate::world::TENANTS;
+use crate::{Micros, MILLI, SECOND};
 use compact_str::CompactString;
 use hingestage_discovery::Catalog;
 use hingestage_rpc::messages::ConfigVersion;
+use hingestage_rpc::trials::TrialPosition;
 use hingestage_rpc::workers::WorkersVersion;
+use hingestage_trial::Terms;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -42,6 +46,8 @@
     contents: BTreeMap<(CompactString, WorkersVersion), Vec<(CompactString, bool)>>,
     /// The configuration in force at each proxy, and the life of its process.
     in_force: BTreeMap<CompactString, (u32, Option<ConfigVersion>)>,
+    /// When a request of each tenant was first judged by a position.
+    judged: BTreeMap<(&'static str, TrialPosition), Micros>,
 }
 
 impl Judge {
@@ -54,7 +60,16 @@
     }
 
     /// What must hold at every moment.
-    pub fn check(&mut self, now: Micros, cores: &[CoreNode], proxies: &[ProxyNode]) -> Result<(), String> {
+    pub fn check(
+        &mut self,
+        now: Micros,
+        cores: &[CoreNode],
+        proxies: &mut [ProxyNode],
+    ) -> Result<(), String> {
+        let running = proxies.iter_mut().filter(|proxy| proxy.process.up && !proxy.process.is_frozen(now));
+        for proxy in running {
+            self.check_trials(now, proxy)?;
+        }
         let running: Vec<&ProxyNode> = proxies.iter().filter(|proxy| proxy.process.up).collect();
         for proxy in &running {
             self.check_keys(now, proxy)?;
@@ -81,6 +96,27 @@
         Ok(())
     }
 
+    /// No tenant is judged by an earlier position long after it was judged by a later one anywhere. A tenant whose trial is
+    /// not known has its whole quota, as before the first step of any terms.
+    fn check_trials(&mut self, now: Micros, proxy: &mut ProxyNode) -> Result<(), String> {
+        for tenant in TENANTS {
+            let Some(position) = proxy.judged_by(now, tenant) else { continue };
+            let unknown = position == TrialPosition::default();
+            let differs = |other: &TrialPosition| *other > position && (!unknown || other.step > 0);
+            let late = |at: &Micros| now > at + TRIAL_SPANS.uncertainty;
+            let mut judged = self.judged.iter().filter(|((judged, _), _)| *judged == tenant);
+            if let Some(((_, other), at)) = judged.find(|((_, other), at)| differs(other) && late(at)) {
+                let ago = (now - at) / MILLI;
+                return Err(format!(
+                    "{} judges {tenant} by {position:?}; by {other:?} it was judged {ago} ms ago",
+                    proxy.name
+                ));
+            }
+            self.judged.entry((tenant, position)).or_insert(now);
+        }
+        Ok(())
+    }
+
     fn check_going_back(&mut self, proxy: &ProxyNode) -> Result<(), String> {
         let held = proxy.view.config_version();
         let now_in_force = (proxy.process.life, held);
@@ -114,9 +150,10 @@
         &self,
         now: Micros,
         cores: &[CoreNode],
-        proxies: &[ProxyNode],
+        proxies: &mut [ProxyNode],
         platform: &Platform,
     ) -> Result<(), String> {
+        check_trials_at_end(now, cores, proxies)?;
         let newest = self.acknowledged.iter().map(|(_, version)| *version).max();
         for core in cores {
             let held = core.replica.state().config.as_ref().map(|config| config.version);
@@ -132,7 +169,7 @@
             return Err(format!("{} registries read the list", readers.len()));
         }
         let mut shares = 0.0;
-        for proxy in proxies {
+        for proxy in &*proxies {
             self.check_proxy_at_end(now, proxy, newest, platform)?;
             shares += proxy.view.part().share(proxy.clock(now));
         }
@@ -177,6 +214,34 @@
     }
 }
 
+/// All proxies judge by the last step of the terms that all stores hold.
+fn check_trials_at_end(now: Micros, cores: &[CoreNode], proxies: &mut [ProxyNode]) -> Result<(), String> {
+    for tenant in TENANTS {
+        let held = cores[0].replica.state().trials.get(tenant);
+        if let Some(other) = cores.iter().find(|core| core.replica.state().trials.get(tenant) != held) {
+            return Err(format!("{} has other terms of {tenant} than core-0", other.member.name));
+        }
+        let Some(record) = held else { continue };
+        let last = Terms::parse(&record.terms).map(|terms| terms.last_step()).unwrap_or_default();
+        if record.position.step != last {
+            return Err(format!(
+                "the trial of {tenant} stands at {:?}, with nothing in the way",
+                record.position
+            ));
+        }
+        for proxy in proxies.iter_mut() {
+            let judged = proxy.judged_by(now, tenant);
+            if judged != Some(record.position) {
+                return Err(format!(
+                    "{} judges {tenant} by {judged:?}, all have {:?}",
+                    proxy.name, record.position
+                ));
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Parts of what is common never come to more than the whole.
 fn check_parts(now: Micros, running: &[&ProxyNode]) -> Result<(), String> {
     if now < FAULTS_FROM {
--- a/crates/control-sim/src/lib.rs
+++ b/crates/control-sim/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use defect::Defect;
 pub use judge::Broken;
-pub use world::{play, play_and_tell, Played};
+pub use world::{play, play_and_tell, Options, Played};
 
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
--- a/crates/control-sim/src/main.rs
+++ b/crates/control-sim/src/main.rs
@@ -1,7 +1,7 @@
 //! `hingestage-control-sim`: plays seeds of the control plane.
 #![forbid(unsafe_code)]
 
-use hingestage_control_sim::{play, play_and_tell, Broken, Defect, Played};
+use hingestage_control_sim::{play, play_and_tell, Broken, Defect, Options, Played};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -17,6 +17,8 @@
         optional --seeds count: u64
         /// A fault to plant, by its name.
         optional --defect name: Defect
+        /// Let operators set terms of trials.
+        optional --trials
         /// Tell what happens in the first seed, and play no other.
         optional --history
         /// Threads; all cores where it is left out.
@@ -37,12 +39,13 @@
         }
     };
     let from = flags.from.unwrap_or_default();
+    let options = Options { defect: flags.defect, trials: flags.trials };
     if flags.history {
-        return tell_history(from, flags.defect);
+        return tell_history(from, options);
     }
     let until = from.saturating_add(flags.seeds.unwrap_or(100));
     let jobs = flags.jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, usize::from));
-    let (played, broken) = play_all(from, until, flags.defect, jobs.max(1));
+    let (played, broken) = play_all(from, until, options, jobs.max(1));
     for broken in broken.iter().take(TOLD_MAX) {
         println!("{broken}");
     }
@@ -63,8 +66,8 @@
     ExitCode::SUCCESS
 }
 
-fn tell_history(seed: u64, defect: Option<Defect>) -> ExitCode {
-    let result = play_and_tell(seed, defect, |at, what| println!("{:>10.3} s  {what}", at as f64 / 1e6));
+fn tell_history(seed: u64, options: Options) -> ExitCode {
+    let result = play_and_tell(seed, options, |at, what| println!("{:>10.3} s  {what}", at as f64 / 1e6));
     match result {
         Ok(_) => ExitCode::SUCCESS,
         Err(broken) => {
@@ -74,7 +77,7 @@
     }
 }
 
-fn play_all(from: u64, until: u64, defect: Option<Defect>, jobs: usize) -> (Vec<Played>, Vec<Broken>) {
+fn play_all(from: u64, until: u64, options: Options, jobs: usize) -> (Vec<Played>, Vec<Broken>) {
     let next = AtomicU64::new(from);
     let results = Mutex::new((Vec::new(), Vec::new()));
     std::thread::scope(|scope| {
@@ -84,7 +87,7 @@
                 if seed >= until {
                     return;
                 }
-                let result = play(seed, defect);
+                let result = play(seed, options);
                 let mut results = results.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
                 match result {
                     Ok(played) => results.0.push(played),
--- a/crates/control-sim/src/message.rs
+++ b/crates/control-sim/src/message.rs
@@ -21,6 +21,13 @@
     pub message: Message,
 }
 
+impl Message {
+    /// Whether trials are handed over.
+    pub fn is_trials(&self) -> bool {
+        matches!(self, Message::Replicate { update: Update::Trials(_), .. })
+    }
+}
+
 /// What is said.
 #[derive(Clone, Debug)]
 pub(crate) enum Message {
--- a/crates/control-sim/src/process.rs
+++ b/crates/control-sim/src/process.rs
@@ -1,6 +1,6 @@
 //! The life of a simulated process.
 
-use crate::Micros;
+use crate::{Micros, MILLI};
 
 /// Whether a process runs, since when, and by which clock it goes.
 #[derive(Clone, Copy, Debug, Default)]
@@ -32,6 +32,11 @@
         now - self.started
     }
 
+    /// Its time of day, milliseconds.
+    pub fn time_of_day(&self, now: Micros) -> u64 {
+        (now + self.wall_ahead) / MILLI
+    }
+
     pub fn is_frozen(&self, now: Micros) -> bool {
         now < self.frozen_until
     }
--- a/crates/control-sim/src/proxy_node.rs
+++ b/crates/control-sim/src/proxy_node.rs
@@ -7,8 +7,10 @@
 use fastrand::Rng;
 use hingestage_discovery::{Home, Homes, PeerProxy};
 use hingestage_proxy::view::{Spans, View};
-use hingestage_rpc::messages::{ProcessId, ProxyStatus, Watched};
+use hingestage_rpc::messages::{Have, ProcessId, ProxyStatus, Watched};
+use hingestage_rpc::trials::{TrialPosition, TrialRevision};
 use hingestage_rpc::workers::ServiceHave;
+use hingestage_trial::Judgement;
 
 /// Ticks between watches, questions to homes, and questions about what homes are late with.
 const WATCH_TICKS: u64 = 4;
@@ -26,7 +28,10 @@
     cold_margin: 300 * MILLI,
     key_lease: Some(4_500 * MILLI),
     part_lease: 11 * SECOND,
+    trials: TRIAL_SPANS,
 };
+/// How steps of trials take effect.
+pub(crate) const TRIAL_SPANS: hingestage_trial::Spans = hingestage_trial::Spans::DEFAULT;
 
 /// A proxy.
 pub(crate) struct ProxyNode {
@@ -38,6 +43,8 @@
     defect: Option<Defect>,
     pub view: View,
     homes: Homes,
+    /// How far each core machine told of trials.
+    trials: Vec<TrialRevision>,
     ticks: u64,
 }
 
@@ -53,7 +60,8 @@
             number,
             cores,
             defect,
-            view: View::new(SPANS),
+            view: View::new(spans(defect)),
+            trials: vec![TrialRevision::default(); cores],
             ticks: 0,
         }
     }
@@ -61,8 +69,9 @@
     pub fn start(&mut self, now: Micros) {
         self.process.start(now);
         if self.defect != Some(Defect::PartKeptOverRestart) {
-            self.view = View::new(SPANS);
+            self.view = View::new(spans(self.defect));
         }
+        self.trials.fill(TrialRevision::default());
         self.homes = Homes::new(&self.name);
     }
 
@@ -76,6 +85,24 @@
         }
     }
 
+    /// By which position of a trial it would judge a request: none where it would not, and the lowest where it knows of no
+    /// trial.
+    pub fn judged_by(&mut self, now: Micros, tenant: &str) -> Option<TrialPosition> {
+        let clock = self.clock(now);
+        if self.view.part().share(clock) <= 0.0 {
+            return None;
+        }
+        match self.view.judge_trial(clock, tenant) {
+            Judgement::NoTrial => Some(TrialPosition::default()),
+            Judgement::Unknown(_) => None,
+            Judgement::Trial(standing) if self.defect == Some(Defect::StepByOwnClock) => {
+                let step = standing.terms.step_due(self.process.time_of_day(now));
+                Some(TrialPosition { step, ..standing.position })
+            }
+            Judgement::Trial(standing) => Some(standing.position),
+        }
+    }
+
     /// A moment has passed.
     pub fn tick(&mut self, now: Micros, random: &mut Rng) -> Vec<Envelope> {
         let clock = self.clock(now);
@@ -83,7 +110,7 @@
         let mut sent = Vec::new();
         if self.ticks.is_multiple_of(WATCH_TICKS) {
             for core in 0..self.cores {
-                let (status, have) = (self.status(), self.view.have());
+                let (status, have) = (self.status(), Have { trials: self.trials[core], ..self.view.have() });
                 sent.push(self.envelope(core, Message::Watch { asked_at: clock, status, have }));
             }
         }
@@ -160,6 +187,8 @@
 
     fn take(&mut self, clock: Micros, from: NodeId, asked_at: Micros, news: Watched) -> Vec<Envelope> {
         let mut sent = Vec::new();
+        self.view.take_trials(clock, news.trials);
+        self.trials[from] = news.have.trials;
         if let Some(peers) = news.directory {
             let of_zone = peers.iter().filter(|peer| peer.zone == self.zone);
             let living = of_zone.map(|peer| PeerProxy { name: peer.id.node.clone(), addr: peer.peer });
@@ -182,3 +211,13 @@
         sent
     }
 }
+
+fn spans(defect: Option<Defect>) -> Spans {
+    let mut spans = SPANS;
+    match defect {
+        Some(Defect::StepAtOnce) => spans.trials.delay = 0,
+        Some(Defect::StepWithoutLease) => spans.trials.lease = Micros::MAX / 4,
+        _ => {}
+    }
+    spans
+}
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -11,6 +11,7 @@
 use fastrand::Rng;
 use hingestage_replication::digest;
 use hingestage_rpc::messages::{ConfigDocument, ConfigVersion};
+use hingestage_rpc::trials::{TrialPosition, TrialRecord};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -30,12 +31,18 @@
 /// One change in so many is made by two operators at once.
 const RACE_ONCE_IN: u32 = 6;
 
+/// Tenants with trials.
+pub(crate) const TENANTS: [&str; 6] = ["trial-a", "trial-b", "trial-c", "trial-d", "trial-e", "trial-f"];
+/// Longest time from terms to the end that they set, milliseconds.
+const END_WITHIN: u64 = 12_000;
+
 enum Event {
     Deliver(Box<Envelope>),
     Tick(NodeId, u32),
     Start(NodeId),
     Fault(Fault),
     Operator,
+    Terms,
     Platform,
     Check,
 }
@@ -97,6 +104,7 @@
     platform: Platform,
     judge: Judge,
     serial: u64,
+    terms_version: u64,
     /// Since when all core machines have been whole.
     whole_since: Micros,
     /// What happens at the next acknowledgement.
@@ -109,12 +117,21 @@
 /// Tells of what happens, and when.
 type Tell = Box<dyn Fn(Micros, &str)>;
 
+/// What is played besides what a seed draws.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Options {
+    /// A fault that is planted.
+    pub defect: Option<Defect>,
+    /// Whether operators set terms of trials.
+    pub trials: bool,
+}
+
 /// Plays a seed.
 ///
 /// # Errors
 /// The first rule that was broken.
-pub fn play(seed: u64, defect: Option<Defect>) -> Result<Played, Broken> {
-    play_and_tell(seed, defect, |_, _| {})
+pub fn play(seed: u64, options: Options) -> Result<Played, Broken> {
+    play_and_tell(seed, options, |_, _| {})
 }
 
 /// Plays a seed, and tells of faults, starts and acknowledgements as they happen.
@@ -123,10 +140,10 @@
 /// The first rule that was broken.
 pub fn play_and_tell(
     seed: u64,
-    defect: Option<Defect>,
+    options: Options,
     tell: impl Fn(Micros, &str) + 'static,
 ) -> Result<Played, Broken> {
-    let mut world = World::new(seed, defect, Box::new(tell));
+    let mut world = World::new(seed, options, Box::new(tell));
     let result = world.run();
     let played =
         Played { events: world.events, acknowledged: world.judge.acknowledgements(), digest: world.digest };
@@ -134,7 +151,8 @@
 }
 
 impl World {
-    fn new(seed: u64, defect: Option<Defect>, tell: Tell) -> World {
+    fn new(seed: u64, options: Options, tell: Tell) -> World {
+        let defect = options.defect;
         let mut random = Rng::with_seed(seed);
         // Two layouts: three core machines in two zones, and four in as many.
         let core_zones: &[&str] = if random.bool() { &["a", "a", "b"] } else { &["a", "b", "c", "d"] };
@@ -165,6 +183,7 @@
             platform: Platform::new(),
             judge: Judge::default(),
             serial: 0,
+            terms_version: 1,
             whole_since: 0,
             after_ack: None,
             events: 0,
@@ -173,6 +192,9 @@
             random,
         };
         world.begin();
+        if options.trials {
+            world.push(3 * SECOND, Event::Terms);
+        }
         world
     }
 
@@ -225,7 +247,7 @@
             self.digest = digest(&[self.digest, self.now, self.queued].map(u64::to_le_bytes).concat());
             self.happen(next.event)?;
         }
-        self.judge.check_end(self.now, &self.cores, &self.proxies, &self.platform)
+        self.judge.check_end(self.now, &self.cores, &mut self.proxies, &self.platform)
     }
 
     fn happen(&mut self, event: Event) -> Result<(), String> {
@@ -235,11 +257,12 @@
             Event::Start(node) => self.start(node),
             Event::Fault(fault) => self.strike(fault),
             Event::Operator => self.operate(),
+            Event::Terms => self.set_terms(),
             Event::Platform => self.change_platform(),
             Event::Check => {
                 self.note_whole();
                 self.push(self.now + CHECK_PERIOD, Event::Check);
-                return self.judge.check(self.now, &self.cores, &self.proxies);
+                return self.judge.check(self.now, &self.cores, &mut self.proxies);
             }
         }
         Ok(())
@@ -414,6 +437,29 @@
         }
     }
 
+    /// Operators set terms of trials: new ones, an extension, an end at once, or none any more; at times two at once.
+    fn set_terms(&mut self) {
+        self.terms_version += u64::from(self.random.u32(..RACE_ONCE_IN) > 0);
+        let operators = 1 + usize::from(self.random.u32(..RACE_ONCE_IN) == 0);
+        for _ in 0..operators {
+            let tenant = TENANTS[self.random.usize(..TENANTS.len())];
+            let record = terms(tenant, self.terms_version, self.now, &mut self.random);
+            let core = self.random.usize(..self.size.cores);
+            let process = self.cores[core].process;
+            if process.up && !process.is_frozen(self.now) {
+                (self.tell)(
+                    self.now,
+                    &format!("terms of {tenant} to core-{core}: {}", String::from_utf8_lossy(&record.terms)),
+                );
+                self.cores[core].propose_terms(self.now, record);
+            }
+        }
+        let next = self.now + self.random.u64(SECOND..7 * SECOND);
+        if next < FAULTS_UNTIL {
+            self.push(next, Event::Terms);
+        }
+    }
+
     fn change_platform(&mut self) {
         self.platform.change(self.now, &mut self.random);
         let next = self.now + self.random.u64(200 * MILLI..3 * SECOND);
@@ -429,3 +475,22 @@
     let json = json.into_bytes();
     ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
 }
+
+/// Terms that an operator sets: an end by a clock that is right, or none.
+fn terms(tenant: &str, version: u64, now: Micros, random: &mut Rng) -> TrialRecord {
+    let ends_at = (now + WALL_AHEAD) / MILLI + random.u64(..END_WITHIN);
+    let end = format!(
+        r#""1970-01-01T00:{:02}:{:02}.{:03}Z""#,
+        ends_at / 60_000,
+        ends_at / 1_000 % 60,
+        ends_at % 1_000
+    );
+    let end = if random.u32(..5) == 0 { "null".to_owned() } else { end };
+    let steps = r#"[{"before_end":"4s","share":0.5},{"before_end":"2s","share":0.2}]"#;
+    let terms = format!(r#"{{"version":{version},"end":{end},"steps":{steps},"grace":"1s"}}"#).into_bytes();
+    TrialRecord {
+        tenant: tenant.into(),
+        position: TrialPosition { version, digest: digest(&terms), step: 0 },
+        terms,
+    }
+}
--- a/crates/control-sim/tests/seeds.rs
+++ b/crates/control-sim/tests/seeds.rs
@@ -1,16 +1,22 @@
 //! Seeds keep the rules, a seed is one run, and each planted defect is noticed.
 
-use hingestage_control_sim::{play, Defect};
+use hingestage_control_sim::{play, Defect, Options};
 
 /// Seeds that are played here; CI plays more.
 const SEEDS: u64 = 40;
 /// Seeds within which each defect is found.
 const FOUND_WITHIN: u64 = 60;
+/// Where seeds begin for a defect that shows in one of some hundred: a proxy has to be cut off from the first terms of a
+/// tenant until after their first step.
+const RARE_FROM: u64 = 240;
+/// What operators do in every run, and with trials besides.
+const USUAL: Options = Options { defect: None, trials: false };
+const TRIALS: Options = Options { defect: None, trials: true };
 
 #[test]
 fn no_seed_breaks_a_rule_and_all_acknowledge_configurations() {
-    for seed in 0..SEEDS {
-        let played = play(seed, None).unwrap_or_else(|broken| panic!("{broken}"));
+    for (seed, options) in (0..SEEDS).flat_map(|seed| [(seed, USUAL), (seed, TRIALS)]) {
+        let played = play(seed, options).unwrap_or_else(|broken| panic!("{broken}"));
         assert!(played.acknowledged > 5, "seed {seed}: {played:?}");
     }
 }
@@ -18,9 +24,9 @@
 #[test]
 fn a_seed_is_one_run() {
     for seed in [1, 7] {
-        assert_eq!(play(seed, None), play(seed, None));
+        assert_eq!(play(seed, TRIALS), play(seed, TRIALS));
     }
-    assert_ne!(play(1, None), play(7, None));
+    assert_ne!(play(1, USUAL), play(7, USUAL));
 }
 
 /// A restarted proxy believed news from before its start (44, 281, 315); what a home had passed on was above what any
@@ -28,14 +34,16 @@
 #[test]
 fn seeds_that_found_faults_are_kept() {
     for seed in [44, 281, 315, 12_564, 18_125] {
-        play(seed, None).unwrap_or_else(|broken| panic!("{broken}"));
+        play(seed, USUAL).unwrap_or_else(|broken| panic!("{broken}"));
     }
 }
 
 #[test]
 fn each_planted_defect_is_noticed() {
     for defect in Defect::ALL {
-        let found = (0..FOUND_WITHIN).find_map(|seed| play(seed, Some(defect)).err());
+        let options = Options { defect: Some(defect), trials: defect.is_of_trials() };
+        let from = if defect == Defect::StepWithoutNotice { RARE_FROM } else { 0 };
+        let found = (from..from + FOUND_WITHIN).find_map(|seed| play(seed, options).err());
         assert!(found.is_some(), "{defect} was not noticed within {FOUND_WITHIN} seeds");
         let name = defect.to_string();
         assert_eq!(name.parse(), Ok(defect));
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -6,6 +6,7 @@
 use hingestage_node::SettingsFile;
 use hingestage_replication::Micros;
 use hingestage_rpc::messages::{ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched};
+use hingestage_rpc::trials::TrialRevision;
 use hingestage_rpc::workers::ServiceHave;
 use hingestage_rpc::Client;
 use std::collections::BTreeSet;
@@ -67,8 +68,9 @@
 async fn keep_watching(proxy: Rc<Proxy>, registry: Rc<Registry>) {
     // Each registry has a directory of its own making.
     let mut directory = 0;
+    let mut trials = TrialRevision::default();
     loop {
-        let have = Have { directory, ..proxy.view.borrow().have() };
+        let have = Have { directory, trials, ..proxy.view.borrow().have() };
         let asked_at = proxy.now();
         let near = proxy.is_near(registry.addr());
         let near_answers = asked_at < proxy.near_heard_at.get() + NEAR_SILENT;
@@ -80,6 +82,7 @@
                     proxy.near_heard_at.set(proxy.now());
                 }
                 directory = news.have.directory;
+                trials = news.have.trials;
                 take(&proxy, &registry, asked_at, *news).await;
             }
             _ => tokio::time::sleep(CALL_PAUSE).await,
@@ -89,6 +92,7 @@
 
 /// Takes news in, and fetches what is newer than what is held.
 async fn take(proxy: &Rc<Proxy>, registry: &Rc<Registry>, asked_at: u64, news: Watched) {
+    proxy.view.borrow_mut().take_trials(proxy.now(), news.trials);
     proxy.take_registries(news.registries);
     if let Some(peers) = news.directory {
         proxy.take_peers(peers);
--- a/crates/proxy/src/lending.rs
+++ b/crates/proxy/src/lending.rs
@@ -106,7 +106,7 @@
         let tenant = active.configuration.tenants.iter().find(|known| known.name == tenant);
         let Some(tenant) = tenant.filter(|_| most.is_finite() && most > 0.0) else { return 0.0 };
         let part = self.view.borrow().part();
-        let limits = self.limits_of(tenant, part);
+        let Some(limits) = self.lendable(tenant, part) else { return 0.0 };
         self.tenants.borrow_mut().lend(self.now(), &tenant.name, limits, part, most)
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admission;
 pub mod attempts;
 pub mod classes;
 mod control;
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -1,5 +1,6 @@
 //! What becomes of one request of a client: which route it takes, whose it is, whether it may pass, and the answer.
 
+use crate::admission::Admitted;
 use crate::classes::Terms;
 use crate::dialect::{drop_hop_by_hop, API_KEY, ATTEMPT_ID, DEADLINE, TARGET_WORKER, TENANT};
 use crate::request_log::TrackedRequest;
@@ -19,7 +20,6 @@
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
 use hingestage_policy::{CustomerId, PlanId};
-use hingestage_quota::{Admission, Part, RefusalReason, TenantLimits};
 use hingestage_rpc::status::RequestOutcome;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -33,7 +33,7 @@
 /// The least advice to come again after a refusal.
 const RETRY_LEAST: Duration = Duration::from_millis(20);
 /// Advice where this proxy can't judge for now: another one can.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 /// How long a client waits that doesn't say.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 /// Time left below which a request isn't begun.
@@ -43,21 +43,21 @@
 
 /// A final answer of the proxy's own.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Refusal {
-    status: StatusCode,
+pub(crate) struct Refusal {
+    pub status: StatusCode,
     message: &'static str,
     outcome: RequestOutcome,
-    retry_after: Option<Duration>,
+    pub retry_after: Option<Duration>,
     /// Whether what is left of the request on the connection can't be told from a next one.
     ends_connection: bool,
 }
 
 impl Refusal {
-    const fn new(status: StatusCode, message: &'static str, outcome: RequestOutcome) -> Refusal {
+    pub const fn new(status: StatusCode, message: &'static str, outcome: RequestOutcome) -> Refusal {
         Refusal { status, message, outcome, retry_after: None, ends_connection: false }
     }
 
-    fn after(self, wait: Duration) -> Refusal {
+    pub fn after(self, wait: Duration) -> Refusal {
         Refusal { retry_after: Some(wait.max(RETRY_LEAST)), ..self }
     }
 
@@ -67,20 +67,20 @@
 }
 
 /// A request that has a route.
-struct Routed {
+pub(crate) struct Routed {
     active: Rc<Active>,
     /// Place of the route in its configuration.
-    route: Route,
+    pub route: Route,
     /// Place of the tenant, where the route asks for one.
     tenant: Option<usize>,
 }
 
 impl Routed {
-    fn tenant(&self) -> Option<&Tenant> {
+    pub fn tenant(&self) -> Option<&Tenant> {
         self.tenant.and_then(|place| self.active.configuration.tenants.get(place))
     }
 
-    fn tenant_name(&self) -> CompactString {
+    pub fn tenant_name(&self) -> CompactString {
         self.tenant().map(|tenant| tenant.name.clone()).unwrap_or_default()
     }
 }
@@ -156,7 +156,7 @@
         let routed = self.route(&head.headers, head.uri.path(), tracked).unwrap_or(routed);
         tracked.routed(&routed.route.name, &routed.tenant_name());
         let service = self.service_for(&routed, tracked)?;
-        let mut admitted = self.admit(&routed).await?;
+        let mut admitted = self.admit(&routed, until).await?;
         let tenant = routed.tenant_name();
         let class = service.class(Terms::of(&routed.route));
         let uri = head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
@@ -289,94 +289,6 @@
         let key = ServiceKey::within(name, &routed.route.allow_regions, tenant_regions).ok_or(nowhere)?;
         self.services.get(key, &self.view.borrow(), self.now()).ok_or(nowhere)
     }
-
-    /// Takes a request into its tenant's quota, until what is given is dropped. Where this proxy's part is used up,
-    /// others may lend from theirs.
-    async fn admit(self: &Rc<Self>, routed: &Routed) -> Result<Admitted, Refusal> {
-        let admitted = || Admitted { proxy: self.clone(), tenant: routed.tenant_name(), ran: false };
-        let Some(tenant) = routed.tenant() else { return Ok(admitted()) };
-        let mut admission = self.ask_table(tenant, routed, 0.0);
-        if matches!(admission, Admission::Refused { reason: RefusalReason::HardBound, .. }) {
-            let lent = self.borrow_tokens(&tenant.name).await;
-            if lent > 0.0 {
-                admission = self.ask_table(tenant, routed, lent);
-            }
-        }
-        match admission {
-            Admission::Admitted => Ok(admitted()),
-            Admission::Refused { retry_after, reason } => {
-                let message = "beyond the tenant's quota";
-                let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, message, quota_outcome(reason));
-                Err(refusal.after(Duration::from_micros(retry_after)))
-            }
-        }
-    }
-
-    fn ask_table(&self, tenant: &Tenant, routed: &Routed, lent: f64) -> Admission {
-        let part = self.view.borrow().part();
-        let limits =
-            TenantLimits { open_cap: open_cap(tenant, routed.route.timeout), ..self.limits_of(tenant, part) };
-        let spread = fastrand::u64(..);
-        self.tenants.borrow_mut().admit_with(self.now(), &tenant.name, limits, part, spread, lent)
-    }
-
-    /// A tenant's quota, as all proxies share it.
-    pub(crate) fn limits_of(&self, tenant: &Tenant, part: Part) -> TenantLimits {
-        let bounds = &self.settings.bounds;
-        let window = bounds.quota_window.as_secs_f64();
-        let excess = bounds.quota_excess * (tenant.rate_per_s * window + tenant.burst) + bounds.quota_slack;
-        let slack = excess * SLACK_USED;
-        TenantLimits {
-            rate_per_s: tenant.rate_per_s,
-            burst: tenant.burst,
-            slack,
-            open_cap: None,
-            exempt: false,
-            whole_tokens: tenant.burst + slack >= f64::from(part.gateways),
-        }
-    }
-}
-
-/// A quota's refusal as operators are told of it.
-fn quota_outcome(reason: RefusalReason) -> RequestOutcome {
-    match reason {
-        RefusalReason::PenaltyBox => RequestOutcome::QuotaPenaltyBox,
-        RefusalReason::OpenCap => RequestOutcome::QuotaOpenCap,
-        RefusalReason::NoLease => RequestOutcome::QuotaNoLease,
-        RefusalReason::HardBound => RequestOutcome::QuotaUsedUp,
-    }
-}
-
-/// Part of a quota's slack that is planned with; the rest is for error, and for tokens on their way between proxies.
-const SLACK_USED: f64 = 0.85;
-
-/// How many times what a tenant within its quota can have open it may have, over all proxies, and the least cap. Each
-/// proxy holds a part of it by its share of recent counts, which lags: the cap is for requests that pile up.
-const OPEN_CAP_FACTOR: f64 = 4.0;
-const OPEN_CAP_LEAST: f64 = 256.0;
-
-/// Requests that a tenant may have open over all proxies: by its quota and the longest that a request lasts. None where
-/// the tenant has no quota.
-fn open_cap(tenant: &Tenant, timeout: Duration) -> Option<u32> {
-    let within_quota = tenant.rate_per_s * timeout.as_secs_f64() + tenant.burst;
-    let cap = (OPEN_CAP_FACTOR * within_quota).max(OPEN_CAP_LEAST);
-    (tenant.rate_per_s > 0.0).then_some(cap as u32)
-}
-
-/// A request that its tenant's quota let pass.
-struct Admitted {
-    proxy: Rc<Proxy>,
-    tenant: CompactString,
-    /// Whether it may have run.
-    ran: bool,
-}
-
-impl Drop for Admitted {
-    fn drop(&mut self) {
-        if !self.tenant.is_empty() {
-            self.proxy.tenants.borrow_mut().ended(self.proxy.now(), &self.tenant, self.ran);
-        }
-    }
 }
 
 /// A header that is there exactly once.
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The proxy put together: serves from its start until all is answered after it is told to end.
 
+use crate::admission::Deferred;
 use crate::lending::Loans;
 use crate::relay::{self, Relay};
 use crate::request_log::RequestLog;
@@ -115,6 +116,7 @@
     /// Where datagrams of other proxies come in.
     pub(crate) peer_socket: RefCell<Option<Rc<UdpSocket>>>,
     pub(crate) loans: Loans,
+    pub(crate) deferred: Deferred,
     /// The configuration in force as it was sent: changes are made to it.
     document: RefCell<Option<ConfigDocument>>,
     id: ProcessId,
@@ -200,6 +202,7 @@
             cold_margin: micros(COLD_MARGIN),
             key_lease,
             part_lease: micros(PART_LEASE),
+            trials: hingestage_trial::Spans::default(),
         };
         let started = Instant::now();
         let incarnation = incarnation();
@@ -218,6 +221,7 @@
             relay: Relay::new(&settings.node),
             peer_socket: RefCell::default(),
             loans: Loans::default(),
+            deferred: Deferred::default(),
             document: RefCell::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
--- a/crates/proxy/tests/operator_calls.rs
+++ b/crates/proxy/tests/operator_calls.rs
@@ -84,6 +84,7 @@
                     workers: VERSION,
                     workers_seen: VERSION,
                     directory: 0,
+                    ..Have::default()
                 };
                 let fresh_age = self.fresh.then_some(0);
                 RegistryAnswer::Watched(Box::new(Watched {
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -8,8 +8,13 @@
 const S: u64 = 1_000_000;
 /// Milliseconds in a second, as ages are told.
 const AGE: u64 = 1_000;
-const SPANS: Spans =
-    Spans { return_after: 2 * S, cold_margin: S / 2, key_lease: Some(4 * S), part_lease: 11 * S };
+const SPANS: Spans = Spans {
+    return_after: 2 * S,
+    cold_margin: S / 2,
+    key_lease: Some(4 * S),
+    part_lease: 11 * S,
+    trials: hingestage_trial::Spans::DEFAULT,
+};
 
 fn document(serial: u64, backend: &str) -> ConfigDocument {
     let backend = format!(r#"{{"name":"{backend}","health_path":"/h","max_conns":9}}"#);
--- a/crates/quota/src/table.rs
+++ b/crates/quota/src/table.rs
@@ -64,6 +64,8 @@
     pub open_cap: Option<u32>,
     /// Never enters the penalty box.
     pub exempt: bool,
+    /// Part of burst and slack that a request leaves to others of the tenant: it is refused where less would be left.
+    pub reserve: f64,
     /// Whether each gateway may gather a whole token, however small its part of burst and slack is. The parts of all
     /// then come to as many tokens as there are gateways.
     pub whole_tokens: bool,
@@ -523,6 +525,9 @@
         meter: &PartMeter,
         lent: f64,
     ) -> Result<(), Refusal> {
+        if let Some(wait) = self.wait_for_reserve(limits, meter, lent) {
+            return Err(Refusal { wait, reason: RefusalReason::HardBound });
+        }
         let taken = self.bucket.try_take_with(meter, limits.hard_bound(), lent);
         if !limits.is_limited() {
             return Ok(());
@@ -530,6 +535,19 @@
         taken.map_err(|wait| Refusal { wait: wait.unwrap_or(RETRY_MOST), reason: RefusalReason::HardBound })
     }
 
+    /// How long it takes until a token is there beside what the request leaves to others; none where it is. What was
+    /// lent and isn't used is lost.
+    fn wait_for_reserve(&mut self, limits: &TenantLimits, meter: &PartMeter, lent: f64) -> Option<Micros> {
+        let share = meter.share();
+        if limits.reserve <= 0.0 || !limits.is_limited() || share <= 0.0 {
+            return None;
+        }
+        self.bucket.refresh(meter, limits.hard_bound());
+        let wanted = 1.0 + limits.reserve * (limits.burst + limits.slack) * share;
+        let lacking = wanted - self.bucket.level() - lent;
+        (lacking > 0.0).then(|| micros(lacking / (limits.rate_per_s * share)))
+    }
+
     /// This gateway's share of the tenant's recent requests: by counts where those of the others are known, else by
     /// the part held.
     fn share_of_counts(&mut self, now: Micros, meter: &PartMeter) -> f64 {
--- a/crates/quota/tests/adds.rs
+++ b/crates/quota/tests/adds.rs
@@ -14,6 +14,7 @@
     slack: 0.0,
     open_cap: None,
     exempt: true,
+    reserve: 0.0,
     whole_tokens: true,
 };
 const OWNER: GatewayId = GatewayId(9);
--- a/crates/quota/tests/sums.rs
+++ b/crates/quota/tests/sums.rs
@@ -185,7 +185,7 @@
         whole_tokens: bool,
     ) {
         let (rate_per_s, burst, slack) = (rate.into(), burst.into(), slack.into());
-        let limits = TenantLimits { rate_per_s, burst, slack, open_cap: None, exempt, whole_tokens };
+        let limits = TenantLimits { rate_per_s, burst, slack, open_cap: None, exempt, reserve: 0.0, whole_tokens };
         let on_the_way = rate_per_s * LENT_FOR as f64 / S as f64;
         prop_assert!(worst(limits, &steps) <= burst + slack + on_the_way + ROUNDING);
     }
@@ -220,7 +220,7 @@
         steps in prop::collection::vec(step(), 1..120),
         (rate, burst) in (0.05_f64..2.0, 0.0_f64..5.0),
     ) {
-        let limits = TenantLimits { rate_per_s: rate, burst, slack: 0.0, open_cap: None, exempt: true, whole_tokens: true };
+        let limits = TenantLimits { rate_per_s: rate, burst, slack: 0.0, open_cap: None, exempt: true, reserve: 0.0, whole_tokens: true };
         prop_assert!(worst(limits, &steps) <= burst + GATEWAYS as f64 + ROUNDING);
     }
 }
@@ -233,6 +233,7 @@
         slack: 0.0,
         open_cap: None,
         exempt: true,
+        reserve: 0.0,
         whole_tokens: true,
     };
     let mut steps = Vec::new();
@@ -256,6 +257,7 @@
         slack: 0.0,
         open_cap: None,
         exempt: true,
+        reserve: 0.0,
         whole_tokens: true,
     };
     let mut world = World::new(limits);
--- a/crates/quota/tests/table.rs
+++ b/crates/quota/tests/table.rs
@@ -15,6 +15,7 @@
     slack: 0.0,
     open_cap: None,
     exempt: false,
+    reserve: 0.0,
     whole_tokens: true,
 };
 
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -1,6 +1,6 @@
 //! Calls from outside, HTTP/1.1: one dispatch on method and path segments.
 
-use crate::server::{Registry, PROPOSE_WAIT};
+use crate::server::Registry;
 use bytes::Bytes;
 use hingestage_configuration::Configuration;
 use hingestage_replication::digest;
@@ -35,13 +35,13 @@
 /// How long a read waits for the other stores.
 const READ_WAIT: Duration = Duration::from_millis(800);
 /// How long the store's answer may take beyond what it was asked to wait.
-const STORE_SPARE: Duration = Duration::from_millis(100);
+pub(crate) const STORE_SPARE: Duration = Duration::from_millis(100);
 /// Advice to callers whose change is not durable yet, seconds.
 const COME_AGAIN: HeaderValue = HeaderValue::from_static("0.3");
 /// How long clients hold an answer about where to go.
 const TTL: Duration = Duration::from_secs(2);
 
-type Answer = Response<Full<Bytes>>;
+pub(crate) type Answer = Response<Full<Bytes>>;
 
 /// Takes calls in for ever.
 pub(crate) async fn serve(listener: TcpListener, registry: Rc<Registry>) {
@@ -90,8 +90,11 @@
             (Method::POST, ["drain", zone]) => self.drain(zone, true).await,
             (Method::DELETE, ["drain", zone]) => self.drain(zone, false).await,
             (Method::GET, ["lookup"]) => self.lookup(request.uri().query().unwrap_or_default()),
+            (Method::PUT, ["trials", tenant]) => self.put_terms(tenant, request).await,
+            (Method::GET, ["trials"]) => self.get_trials(),
+            (Method::GET, ["trials", tenant]) => self.get_trial(tenant),
             (Method::GET, ["status"]) => json(StatusCode::OK, self.status()),
-            (_, ["config"] | ["drain", _] | ["lookup"] | ["status"]) => {
+            (_, ["config"] | ["drain", _] | ["lookup"] | ["status"] | ["trials"] | ["trials", _]) => {
                 error(StatusCode::METHOD_NOT_ALLOWED, "method not allowed here")
             }
             _ => error(StatusCode::NOT_FOUND, "no such path"),
@@ -131,12 +134,10 @@
 
     /// Asks for a change, and answers once it is durable.
     async fn propose(&self, change: Change) -> Answer {
-        let request = StoreRequest::Propose { change, wait: PROPOSE_WAIT.as_millis() as u64 };
-        match self.store.call(&request, PROPOSE_WAIT + STORE_SPARE).await {
-            Ok(StoreAnswer::Proposed(Proposed::Durable)) => json(StatusCode::OK, "{}".to_owned()),
-            Ok(StoreAnswer::Proposed(Proposed::Pending)) => come_again("not durable yet"),
-            Ok(_) => come_again("the disk refuses"),
-            Err(failed) => come_again(&format!("store: {failed}")),
+        match self.propose_change(change).await {
+            Ok(Proposed::Durable) => json(StatusCode::OK, "{}"),
+            Ok(_) => come_again("not durable yet"),
+            Err(message) => come_again(&message),
         }
     }
 
@@ -167,18 +168,18 @@
     }
 }
 
-fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
     let mut answer = Response::new(Full::new(body.into()));
     *answer.status_mut() = status;
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
 
-fn error(status: StatusCode, message: &str) -> Answer {
+pub(crate) fn error(status: StatusCode, message: &str) -> Answer {
     json(status, serde_json::json!({ "error": message }).to_string())
 }
 
-fn come_again(message: &str) -> Answer {
+pub(crate) fn come_again(message: &str) -> Answer {
     let mut answer = error(StatusCode::SERVICE_UNAVAILABLE, message);
     answer.headers_mut().insert(RETRY_AFTER, COME_AGAIN);
     answer
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -13,4 +13,6 @@
 pub mod server;
 mod state;
 pub mod transfers;
+mod trial_calls;
+pub mod trials;
 pub mod watch;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -75,11 +75,11 @@
     let mut signals = Signals::listen()?;
     let addr = settings.inner(InnerPort::Registry);
     let id = ProcessId { node: settings.node.as_str().into(), incarnation: incarnation() };
-    let me = RegistryMember { id, zone: settings.zone.as_str().into(), addr, reads_list: true };
+    let me = RegistryMember { id: id.clone(), zone: settings.zone.as_str().into(), addr, reads_list: true };
     let registry = Rc::new(Registry {
         store: StoreClient::new(settings.inner(InnerPort::ConfigStore)),
         directory: RefCell::new(Directory::new(directory::Figures::default())),
-        in_force: RefCell::default(),
+        in_force: RefCell::new(InForce::new(id.incarnation)),
         workers: RefCell::default(),
         workers_at: Cell::new(0),
         duty: RefCell::new(Duty::new(me, duty::Figures::default())),
@@ -101,6 +101,7 @@
     spawn_local(registry.clone().read_list());
     spawn_local(registry.clone().meet_others());
     spawn_local(registry.clone().admit_newcomers());
+    spawn_local(registry.clone().announce_steps());
     spawn_local(registry.clone().tidy());
     signals.terminate.recv().await;
     log::info!("told to end");
@@ -120,7 +121,7 @@
             let request = StoreRequest::Watch { have, wait: STORE_WAIT.as_millis() as u64 };
             match self.store.call(&request, STORE_WAIT + ANSWER_WITHIN).await {
                 Ok(StoreAnswer::Watched(news)) => {
-                    if self.in_force.borrow_mut().take(asked_at, *news) {
+                    if self.in_force.borrow_mut().take(self.now(), asked_at, *news) {
                         self.changed.notify_waiters();
                     }
                 }
@@ -281,6 +282,7 @@
             workers: self.workers.borrow().catalog().version(),
             workers_seen: self.workers.borrow().seen_version(),
             directory: self.directory.borrow().version(self.now(), zone),
+            trials: in_force.trials.revision(),
         }
     }
 
@@ -299,7 +301,8 @@
             let news = have.config > theirs.config
                 || has_newer_drain(&have.drains, &theirs.drains)
                 || have.workers > theirs.workers
-                || have.directory != theirs.directory;
+                || have.directory != theirs.directory
+                || self.in_force.borrow().trials.has_news_for(theirs.trials);
             let now = self.now();
             if news || now >= until {
                 return RegistryAnswer::Watched(Box::new(self.watched(now, have, &theirs, &name, &zone)));
@@ -318,6 +321,7 @@
             config_bytes,
             services: self.workers.borrow().catalog().index_since(theirs.workers),
             directory: other_directory.then(neighbors),
+            trials: in_force.trials.since(now, theirs.trials),
             registries: self.registries(now),
             fresh_age: in_force.freshness.age(now).map(|age| age / 1_000 + 1),
             members: in_force.proxies.len() as u32,
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -1,6 +1,7 @@
 //! What is in force, as the local store tells it, and as it is handed on to proxies.
 
 use crate::transfers::Transfers;
+use crate::trials::{TrialLog, NOTICE};
 use hingestage_replication::{Freshness, Micros};
 use hingestage_rpc::messages::{ProxyNames, StoreNews, Summary};
 
@@ -8,7 +9,6 @@
 const MILLI: Micros = 1_000;
 
 /// What is in force.
-#[derive(Default)]
 pub struct InForce {
     /// In short, as the store told it last.
     pub summary: Summary,
@@ -18,12 +18,25 @@
     pub proxies: ProxyNames,
     /// The latest moment at which nothing newer can have been acknowledged anywhere.
     pub freshness: Freshness,
+    /// Trials of tenants.
+    pub trials: TrialLog,
 }
 
 impl InForce {
-    /// Takes in what the store told when it was asked at `asked_at`. Tells whether anything changed that
+    /// Nothing is known. `incarnation` tells this life of the registry from others.
+    pub fn new(incarnation: u64) -> InForce {
+        InForce {
+            summary: Summary::default(),
+            configs: Transfers::default(),
+            proxies: ProxyNames::new(),
+            freshness: Freshness::default(),
+            trials: TrialLog::new(incarnation, NOTICE),
+        }
+    }
+
+    /// Takes in what the store told now, when it was asked at `asked_at`. Tells whether anything changed that
     /// proxies go by.
-    pub fn take(&mut self, asked_at: Micros, news: StoreNews) -> bool {
+    pub fn take(&mut self, now: Micros, asked_at: Micros, news: StoreNews) -> bool {
         let drains_changed = news.summary.drains != self.summary.drains;
         let config_changed = news.config.is_some();
         if let Some(config) = news.config {
@@ -32,11 +45,12 @@
         if let Some(proxies) = news.proxies {
             self.proxies = proxies;
         }
+        let trials_changed = news.trials.is_some_and(|trials| self.trials.take(now, trials));
         if let Some(age) = news.fresh_age {
             self.freshness.note(asked_at, age * MILLI);
         }
         self.summary = news.summary;
         self.summary.config = self.configs.newest().map(|config| config.version);
-        drains_changed || config_changed
+        drains_changed || config_changed || trials_changed
     }
 }
--- a/crates/replication/src/freshness.rs
+++ b/crates/replication/src/freshness.rs
@@ -18,6 +18,11 @@
         self.moment = self.moment.max(Some(moment));
     }
 
+    /// The moment on the process's own clock, microseconds; below zero where it lies before the start.
+    pub fn moment(&self) -> Option<i64> {
+        self.moment
+    }
+
     /// How old the news is; none where there is none.
     pub fn age(&self, now: Micros) -> Option<Micros> {
         let age = signed(now).saturating_sub(self.moment?);
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -11,12 +11,14 @@
 mod quorum;
 mod replica;
 mod state;
+mod trials;
 
 pub use freshness::Freshness;
 pub use hingestage_rpc::digest;
 pub use quorum::Quorum;
 pub use replica::{Figures, Replica};
 pub use state::State;
+pub use trials::{DurableTrials, TrialChanges, TrialSet, TrialsVersion};
 
 /// A point in time or a span, microseconds, on one process's steady clock.
 pub type Micros = u64;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -2,11 +2,13 @@
 
 use crate::quorum::Quorum;
 use crate::state::State;
+use crate::trials::{DurableTrials, TrialChanges};
 use crate::Micros;
 use compact_str::CompactString;
 use hingestage_rpc::messages::{
     Change, ConfigDocument, StoreMember, StoreNews, Summary, Update, ZoneDrain, ZoneDrains,
 };
+use hingestage_rpc::trials::TrialRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Microseconds in a millisecond.
@@ -65,6 +67,9 @@
     /// The configuration that gateways may go by.
     in_force: Option<ConfigDocument>,
     adopted_at: Micros,
+    /// Trials that proxies may go by.
+    trials: DurableTrials,
+    trial_changes: TrialChanges,
     members: BTreeMap<CompactString, StoreMember>,
     peers: BTreeMap<CompactString, Peer>,
     recovering: bool,
@@ -88,6 +93,8 @@
             state,
             in_force,
             adopted_at: 0,
+            trials: DurableTrials::default(),
+            trial_changes: TrialChanges::default(),
             peers: BTreeMap::new(),
             recovering,
         };
@@ -145,6 +152,8 @@
                 Update::Config(newer.cloned().unwrap_or(new))
             }
             Change::Proxies(names) => Update::Proxies(names),
+            Change::TrialTerms(record) => Update::Trials(vec![self.state.trials.record_for_terms(record)]),
+            Change::TrialSteps(steps) => Update::Trials(self.state.trials.records_for_steps(steps)),
             Change::Drain { zone, drained } => {
                 let held = self.newest_drain(&zone);
                 let order =
@@ -173,6 +182,11 @@
         if matches!(update, Update::Config(_)) && self.state.is_news(&update) {
             self.adopted_at = now;
         }
+        if let Update::Trials(records) = &update {
+            let news: Vec<TrialRecord> =
+                records.iter().filter(|record| self.state.trials.is_news(record)).cloned().collect();
+            self.trial_changes.note(self.state.trials.version(), news);
+        }
         self.state.apply(update);
         self.refresh(now);
     }
@@ -201,8 +215,17 @@
 
     /// What another replica lacks, as far as is known.
     pub fn missing_at(&self, name: &CompactString) -> Vec<Update> {
-        let answer = self.peers.get(name).and_then(|peer| peer.answer.as_ref());
-        answer.map(|answer| self.state.missing(&answer.summary)).unwrap_or_default()
+        let Some(answer) = self.peers.get(name).and_then(|peer| peer.answer.as_ref()) else {
+            return Vec::new();
+        };
+        let mut missing = self.state.missing(&answer.summary);
+        let changes = self.trial_changes.since(answer.summary.trials);
+        for update in &mut missing {
+            if let (Update::Trials(records), Some(changes)) = (update, &changes) {
+                records.clone_from(changes);
+            }
+        }
+        missing
     }
 
     /// A recovering replica speaks again once it has what enough others have. Where its whole zone has lost its disks
@@ -239,7 +262,10 @@
     /// Whether this replica has what another one was asked for lately, and long enough after this one's start.
     fn is_made_up_for(&self, now: Micros, name: &CompactString) -> bool {
         let answer = self.peers.get(name).and_then(Peer::valid);
-        answer.is_some_and(|answer| self.is_recent(now, answer) && covers(&self.state, &answer.summary))
+        answer.is_some_and(|answer| {
+            let trials = answer.summary.trials == self.state.trials.version();
+            trials && self.is_recent(now, answer) && covers(&self.state, &answer.summary)
+        })
     }
 
     /// Whether a question was asked lately, and long enough after this replica's start.
@@ -305,6 +331,7 @@
 
     /// Brings what is in force up to date; called as time passes as well.
     pub fn refresh(&mut self, now: Micros) {
+        self.refresh_trials(now);
         let Some(newest) = self.state.config.clone() else { return };
         if self.in_force.as_ref().is_some_and(|held| held.version >= newest.version) {
             return;
@@ -315,6 +342,14 @@
         }
     }
 
+    /// Trials are durable as a whole: replicas tell each other one digest of all.
+    fn refresh_trials(&mut self, now: Micros) {
+        let all = Update::Trials(Vec::new());
+        if self.trials.version() != self.state.trials.version() && self.is_durable(now, &all) {
+            self.trials.take(now, &self.state.trials);
+        }
+    }
+
     /// The latest moment at which nothing newer than what is in force here can have been acknowledged.
     pub fn current_as_of(&self, now: Micros) -> Option<Micros> {
         if self.recovering {
@@ -327,10 +362,12 @@
             answer.summary.config <= in_force
                 && covers_drains(&self.state, &answer.summary)
                 && answer.summary.proxies == names
+                && answer.summary.trials == self.trials.version()
         };
         let answers = self.peers.values().filter_map(Peer::valid).filter(says_so);
         let mut times: Vec<Micros> = answers.map(|answer| answer.asked_at).collect();
-        if self.state.config.as_ref().map(|config| config.version) <= in_force {
+        let all_trials_durable = self.state.trials.version() == self.trials.version();
+        if all_trials_durable && self.state.config.as_ref().map(|config| config.version) <= in_force {
             times.push(now);
         }
         times.sort_unstable_by(|a, b| b.cmp(a));
@@ -344,8 +381,10 @@
         summary.config = self.in_force.as_ref().map(|config| config.version);
         let config = self.in_force.as_ref().filter(|config| Some(config.version) > have.config).cloned();
         let proxies = (summary.proxies != have.proxies).then(|| self.state.proxies.clone());
+        summary.trials = self.trials.version();
+        let trials = (summary.trials != have.trials).then(|| self.trials.news(now));
         let fresh_age = self.current_as_of(now).map(|at| now.saturating_sub(at) / MILLI + 1);
-        StoreNews { summary, config, proxies, fresh_age }
+        StoreNews { summary, config, proxies, trials, fresh_age }
     }
 
     /// Whether so many replicas have been asked since a moment that nothing durable can be missing here.
@@ -376,5 +415,6 @@
         Update::Config(config) => summary.config >= Some(config.version),
         Update::Drain { zone, drain } => summary.drains.get(zone) >= Some(drain),
         Update::Proxies(_) => summary.proxies == state.names_version(),
+        Update::Trials(_) => summary.trials == state.trials.version(),
     }
 }
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -1,7 +1,9 @@
 //! What a replica keeps, and the rule by which of two versions one holds.
 
+use crate::trials::TrialSet;
 use hingestage_rpc::digest;
 use hingestage_rpc::messages::{ConfigDocument, ProxyNames, Summary, Update, ZoneDrains};
+use hingestage_rpc::trials::TrialRecord;
 
 /// What a replica keeps.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -12,6 +14,8 @@
     pub drains: ZoneDrains,
     /// Proxies that take part in common limits; names are only added.
     pub proxies: ProxyNames,
+    /// The newest trial of each tenant.
+    pub trials: TrialSet,
 }
 
 impl State {
@@ -21,6 +25,7 @@
             config: self.config.as_ref().map(|config| config.version),
             drains: self.drains.clone(),
             proxies: self.names_version(),
+            trials: self.trials.version(),
             recovering,
         }
     }
@@ -34,6 +39,7 @@
             Update::Proxies(names) => {
                 names.iter().any(|(name, settled)| self.proxies.get(name) < Some(settled))
             }
+            Update::Trials(records) => records.iter().any(|record| self.trials.is_news(record)),
         }
     }
 
@@ -46,6 +52,13 @@
             Update::Config(config) => self.config = Some(config),
             Update::Drain { zone, drain } => drop(self.drains.insert(zone, drain)),
             Update::Proxies(names) => self.add_proxies(names),
+            Update::Trials(records) => self.add_trials(records),
+        }
+    }
+
+    fn add_trials(&mut self, records: Vec<TrialRecord>) {
+        for record in records {
+            self.trials.apply(record);
         }
     }
 
@@ -60,7 +73,7 @@
         (self.proxies.len() as u64, names_digest(&self.proxies))
     }
 
-    /// What another replica lacks, by its summary.
+    /// What another replica lacks, by its summary. Of trials everything, where the summary names other ones.
     pub fn missing(&self, theirs: &Summary) -> Vec<Update> {
         let mut updates = Vec::new();
         if let Some(config) = self.config.as_ref().filter(|config| Some(config.version) > theirs.config) {
@@ -74,6 +87,9 @@
         if theirs.proxies != self.names_version() {
             updates.push(Update::Proxies(self.proxies.clone()));
         }
+        if theirs.trials != self.trials.version() && !self.trials.is_empty() {
+            updates.push(Update::Trials(self.trials.records().cloned().collect()));
+        }
         updates
     }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod messages;
 mod server;
 pub mod status;
+pub mod trials;
 pub mod workers;
 
 pub use client::{CallError, Client};
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::digest;
 use crate::status::{RegistryStatus, StoreStatus};
+use crate::trials::{TrialNews, TrialRecord, TrialRevision, TrialStep};
 use crate::workers::{ServiceHave, ServiceIndex, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
 use hingestage_configuration::transfer;
@@ -89,6 +90,8 @@
     },
     /// Proxies that take part in common limits from now on.
     Proxies(ProxyNames),
+    /// Trials of tenants.
+    Trials(Vec<TrialRecord>),
 }
 
 /// What a store holds, in short.
@@ -100,6 +103,8 @@
     pub drains: ZoneDrains,
     /// Number and digest of the names of proxies.
     pub proxies: (u64, u64),
+    /// Number and digest of the trials.
+    pub trials: (u64, u64),
     /// Whether the store lost its disk and has not caught up: it speaks for nobody.
     pub recovering: bool,
 }
@@ -166,6 +171,10 @@
     },
     /// Proxies that have been heard of.
     Proxies(ProxyNames),
+    /// Valid terms of a tenant's trial.
+    TrialTerms(TrialRecord),
+    /// Steps of trials that are due.
+    TrialSteps(Vec<TrialStep>),
 }
 
 /// What a store answers.
@@ -208,6 +217,10 @@
     Durable,
     /// Not yet.
     Pending,
+    /// Other terms of a trial hold in its place.
+    Overtaken,
+    /// There is no room for the trial of one more tenant.
+    Full,
 }
 
 /// What a store tells a registry.
@@ -219,6 +232,8 @@
     pub config: Option<ConfigDocument>,
     /// The names of proxies, where they are others.
     pub proxies: Option<ProxyNames>,
+    /// The trials that are durable, where they are others.
+    pub trials: Option<Vec<TrialNews>>,
     /// Age of the latest moment at which nothing newer can have been acknowledged anywhere.
     pub fresh_age: Option<Millis>,
 }
@@ -262,6 +277,8 @@
     pub workers_seen: WorkersVersion,
     /// Digest of the directory of proxies.
     pub directory: u64,
+    /// Trials, as far as the registry told of them.
+    pub trials: TrialRevision,
 }
 
 /// A registry.
@@ -353,6 +370,8 @@
     pub services: ServiceIndex,
     /// The proxies that the asker is to know, where they are others.
     pub directory: Option<Vec<ProxyStatus>>,
+    /// Trials that are newer than what the asker has.
+    pub trials: Vec<TrialNews>,
     /// All registries.
     pub registries: Vec<RegistryAddress>,
     /// Age of the latest moment at which nothing newer can have been acknowledged anywhere.
--- a/crates/rpc/src/status.rs
+++ b/crates/rpc/src/status.rs
@@ -61,6 +61,12 @@
     QuotaNoLease,
     /// This proxy's part of the tenant's quota is used up.
     QuotaUsedUp,
+    /// A step of the tenant's trial leaves no more of its quota.
+    TrialSlowed,
+    /// The tenant's trial has ended, and leaves nothing to this request.
+    TrialEnded,
+    /// This proxy has not heard lately enough how far the tenant's trial is.
+    TrialUnknown,
     /// No worker could take the request in time; it has not run.
     NoWorker,
     /// This proxy has not heard lately enough which keys were taken away.
@@ -89,12 +95,15 @@
 
 impl RequestOutcome {
     /// All of them, in the order of their numbers.
-    pub const ALL: [RequestOutcome; 17] = [
+    pub const ALL: [RequestOutcome; 20] = [
         RequestOutcome::Served,
         RequestOutcome::QuotaPenaltyBox,
         RequestOutcome::QuotaOpenCap,
         RequestOutcome::QuotaNoLease,
         RequestOutcome::QuotaUsedUp,
+        RequestOutcome::TrialSlowed,
+        RequestOutcome::TrialEnded,
+        RequestOutcome::TrialUnknown,
         RequestOutcome::NoWorker,
         RequestOutcome::KeysUnchecked,
         RequestOutcome::NoConfiguration,
@@ -129,6 +138,9 @@
             RequestOutcome::QuotaOpenCap => "quota: too many open requests",
             RequestOutcome::QuotaNoLease => "quota: this proxy holds no part of it",
             RequestOutcome::QuotaUsedUp => "quota: this proxy's part is used up",
+            RequestOutcome::TrialSlowed => "trial: slowed",
+            RequestOutcome::TrialEnded => "trial: ended",
+            RequestOutcome::TrialUnknown => "trial: can't be judged",
             RequestOutcome::NoWorker => "no worker could take it in time",
             RequestOutcome::KeysUnchecked => "keys can't be checked",
             RequestOutcome::NoConfiguration => "no configuration yet",
