--- /dev/null
+++ b/crates/playground/src/expiry/judge.rs
@@ -0,0 +1,152 @@
+//! The verdict on an expiry, by what clients and workers saw.
+
+use super::traffic::{End, Kind, Traffic, Try};
+use crate::surroundings::Surroundings;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Requests that begin further apart are never judged by steps in the wrong order.
+const APART: Duration = Duration::from_millis(2_500);
+
+/// What came of a seed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Verdict {
+    /// Rules that were broken.
+    pub broken: Vec<String>,
+    tries: u64,
+    served: u64,
+    unknown: u64,
+    reports: (u64, u64),
+    /// The longest time by which an older step was still applied after a newer one was elsewhere.
+    overlap: Duration,
+    /// Tries of lookups that a step may have refused, and those that it did, by proxy.
+    slowed: BTreeMap<usize, (u64, u64)>,
+}
+
+impl Verdict {
+    /// Adds another seed's.
+    pub fn add(&mut self, other: &Verdict) {
+        self.broken.extend(other.broken.iter().cloned());
+        self.tries += other.tries;
+        self.served += other.served;
+        self.unknown += other.unknown;
+        self.reports.0 += other.reports.0;
+        self.reports.1 += other.reports.1;
+        self.overlap = self.overlap.max(other.overlap);
+        for (proxy, (tries, refused)) in &other.slowed {
+            let sum = self.slowed.entry(*proxy).or_default();
+            *sum = (sum.0 + tries, sum.1 + refused);
+        }
+    }
+
+    /// Parts of lookups that were refused while the tenant was slowed, by proxy.
+    pub fn shares_text(&self) -> String {
+        let share =
+            |(tries, refused): &(u64, u64)| format!("{:.3}", *refused as f64 / (*tries).max(1) as f64);
+        self.slowed.values().map(share).collect::<Vec<_>>().join(" ")
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "{} tries, {} served, {} unknown; {} of {} reports arrived; steps overlapped by {} ms; {} rules broken",
+            self.tries,
+            self.served,
+            self.unknown,
+            self.reports.1,
+            self.reports.0,
+            self.overlap.as_millis(),
+            self.broken.len()
+        )
+    }
+}
+
+/// Judges what was seen.
+pub(super) fn judge(traffic: &Traffic, surroundings: &Surroundings) -> Verdict {
+    let tries = traffic.tries.borrow();
+    let mut verdict = Verdict {
+        tries: tries.len() as u64,
+        served: count(&tries, End::Served),
+        unknown: count(&tries, End::Unknown),
+        reports: traffic.reports.get(),
+        ..Verdict::default()
+    };
+    let log = surroundings.log.borrow();
+    let mut runs: BTreeMap<&str, u64> = BTreeMap::new();
+    log.runs.iter().for_each(|run| *runs.entry(&run.attempt).or_default() += 1);
+    let disturbed = traffic.disturbed.borrow();
+    for tried in tries.iter() {
+        let ran = runs.get(tried.id.as_str()).copied().unwrap_or_default();
+        verdict.broken.extend(broken_by(tried, ran, &disturbed));
+    }
+    let (asked, arrived) = verdict.reports;
+    if arrived < asked {
+        verdict.broken.push(format!("{} of {asked} reports did not arrive", asked - arrived));
+    }
+    verdict.overlap = overlap(&tries);
+    if verdict.overlap > APART {
+        verdict.broken.push(format!("an older step was applied {:?} after a newer one", verdict.overlap));
+    }
+    if count(&tries, End::Slowed) == 0 || count(&tries, End::Ended) == 0 {
+        verdict.broken.push("the trial did not run out".to_owned());
+    }
+    verdict.slowed = slowed(&tries, &disturbed);
+    verdict
+}
+
+fn count(tries: &[Try], end: End) -> u64 {
+    tries.iter().filter(|tried| tried.end == end).count() as u64
+}
+
+/// What one try broke, by how often it ran.
+fn broken_by(tried: &Try, ran: u64, disturbed: &BTreeSet<usize>) -> Option<String> {
+    let what = match (tried.end, tried.kind) {
+        (_, Kind::Order) if ran > 1 => "ran twice",
+        (End::Served, _) if ran == 0 => "was served and never ran",
+        (End::Slowed | End::Ended | End::Refused, _) if ran > 0 => "was refused and ran",
+        (End::Unknown, _) if !disturbed.contains(&tried.proxy) => "got no answer",
+        _ => return None,
+    };
+    Some(format!("{:?} {} at proxy {} {what}", tried.kind, tried.id, tried.proxy))
+}
+
+/// The end takes lookups from being served or slowed to being refused as ended, and once the tenant has paid back again.
+/// How long after the first request under the newer step one began that was judged by the older one.
+fn overlap(tries: &[Try]) -> Duration {
+    let lookups = || tries.iter().filter(|tried| tried.kind == Kind::Lookup);
+    let ended: Vec<Instant> =
+        lookups().filter(|tried| tried.end == End::Ended).map(|tried| tried.begun).collect();
+    let (Some(first_ended), Some(last_ended)) = (ended.iter().min(), ended.iter().max()) else {
+        return Duration::ZERO;
+    };
+    let before = |tried: &&Try| matches!(tried.end, End::Slowed | End::Served);
+    let begun: Vec<Instant> = lookups().filter(before).map(|tried| tried.begun).collect();
+    // Nothing in between: the tenant pays long after the end.
+    let middle = *first_ended + (*last_ended - *first_ended) / 2;
+    let late =
+        begun.iter().filter(|at| **at < middle).max().map(|at| at.saturating_duration_since(*first_ended));
+    let early =
+        begun.iter().filter(|at| **at >= middle).min().map(|at| last_ended.saturating_duration_since(*at));
+    late.unwrap_or_default().max(early.unwrap_or_default())
+}
+
+/// Lookups between the first and the last that a step before the end refused, by proxy; only of proxies that no fault
+/// struck.
+fn slowed(tries: &[Try], disturbed: &BTreeSet<usize>) -> BTreeMap<usize, (u64, u64)> {
+    let refused = || tries.iter().filter(|tried| tried.kind == Kind::Lookup && tried.end == End::Slowed);
+    let first = refused().map(|tried| tried.begun).min();
+    let last = refused().map(|tried| tried.begun).max();
+    let mut by_proxy: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+    let within = |tried: &&Try| Some(tried.begun) >= first && Some(tried.begun) <= last;
+    let lookups =
+        tries.iter().filter(|tried| tried.kind == Kind::Lookup && !disturbed.contains(&tried.proxy));
+    for tried in lookups.filter(within) {
+        let sum = by_proxy.entry(tried.proxy).or_default();
+        *sum = (sum.0 + 1, sum.1 + u64::from(tried.end == End::Slowed));
+    }
+    by_proxy
+}
--- a/crates/playground/src/layout.rs
+++ b/crates/playground/src/layout.rs
@@ -34,6 +34,14 @@
 pub const PLACES: [Place; 2] =
     [Place { zone: "north-1", region: "north" }, Place { zone: "south-1", region: "south" }];
 
+/// Four zones in two regions.
+pub const FOUR_PLACES: [Place; 4] = [
+    Place { zone: "north-1", region: "north" },
+    Place { zone: "south-1", region: "south" },
+    Place { zone: "north-2", region: "north" },
+    Place { zone: "south-2", region: "south" },
+];
+
 /// A program of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Program {
@@ -111,6 +119,8 @@
 #[derive(Clone, Debug)]
 pub struct Layout {
     network: [u8; 3],
+    /// The zones.
+    pub places: Vec<Place>,
     /// Machines with a disk, each with a registry and a store.
     pub cores: Vec<Machine>,
     /// Machines with a proxy.
@@ -120,15 +130,20 @@
 impl Layout {
     /// Three core machines and four proxies in two zones, at `127.second.third.x`.
     pub fn new(second: u8, third: u8) -> Layout {
+        Layout::of(second, third, &PLACES, 4)
+    }
+
+    /// Three core machines and so many proxies, spread over zones, at `127.second.third.x`.
+    pub fn of(second: u8, third: u8, places: &[Place], proxies: u8) -> Layout {
         let network = [Ipv4Addr::LOCALHOST.octets()[0], second, third];
         let machine = |kind: &str, number: u8, first: u8| Machine {
             name: format!("{kind}-{}", number + 1),
             ip: address(network, first + number),
-            place: PLACES[usize::from(number) % PLACES.len()],
+            place: places[usize::from(number) % places.len()],
         };
         let cores = (0..3).map(|number| machine("core", number, CORES_AT)).collect();
-        let proxies = (0..4).map(|number| machine("edge", number, PROXIES_AT)).collect();
-        Layout { network, cores, proxies }
+        let proxies = (0..proxies).map(|number| machine("edge", number, PROXIES_AT)).collect();
+        Layout { network, places: places.to_vec(), cores, proxies }
     }
 
     /// Where the platform's list of workers is.
@@ -166,7 +181,7 @@
             Program::Proxy => json!({ "http": machine.http(), "readiness": machine.readiness() }),
         };
         let zones: serde_json::Map<String, serde_json::Value> =
-            PLACES.iter().map(|place| (place.zone.to_owned(), json!(place.region))).collect();
+            self.places.iter().map(|place| (place.zone.to_owned(), json!(place.region))).collect();
         let settings = json!({
             "node": machine.name,
             "role": process.program.file_name(),
--- a/crates/playground/src/lib.rs
+++ b/crates/playground/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod clients;
+pub mod expiry;
 pub mod http;
 pub mod layout;
 pub mod operator;
--- a/crates/playground/src/operator.rs
+++ b/crates/playground/src/operator.rs
@@ -19,6 +19,14 @@
 pub const CATALOG_PREFIX: &str = "/catalog/";
 /// The same for requests that change things.
 pub const ORDERS_PREFIX: &str = "/orders/";
+/// The same for reports, which may wait.
+pub const REPORTS_PREFIX: &str = "/reports/";
+/// The tenant whose trial runs out, its key, and its requests a second.
+pub const TRIAL_TENANT: &str = "gamma";
+/// See [`TRIAL_TENANT`].
+pub const TRIAL_KEY: &str = "key-of-gamma-1";
+/// See [`TRIAL_TENANT`].
+pub const TRIAL_RATE: u32 = 120;
 /// The route that only the changed configuration has.
 pub const OFFERS_PREFIX: &str = "/offers/";
 /// Keys that both configurations have, one of each tenant.
@@ -62,6 +70,7 @@
         let mut routes = vec![
             route("catalog", CATALOG_PREFIX, CATALOG, "idempotent", false),
             route("orders", ORDERS_PREFIX, ORDERS, "mutating", false),
+            route("reports", REPORTS_PREFIX, CATALOG, "idempotent", false),
             route("probe", &probe, CATALOG, "idempotent", true),
         ];
         let mut beta_keys = vec![LASTING_KEYS[1]];
@@ -76,6 +85,7 @@
             "tenants": [
                 { "name": TENANTS[0], "api_keys": [LASTING_KEYS[0]], "prio": 0, "rate_per_s": 0 },
                 { "name": TENANTS[1], "api_keys": beta_keys, "prio": 1, "rate_per_s": 5_000, "burst": 5_000 },
+                { "name": TRIAL_TENANT, "api_keys": [TRIAL_KEY], "prio": 1, "rate_per_s": TRIAL_RATE, "burst": TRIAL_RATE },
             ],
         });
         Bytes::from(document.to_string())
@@ -143,3 +153,27 @@
     let reply = call(core.admin(), Method::GET, "/status", Bytes::new(), CALL_WITHIN).await?;
     serde_json::from_slice(&reply.body).map_err(|_| CallError::Broken)
 }
+
+/// Sends terms of the trial to one registry after another, beginning with one, until one acknowledges them or says that
+/// others hold. Tells whether these hold.
+///
+/// # Errors
+/// They are refused, or none answers in time.
+pub async fn put_terms(layout: &Layout, first: usize, terms: &str, within: Duration) -> Result<bool, String> {
+    let until = Instant::now() + within;
+    let path = format!("/trials/{TRIAL_TENANT}");
+    for core in layout.cores.iter().cycle().skip(first) {
+        let body = Bytes::copy_from_slice(terms.as_bytes());
+        match call(core.admin(), Method::PUT, &path, body, CALL_WITHIN).await.map(|reply| reply.status) {
+            Ok(StatusCode::OK) => return Ok(true),
+            Ok(StatusCode::CONFLICT) => return Ok(false),
+            Ok(status) if status.is_client_error() => return Err(format!("terms refused: {status}")),
+            _ => {}
+        }
+        if Instant::now() >= until {
+            break;
+        }
+        sleep(CALL_PAUSE).await;
+    }
+    Err("terms were not acknowledged".to_owned())
+}
--- a/crates/playground/src/processes.rs
+++ b/crates/playground/src/processes.rs
@@ -104,6 +104,17 @@
             .spawn()
     }
 
+    /// Lets a process stand still, or go on.
+    pub fn freeze(&self, spec: &ProcessSpec, stands_still: bool) {
+        let signal = if stands_still { Signal::STOP } else { Signal::CONT };
+        let same = |running: &&Running| {
+            running.spec.program == spec.program && running.spec.machine.name == spec.machine.name
+        };
+        let running = self.running.iter().find(same);
+        let pid = running.and_then(|running| i32::try_from(running.child.id()).ok()).and_then(Pid::from_raw);
+        let _ = pid.map(|pid| kill_process(pid, signal));
+    }
+
     /// Kills a process without notice.
     pub fn kill(&mut self, spec: &ProcessSpec) {
         let same = |running: &Running| {
--- a/crates/playground/src/surroundings.rs
+++ b/crates/playground/src/surroundings.rs
@@ -1,6 +1,6 @@
 //! What the platform brings: workers of two services, and the list of them.
 
-use crate::layout::{Layout, LIST_CALLS_PER_S, PLACES};
+use crate::layout::{Layout, LIST_CALLS_PER_S};
 use crate::operator::{CATALOG, ORDERS};
 use hingestage_platform::{Platform, Tokio};
 use hingestage_standins::service_worker::{ServiceWorker, ServiceWorkerSpec, SharedRunLog};
@@ -50,7 +50,7 @@
         let surroundings = Rc::new(Surroundings { log, list, workers });
         for number in 0..WORKERS {
             let service = if number % 4 < 2 { CATALOG } else { ORDERS };
-            let zone = PLACES[usize::from(number) % PLACES.len()].zone;
+            let zone = layout.places[usize::from(number) % layout.places.len()].zone;
             surroundings.add(&format!("i-{number}"), service, layout.worker(number), zone).await?;
         }
         surroundings.publish();
@@ -92,6 +92,14 @@
         Some(hosted.listed)
     }
 
+    /// Ends all workers.
+    pub async fn end_all(&self) {
+        let hosted = std::mem::take(&mut *self.workers.borrow_mut());
+        for hosted in hosted {
+            hosted.worker.end().await;
+        }
+    }
+
     /// Lets the list name the workers that run.
     pub fn publish(&self) {
         self.list.set(self.workers.borrow().iter().map(|hosted| hosted.listed.clone()).collect());
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,6 +42,8 @@
     Lab(hingestage_lab::Args),
     /// Shows the whole system at work: registries, stores and proxies as processes on loopback addresses.
     System(hingestage_playground::Args),
+    /// Lets trials of a tenant run out on whole systems of real processes, with faults, and judges what clients saw.
+    Expire(hingestage_playground::expiry::Args),
     /// Checks an operators' file; a fault is named with its field and place.
     Check {
         /// The file.
@@ -88,6 +90,9 @@
     let done = match args.command {
         None => start(args.operator),
         Some(Command::Lab(args)) => block_on(hingestage_lab::run(args)).map_err(Failed::Running),
+        Some(Command::Expire(args)) => {
+            block_on(hingestage_playground::expiry::run(args)).map_err(Failed::Running)
+        }
         Some(Command::System(args)) => block_on(hingestage_playground::run(args)).map_err(Failed::Running),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Srv(args)) => srv::run(args),
