Trials are seen: hingestage-ctl trial, an audit on stores' disks, counts by class

Need: operators have to see which step a tenant is at, where, since when, and what was refused.

hingestage-ctl trial NAME tells when each store took each step in, and of each proxy the step in effect, the newest one, what is left of its lease, and counts by class.

The verdict of hingestage expire looked for one end and one payment only. It follows flips of the verdict now: flips closer than 2.5 s to each other are proxies that disagree, and may last 2.5 s together.

--- a/crates/config-store/src/lib.rs
+++ b/crates/config-store/src/lib.rs
@@ -2,5 +2,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod audit;
 pub mod files;
 pub mod server;
--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -1,5 +1,6 @@
 //! The replica on sockets and a disk.
 
+use crate::audit::Audit;
 use crate::files::Files;
 use compact_str::CompactString;
 use eyre::{eyre, Context, Result};
@@ -38,6 +39,7 @@
     settings: Rc<Settings>,
     replica: RefCell<Replica>,
     files: Files,
+    audit: Audit,
     started: Instant,
     /// Told whenever the replica or what it knows of others has changed.
     changed: Notify,
@@ -69,6 +71,7 @@
         settings: settings.clone(),
         replica: RefCell::new(replica),
         files,
+        audit: Audit::new(dir),
         started: Instant::now(),
         changed: Notify::new(),
         news: Notify::new(),
@@ -219,6 +222,14 @@
             log::error!("disk: {error}");
             return false;
         }
+        if let Update::Trials(records) = &update {
+            let news =
+                records.iter().filter(|record| self.replica.borrow().state().trials.is_news(record)).cloned();
+            if let Err(error) = self.audit.note(&news.collect::<Vec<_>>()) {
+                // What holds is in the files; the audit only tells how it came about.
+                log::error!("audit: {error}");
+            }
+        }
         self.replica.borrow_mut().adopt(self.now(), update);
         self.changed.notify_waiters();
         self.news.notify_waiters();
@@ -339,6 +350,12 @@
             StoreRequest::Propose { change, wait } => self.propose(change, Duration::from_millis(wait)).await,
             StoreRequest::Watch { have, wait } => self.watch(have, Duration::from_millis(wait)).await,
             StoreRequest::Read { wait } => self.read(Duration::from_millis(wait)).await,
+            StoreRequest::TrialAudit { tenant } => {
+                StoreAnswer::TrialAudit(self.audit.of(&tenant).unwrap_or_else(|error| {
+                    log::error!("audit: {error}");
+                    Vec::new()
+                }))
+            }
             StoreRequest::Status => StoreAnswer::Status(Box::new(self.status())),
         }
     }
--- /dev/null
+++ b/crates/config-store/tests/audit.rs
@@ -0,0 +1,41 @@
+//! The audit of trials outlives its process, and is there only where there are trials.
+
+use hingestage_config_store::audit::Audit;
+use hingestage_rpc::trials::{TrialPosition, TrialRecord};
+use std::path::PathBuf;
+
+fn directory(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+fn record(tenant: &str, step: u32) -> TrialRecord {
+    let position = TrialPosition { version: 1, digest: 7, step };
+    TrialRecord { tenant: tenant.into(), position, terms: b"{}".to_vec() }
+}
+
+#[test]
+fn steps_are_kept_over_a_restart() {
+    let dir = directory("audit");
+    let audit = Audit::new(&dir);
+    assert_eq!(audit.of("a").unwrap(), []);
+    assert_eq!(std::fs::read_dir(&dir).unwrap().count(), 0, "without trials there is no database");
+    audit.note(&[record("a", 0), record("b", 0)]).unwrap();
+    audit.note(&[record("a", 1)]).unwrap();
+    drop(audit);
+    let audit = Audit::new(&dir);
+    audit.note(&[record("a", 2)]).unwrap();
+    let steps: Vec<u32> = audit.of("a").unwrap().iter().map(|entry| entry.position.step).collect();
+    assert_eq!(steps, [0, 1, 2]);
+    assert!(audit.of("a").unwrap().iter().all(|entry| entry.at > 0));
+}
+
+#[test]
+fn a_database_that_can_t_be_read_is_an_error_and_no_panic() {
+    let dir = directory("audit-spoilt");
+    std::fs::write(dir.join("trial-audit.redb"), b"this is no database").unwrap();
+    assert!(Audit::new(&dir).note(&[record("a", 0)]).is_err());
+    assert!(Audit::new(&dir).of("a").is_err());
+}
--- a/crates/control-tool/src/arguments.rs
+++ b/crates/control-tool/src/arguments.rs
@@ -21,5 +21,12 @@
             /// Address of any registry for traffic within the system.
             required --registry addr: SocketAddr
         }
+        /// Tell how far a tenant's trial is: at each proxy, and when each store took each step in.
+        cmd trial {
+            /// Name of the tenant.
+            required tenant: String
+            /// Address of any registry for traffic within the system.
+            required --registry addr: SocketAddr
+        }
     }
 }
--- a/crates/control-tool/src/commands.rs
+++ b/crates/control-tool/src/commands.rs
@@ -1,6 +1,6 @@
 //! What each command does.
 
-use crate::arguments::{Explain, HingestageCtlCmd, Status};
+use crate::arguments::{Explain, HingestageCtlCmd, Status, Trial};
 use crate::lines;
 use crate::survey::{self, Node};
 use hingestage_rpc::status::Explanation;
@@ -40,6 +40,7 @@
     match command {
         HingestageCtlCmd::Status(arguments) => status(&arguments).await,
         HingestageCtlCmd::Explain(arguments) => explain(&arguments).await,
+        HingestageCtlCmd::Trial(arguments) => trial(&arguments).await,
     }
 }
 
@@ -71,6 +72,26 @@
     Ok(Outcome::well_if(all_answered && !found.is_empty()))
 }
 
+async fn trial(arguments: &Trial) -> eyre::Result<Outcome> {
+    let found = survey::trial(arguments.registry, &arguments.tenant).await;
+    let mut told = Vec::new();
+    for node in &found.stores {
+        let entries = node.state.iter().flatten();
+        told.extend(entries.map(|entry| lines::of_audit(&node.name, entry)));
+    }
+    for node in &found.proxies {
+        told.extend(node.state.iter().flatten().map(|view| lines::of_trial(&node.name, view)));
+    }
+    write_lines(&told)?;
+    let all_answered = report_silent("registry", &found.registries)
+        & report_silent("store", &found.stores)
+        & report_silent("proxy", &found.proxies);
+    if told.is_empty() {
+        eprintln!("{} has no trial", arguments.tenant);
+    }
+    Ok(Outcome::well_if(all_answered && !told.is_empty()))
+}
+
 /// Names the processes that did not answer; true where there are none.
 fn report_silent<State>(kind: &str, nodes: &[Node<State>]) -> bool {
     for node in nodes {
--- a/crates/control-tool/src/lines.rs
+++ b/crates/control-tool/src/lines.rs
@@ -8,7 +8,9 @@
     Explanation, KeyLease, ProxyState, RegistryStatus, RequestRecord, StoreStatus, TenantCounters,
     WorkerGroup,
 };
+use hingestage_rpc::trials::{AuditEntry, TrialCount, TrialPosition, TrialView};
 use std::collections::BTreeMap;
+use std::time::{Duration, UNIX_EPOCH};
 
 /// One line for each process.
 pub fn of_survey(survey: &Survey) -> Vec<String> {
@@ -25,6 +27,33 @@
     tenant.chain(requests).collect()
 }
 
+/// A step of a trial as a store took it in.
+pub fn of_audit(store: &str, entry: &AuditEntry) -> String {
+    let at = humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(entry.at));
+    format!("{store}  {at}  {}", position(Some(entry.position)))
+}
+
+/// How a proxy judges a trial.
+pub fn of_trial(proxy: &str, view: &TrialView) -> String {
+    let names = ["refused last", "ordinary", "deferred"];
+    let counts = names.iter().zip(&view.counts).map(|(name, count)| {
+        let TrialCount { passed, slowed, ended, unknown } = count;
+        format!("{name}: {passed} passed, {slowed} slowed, {ended} ended, {unknown} can't be judged")
+    });
+    format!(
+        "{proxy}  in effect {}  newest {}  lease {}  {}",
+        position(view.in_effect),
+        position(view.newest),
+        age(Some(view.lease_left)),
+        counts.collect::<Vec<_>>().join("; "),
+    )
+}
+
+fn position(position: Option<TrialPosition>) -> String {
+    position
+        .map_or("none".to_owned(), |position| format!("version {} step {}", position.version, position.step))
+}
+
 fn of_node<State: Health>(kind: &str, node: &Node<State>, text: fn(&State) -> String) -> String {
     let name = if node.name.is_empty() { "?" } else { node.name.as_str() };
     let state = node.state.as_ref().map(text).unwrap_or_default();
--- a/crates/control-tool/src/survey.rs
+++ b/crates/control-tool/src/survey.rs
@@ -5,6 +5,7 @@
 use hingestage_rpc::status::{
     Explanation, ProxyAnswer, ProxyRequest, ProxyState, RegistryStatus, StoreStatus,
 };
+use hingestage_rpc::trials::{AuditEntry, TrialView};
 use hingestage_rpc::{CallError, Client};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -65,6 +66,28 @@
     (registries, proxies)
 }
 
+/// What is known of a tenant's trial.
+pub struct TrialSurvey {
+    /// Registries.
+    pub registries: Vec<Node<RegistryStatus>>,
+    /// Steps that each store took in.
+    pub stores: Vec<Node<Vec<AuditEntry>>>,
+    /// How each proxy judges it; none where it knows of none.
+    pub proxies: Vec<Node<Option<TrialView>>>,
+}
+
+/// Asks all stores and proxies about a tenant's trial.
+pub async fn trial(registry: SocketAddr, tenant: &str) -> TrialSurvey {
+    let registries = ask_registries(registry).await;
+    let stores = ask_stores(&registries).await;
+    let names = stores.into_iter().map(|node| (node.addr, node.name)).collect();
+    let request = StoreRequest::TrialAudit { tenant: tenant.into() };
+    let stores = ask_all(names, &request, trial_audit).await;
+    let request = ProxyRequest::Trial { tenant: tenant.into() };
+    let proxies = ask_all(proxy_names(&registries), &request, trial_view).await;
+    TrialSurvey { registries, stores, proxies }
+}
+
 async fn ask_registries(first: SocketAddr) -> Vec<Node<RegistryStatus>> {
     let first = Names::from([(first, CompactString::default())]);
     let known = |state: &RegistryStatus| {
@@ -187,3 +210,17 @@
         _ => None,
     }
 }
+
+fn trial_audit(answer: StoreAnswer) -> Option<Vec<AuditEntry>> {
+    match answer {
+        StoreAnswer::TrialAudit(entries) => Some(entries),
+        _ => None,
+    }
+}
+
+fn trial_view(answer: ProxyAnswer) -> Option<Option<TrialView>> {
+    match answer {
+        ProxyAnswer::Trial(view) => Some(view),
+        _ => None,
+    }
+}
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -31,12 +31,13 @@
 where
     F: Future<Output = eyre::Result<()>> + 'static,
 {
-    if let Some(code) = answered_on_the_command_line(program) {
+    let flags = flags::Program::from_env_or_exit();
+    if let Some(code) = answered_on_the_command_line(program, &flags) {
         return code;
     }
     start_log();
     let settings = match Settings::load() {
-        Ok(settings) => Rc::new(settings),
+        Ok(settings) => Rc::new(Settings { first_terms: flags.first_terms, ..settings }),
         Err(message) => {
             eprintln!("{}: settings: {message}", program.name);
             return ExitCode::from(BAD_SETTINGS);
@@ -61,6 +62,8 @@
 }
 
 mod flags {
+    use std::path::PathBuf;
+
     xflags::xflags! {
         /// A program of the system. Its settings file is named by the variable HINGESTAGE_SETTINGS.
         cmd program {
@@ -68,13 +71,14 @@
             optional --version
             /// Check the settings file and end: 0 where it can be used, 2 where not.
             optional --check
+            /// Registry: set terms of trials from this file where none have been set; see docs/on-trials.md.
+            optional --first-terms file: PathBuf
         }
     }
 }
 
 /// Does what needs no running program, and gives the exit code of that.
-fn answered_on_the_command_line(program: &Program) -> Option<ExitCode> {
-    let flags = flags::Program::from_env_or_exit();
+fn answered_on_the_command_line(program: &Program, flags: &flags::Program) -> Option<ExitCode> {
     if flags.version {
         println!("{} {}: {}", program.name, env!("CARGO_PKG_VERSION"), program.about);
         return Some(ExitCode::SUCCESS);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,10 @@
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize, Validate)]
 pub struct Settings {
+    /// File with terms of trials that a registry sets where none have been set, from the command line.
+    #[garde(skip)]
+    #[serde(skip)]
+    pub first_terms: Option<PathBuf>,
     /// Name of the machine; stays the same when its processes are started again.
     #[garde(length(min = 1, max = 128))]
     pub node: String,
--- a/crates/playground/src/expiry/faults.rs
+++ b/crates/playground/src/expiry/faults.rs
@@ -47,6 +47,18 @@
         }
     }
 
+    /// What it is, for who reads of it.
+    pub fn name(&self) -> String {
+        let names =
+            |specs: &[ProcessSpec]| specs.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+        match self {
+            Fault::None => "nothing".to_owned(),
+            Fault::Kill(specs) => format!("killed {}", names(specs)),
+            Fault::Freeze(specs) => format!("{} stood still", names(specs)),
+            Fault::Race => "two operators raced".to_owned(),
+        }
+    }
+
     /// Lets it happen, and ends it.
     pub async fn strike(
         &self,
--- a/crates/playground/src/expiry/judge.rs
+++ b/crates/playground/src/expiry/judge.rs
@@ -15,6 +15,8 @@
 pub(super) struct Verdict {
     /// Rules that were broken.
     pub broken: Vec<String>,
+    /// What went wrong on purpose.
+    pub trouble: String,
     tries: u64,
     served: u64,
     unknown: u64,
@@ -53,7 +55,8 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(
             f,
-            "{} tries, {} served, {} unknown; {} of {} reports arrived; steps overlapped by {} ms; {} rules broken",
+            "{}: {} tries, {} served, {} unknown; {} of {} reports arrived; steps overlapped by {} ms; {} rules broken",
+            if self.trouble.is_empty() { "all" } else { &self.trouble },
             self.tries,
             self.served,
             self.unknown,
@@ -114,24 +117,30 @@
     Some(format!("{:?} {} at proxy {} {what}", tried.kind, tried.id, tried.proxy))
 }
 
-/// The end takes lookups from being served or slowed to being refused as ended, and once the tenant has paid back again.
-/// How long after the first request under the newer step one began that was judged by the older one.
+/// For how long lookups were judged by two steps at a time: as after the trial has ended, and as before that or once the
+/// tenant has paid. Each change of the step flips the verdict once; flips that follow each other closely are proxies that
+/// disagree.
 fn overlap(tries: &[Try]) -> Duration {
-    let lookups = || tries.iter().filter(|tried| tried.kind == Kind::Lookup);
-    let ended: Vec<Instant> =
-        lookups().filter(|tried| tried.end == End::Ended).map(|tried| tried.begun).collect();
-    let (Some(first_ended), Some(last_ended)) = (ended.iter().min(), ended.iter().max()) else {
-        return Duration::ZERO;
+    let ended = |tried: &Try| match tried.end {
+        End::Ended => Some(true),
+        End::Served | End::Slowed => Some(false),
+        End::Refused | End::Unknown => None,
     };
-    let before = |tried: &&Try| matches!(tried.end, End::Slowed | End::Served);
-    let begun: Vec<Instant> = lookups().filter(before).map(|tried| tried.begun).collect();
-    // Nothing in between: the tenant pays long after the end.
-    let middle = *first_ended + (*last_ended - *first_ended) / 2;
-    let late =
-        begun.iter().filter(|at| **at < middle).max().map(|at| at.saturating_duration_since(*first_ended));
-    let early =
-        begun.iter().filter(|at| **at >= middle).min().map(|at| last_ended.saturating_duration_since(*at));
-    late.unwrap_or_default().max(early.unwrap_or_default())
+    let lookups = tries.iter().filter(|tried| tried.kind == Kind::Lookup);
+    let mut verdicts: Vec<(Instant, bool)> =
+        lookups.filter_map(|tried| Some((tried.begun, ended(tried)?))).collect();
+    verdicts.sort_unstable();
+    let flips = verdicts.windows(2).filter(|pair| pair[0].1 != pair[1].1).map(|pair| pair[1].0);
+    let (mut longest, mut cluster) = (Duration::ZERO, None);
+    for flip in flips {
+        let first = match cluster {
+            Some((first, last)) if flip - last <= APART => first,
+            _ => flip,
+        };
+        cluster = Some((first, flip));
+        longest = longest.max(flip - first);
+    }
+    longest
 }
 
 /// Lookups between the first and the last that a step before the end refused, by proxy; only of proxies that no fault
--- a/crates/playground/src/expiry/mod.rs
+++ b/crates/playground/src/expiry/mod.rs
@@ -81,7 +81,7 @@
             }
         }
     }
-    say!("all: {sum}");
+    say!("{sum}");
     say!("refused of what was asked, by proxy, while slowed: {}", sum.shares_text());
     match broken.as_slice() {
         [] => Ok(()),
@@ -105,11 +105,12 @@
     traffic.stop().await;
     let in_order = processes.stop().await;
     surroundings.end_all().await;
-    played?;
+    let trouble = played?;
     if !in_order {
         return Err("a process had to be killed at the end".to_owned());
     }
-    let verdict = judge::judge(&traffic, &surroundings);
+    let mut verdict = judge::judge(&traffic, &surroundings);
+    verdict.trouble = trouble;
     if verdict.broken.is_empty() {
         let _ = std::fs::remove_dir_all(directory);
     }
@@ -140,7 +141,7 @@
     processes: &mut Processes,
     traffic: &Rc<Traffic>,
     seed: u64,
-) -> Result<(), String> {
+) -> Result<String, String> {
     let mut random = Rng::with_seed(seed);
     put_config(layout, Edition::First, START_WITHIN).await?;
     traffic.wait_until_served(START_WITHIN).await?;
@@ -156,7 +157,7 @@
     let paid = put_terms(layout, operator, r#"{"version":9}"#, TERMS_WITHIN).await?;
     sleep_until((begun + STOP).max(Instant::now() + (STOP - PAID))).await;
     match paid {
-        true => Ok(()),
+        true => Ok(format!("{} at {:.1} s", fault.name(), at as f64 / 1e3)),
         false => Err("other terms hold than those of version 9".to_owned()),
     }
 }
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -5,7 +5,9 @@
 use compact_str::CompactString;
 use hingestage_configuration::Tenant;
 use hingestage_quota::{Admission, Part, RefusalReason, TenantLimits};
+use hingestage_replication::Micros;
 use hingestage_rpc::status::RequestOutcome;
+use hingestage_rpc::trials::TrialView;
 use hingestage_trial::{Judgement, Phase, RequestClass, Standing};
 use hyper::StatusCode;
 use std::cell::Cell;
@@ -32,6 +34,9 @@
 /// Advice to clients of a tenant whose trial has ended with nothing left, before it is spread.
 const RETRY_ENDED: Duration = Duration::from_secs(30);
 
+/// Microseconds in a millisecond.
+const MILLI: Micros = 1_000;
+
 /// A request that its tenant's quota let pass.
 pub(crate) struct Admitted {
     proxy: Rc<Proxy>,
@@ -74,10 +79,19 @@
 /// A tenant's limits as they hold for one request.
 struct Limits {
     limits: TenantLimits,
-    class: RequestClass,
+    /// Its class, where the tenant has a trial.
+    class: Option<RequestClass>,
     slowed: bool,
 }
 
+/// What became of a request when it was judged once.
+struct Judged {
+    /// Its class, where the tenant has a trial. One whose step can't be told counts as ordinary.
+    class: Option<RequestClass>,
+    /// The final answer, where it may not pass.
+    refusal: Option<Refusal>,
+}
+
 impl Proxy {
     /// Takes a request into its tenant's quota, until what is given is dropped. One that is deferred waits for its turn
     /// in a part of the time until `until`.
@@ -92,35 +106,39 @@
         let mut waiting = None;
         loop {
             let leaves_reserve = began.elapsed() < time / 2;
-            let refusal = match self.admit_now(tenant, routed, leaves_reserve).await {
-                Ok(()) => return Ok(admitted()),
-                Err((refusal, RequestClass::Deferred)) if refusal.status == StatusCode::TOO_MANY_REQUESTS => {
-                    refusal
-                }
-                Err((refusal, _)) => return Err(refusal),
+            let Judged { class, refusal } = self.judge(tenant, routed, leaves_reserve).await;
+            let Some(refusal) = refusal else {
+                self.note_trial(tenant, class, None);
+                return Ok(admitted());
             };
+            let may_wait =
+                class == Some(RequestClass::Deferred) && refusal.status == StatusCode::TOO_MANY_REQUESTS;
             let pause = refusal.retry_after.unwrap_or(DEFERRED_PAUSE).max(DEFERRED_PAUSE);
-            if waiting.is_none() {
+            if may_wait && waiting.is_none() {
                 waiting = self.deferred.begin();
             }
             // One that has no chance left is answered at once.
-            if waiting.is_none() || began.elapsed() + pause >= time {
+            if !may_wait || waiting.is_none() || began.elapsed() + pause >= time {
+                self.note_trial(tenant, class, Some(refusal.outcome));
                 return Err(refusal);
             }
             tokio::time::sleep(pause).await;
         }
     }
 
+    fn note_trial(&self, tenant: &Tenant, class: Option<RequestClass>, refused: Option<RequestOutcome>) {
+        if let Some(class) = class {
+            self.trial_counts.note(&tenant.name, class, refused);
+        }
+    }
+
     /// Judges a request once, with tokens of other proxies where this one's part is used up.
-    async fn admit_now(
-        self: &Rc<Self>,
-        tenant: &Tenant,
-        routed: &Routed,
-        leaves_reserve: bool,
-    ) -> Result<(), (Refusal, RequestClass)> {
+    async fn judge(self: &Rc<Self>, tenant: &Tenant, routed: &Routed, leaves_reserve: bool) -> Judged {
         let part = self.view.borrow().part();
-        let found = self.limits_for(tenant, routed, part, leaves_reserve);
-        let Limits { limits, class, slowed } = found.map_err(|refusal| (refusal, RequestClass::Ordinary))?;
+        let Limits { limits, class, slowed } = match self.limits_for(tenant, routed, part, leaves_reserve) {
+            Ok(limits) => limits,
+            Err(judged) => return judged,
+        };
         let mut admission = self.ask_table(tenant, limits, part, 0.0);
         if matches!(admission, Admission::Refused { reason: RefusalReason::HardBound, .. }) {
             let lent = self.borrow_tokens(&tenant.name).await;
@@ -128,11 +146,13 @@
                 admission = self.ask_table(tenant, limits, part, lent);
             }
         }
-        let Admission::Refused { retry_after, reason } = admission else { return Ok(()) };
+        let Admission::Refused { retry_after, reason } = admission else {
+            return Judged { class, refusal: None };
+        };
         let message = if slowed { "the tenant's trial is running out" } else { "beyond the tenant's quota" };
         let outcome = if slowed { RequestOutcome::TrialSlowed } else { quota_outcome(reason) };
         let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, message, outcome);
-        Err((refusal.after(Duration::from_micros(retry_after)), class))
+        Judged { class, refusal: Some(refusal.after(Duration::from_micros(retry_after))) }
     }
 
     fn ask_table(&self, tenant: &Tenant, limits: TenantLimits, part: Part, lent: f64) -> Admission {
@@ -147,29 +167,48 @@
         routed: &Routed,
         part: Part,
         leaves_reserve: bool,
-    ) -> Result<Limits, Refusal> {
+    ) -> Result<Limits, Judged> {
         let quota = self.quota_of(tenant, part);
         let open_cap = open_cap(tenant, routed.route.timeout);
         match self.view.borrow_mut().judge_trial(self.now(), &tenant.name) {
             Judgement::NoTrial => {
                 let limits = TenantLimits { open_cap, ..quota };
-                Ok(Limits { limits, class: RequestClass::Ordinary, slowed: false })
+                Ok(Limits { limits, class: None, slowed: false })
             }
             Judgement::Unknown(wait) => {
                 let message = "the tenant's trial can't be judged for now";
                 let unknown =
                     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, message, RequestOutcome::TrialUnknown);
-                Err(unknown.after(RETRY_ELSEWHERE.max(Duration::from_micros(wait))))
+                let refusal = unknown.after(RETRY_ELSEWHERE.max(Duration::from_micros(wait)));
+                Err(Judged { class: Some(RequestClass::Ordinary), refusal: Some(refusal) })
             }
             Judgement::Trial(standing) => {
                 let class = standing.terms.class_of(&routed.route.name, routed.route.kind.as_str());
-                let limits = under_trial(&standing, quota, class, leaves_reserve).ok_or_else(trial_ended)?;
                 let slowed = standing.level.phase != Phase::Full;
-                Ok(Limits { limits: TenantLimits { open_cap, ..limits }, class, slowed })
+                match under_trial(&standing, quota, class, leaves_reserve) {
+                    Some(limits) => {
+                        let limits = TenantLimits { open_cap, ..limits };
+                        Ok(Limits { limits, class: Some(class), slowed })
+                    }
+                    None => Err(Judged { class: Some(class), refusal: Some(trial_ended()) }),
+                }
             }
         }
     }
 
+    /// How this proxy judges a tenant's trial, as operators are told.
+    pub(crate) fn trial_view(&self, tenant: &str) -> Option<TrialView> {
+        let now = self.now();
+        let mut view = self.view.borrow_mut();
+        let newest = view.trials().newest(tenant)?;
+        let lease_left = view.trials().lease_left(now) / MILLI;
+        let in_effect = match view.judge_trial(now, tenant) {
+            Judgement::Trial(standing) => Some(standing.position),
+            Judgement::NoTrial | Judgement::Unknown(_) => None,
+        };
+        Some(TrialView { in_effect, newest: Some(newest), lease_left, counts: self.trial_counts.of(tenant) })
+    }
+
     /// What may be lent of a tenant's quota now; none where that can't be judged.
     pub(crate) fn lendable(&self, tenant: &Tenant, part: Part) -> Option<TenantLimits> {
         let quota = self.quota_of(tenant, part);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,4 +21,5 @@
 mod requests;
 pub mod server;
 pub mod services;
+mod trial_counts;
 pub mod view;
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -28,6 +28,7 @@
             ProxyRequest::FollowConfig { version, have, wait } => {
                 ProxyAnswer::Config(self.config_for(version, have, Duration::from_millis(wait)).await)
             }
+            ProxyRequest::Trial { tenant } => ProxyAnswer::Trial(self.trial_view(&tenant)),
             ProxyRequest::Explain { id_or_tenant } => {
                 ProxyAnswer::Explained(self.requests.explain(self.now(), &id_or_tenant))
             }
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -46,7 +46,7 @@
 pub(crate) struct Refusal {
     pub status: StatusCode,
     message: &'static str,
-    outcome: RequestOutcome,
+    pub outcome: RequestOutcome,
     pub retry_after: Option<Duration>,
     /// Whether what is left of the request on the connection can't be told from a next one.
     ends_connection: bool,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -5,6 +5,7 @@
 use crate::relay::{self, Relay};
 use crate::request_log::RequestLog;
 use crate::services::Services;
+use crate::trial_counts::TrialCounts;
 use crate::view::{Spans, View};
 use crate::{control, peers, readiness};
 use eyre::{eyre, Context, Result};
@@ -117,6 +118,7 @@
     pub(crate) peer_socket: RefCell<Option<Rc<UdpSocket>>>,
     pub(crate) loans: Loans,
     pub(crate) deferred: Deferred,
+    pub(crate) trial_counts: TrialCounts,
     /// The configuration in force as it was sent: changes are made to it.
     document: RefCell<Option<ConfigDocument>>,
     id: ProcessId,
@@ -222,6 +224,7 @@
             peer_socket: RefCell::default(),
             loans: Loans::default(),
             deferred: Deferred::default(),
+            trial_counts: TrialCounts::default(),
             document: RefCell::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod directory;
 pub mod duty;
+pub mod first_terms;
 mod http;
 pub mod platform_list;
 pub mod server;
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -102,6 +102,7 @@
     spawn_local(registry.clone().meet_others());
     spawn_local(registry.clone().admit_newcomers());
     spawn_local(registry.clone().announce_steps());
+    registry.set_first_terms()?;
     spawn_local(registry.clone().tidy());
     signals.terminate.recv().await;
     log::info!("told to end");
--- a/crates/registry/src/trial_calls.rs
+++ b/crates/registry/src/trial_calls.rs
@@ -1,8 +1,11 @@
 //! Operators' calls about trials, and the steps that the registry with the duty announces.
 
+use crate::first_terms::FirstTerms;
 use crate::http::{come_again, error, json, Answer, STORE_SPARE};
 use crate::server::{Registry, PROPOSE_WAIT};
 use bytes::Bytes;
+use eyre::{eyre, WrapErr};
+use hingestage_configuration::Configuration;
 use hingestage_replication::digest;
 use hingestage_rpc::messages::{Change, Proposed, StoreAnswer, StoreRequest};
 use hingestage_rpc::trials::{TrialPosition, TrialRecord, TERMS_BYTES_MAX};
@@ -110,6 +113,38 @@
         }
     }
 
+    /// Sets terms from a file once a configuration is in force, where no trial is known by then.
+    ///
+    /// # Errors
+    /// The file can't be read or used.
+    pub(crate) fn set_first_terms(self: &Rc<Self>) -> eyre::Result<()> {
+        let Some(path) = &self.settings.first_terms else { return Ok(()) };
+        let json = std::fs::read(path).wrap_err_with(|| format!("{}", path.display()))?;
+        let first = FirstTerms::parse(&json).map_err(|error| eyre!("{}: {error}", path.display()))?;
+        tokio::task::spawn_local(self.clone().keep_first_terms(first));
+        Ok(())
+    }
+
+    async fn keep_first_terms(self: Rc<Self>, first: FirstTerms) {
+        while self.in_force.borrow().trials.is_empty() {
+            tokio::time::sleep(STEP_PAUSE).await;
+            let records = self.first_records(&first).unwrap_or_default();
+            for record in records {
+                log::info!("trial of {}: first terms", record.tenant);
+                let _ = self.propose_change(Change::TrialTerms(record)).await;
+            }
+        }
+    }
+
+    /// The records of first terms, where this registry has the duty and a configuration.
+    fn first_records(&self, first: &FirstTerms) -> Option<Vec<TrialRecord>> {
+        self.duty.borrow().fence()?;
+        let in_force = self.in_force.borrow();
+        let document = in_force.configs.newest()?;
+        let configuration = Configuration::parse(&document.json).ok()?;
+        Some(first.records(&configuration, time_of_day()))
+    }
+
     /// Announces steps that are due, while this registry has the duty of reading the platform's list.
     pub(crate) async fn announce_steps(self: Rc<Self>) {
         loop {
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::digest;
 use crate::status::{RegistryStatus, StoreStatus};
-use crate::trials::{TrialNews, TrialRecord, TrialRevision, TrialStep};
+use crate::trials::{AuditEntry, TrialNews, TrialRecord, TrialRevision, TrialStep};
 use crate::workers::{ServiceHave, ServiceIndex, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
 use hingestage_configuration::transfer;
@@ -155,6 +155,11 @@
     },
     /// An operator asks for its state.
     Status,
+    /// An operator asks which steps of a tenant's trial were taken.
+    TrialAudit {
+        /// Name of the tenant.
+        tenant: CompactString,
+    },
 }
 
 /// A change as a registry asks for it.
@@ -199,6 +204,8 @@
     Failed,
     /// To an operator.
     Status(Box<StoreStatus>),
+    /// Steps of a tenant's trial, the latest last.
+    TrialAudit(Vec<AuditEntry>),
 }
 
 /// Whether a read reached enough stores.
--- a/crates/rpc/src/status.rs
+++ b/crates/rpc/src/status.rs
@@ -1,6 +1,7 @@
 //! What operators ask the processes of the system, and the states that these tell.
 
 use crate::messages::{ConfigTransfer, ConfigVersion, Millis, ProxyStatus, RegistryMember, StoreMember};
+use crate::trials::TrialView;
 use crate::workers::{ServiceHave, ServiceUpdate, WorkersVersion};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,11 @@
         /// The attempt id of a request, or the name of a tenant.
         id_or_tenant: CompactString,
     },
+    /// How it judges a tenant's trial.
+    Trial {
+        /// Name of the tenant.
+        tenant: CompactString,
+    },
     /// Another proxy of the zone asks for the workers of services that this proxy is the home of.
     FollowServices {
         /// What it has.
@@ -42,6 +48,8 @@
     Status(Box<ProxyState>),
     /// What became of recent requests.
     Explained(Explanation),
+    /// How it judges a tenant's trial; none where it knows of none.
+    Trial(Option<TrialView>),
     /// The workers of services.
     Services(Vec<ServiceUpdate>),
     /// A configuration that is as new as was asked for; none where this proxy has none in time.
--- a/crates/rpc/src/trials.rs
+++ b/crates/rpc/src/trials.rs
@@ -56,6 +56,43 @@
     pub position: TrialPosition,
 }
 
+/// Requests of one class of a trial tenant that one proxy judged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialCount {
+    /// Let pass.
+    pub passed: u64,
+    /// Refused as a step leaves no more.
+    pub slowed: u64,
+    /// Refused as the trial has ended.
+    pub ended: u64,
+    /// Refused as the step could not be told.
+    pub unknown: u64,
+}
+
+/// A tenant's trial as one proxy judges it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialView {
+    /// The step that is in effect there; none where it can't tell.
+    pub in_effect: Option<TrialPosition>,
+    /// The newest step that it knows of.
+    pub newest: Option<TrialPosition>,
+    /// How much longer it may judge without further news.
+    pub lease_left: Millis,
+    /// Requests that are refused last, ordinary ones, and those that may wait.
+    pub counts: [TrialCount; 3],
+}
+
+/// A step as a store noted it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditEntry {
+    /// Time of day at the store, milliseconds since 1970.
+    pub at: u64,
+    /// Name of the tenant.
+    pub tenant: CompactString,
+    /// Where its trial stands from then on.
+    pub position: TrialPosition,
+}
+
 /// Number of the last change of trials that one life of a registry has handed out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialRevision {
--- a/crates/trial/src/book.rs
+++ b/crates/trial/src/book.rs
@@ -104,9 +104,9 @@
         }
     }
 
-    /// When news was last known to be complete.
-    pub fn freshness(&self) -> Freshness {
-        self.freshness
+    /// How much longer trial tenants are judged without further news.
+    pub fn lease_left(&self, now: Micros) -> Micros {
+        self.freshness.lease_until(self.spans.lease).saturating_sub(now)
     }
 
     /// The highest step known of a tenant's trial, in effect or not.
