--- /dev/null
+++ b/crates/registry/tests/trials.rs
@@ -0,0 +1,96 @@
+//! Trials as a registry hands them out, and the steps that it announces.
+
+use hingestage_configuration::Configuration;
+use hingestage_registry::first_terms::FirstTerms;
+use hingestage_registry::trials::{TrialLog, NOTICE};
+use hingestage_rpc::trials::{TrialNews, TrialPosition, TrialRecord, TrialRevision};
+
+const S: u64 = 1_000_000;
+const TERMS: &str =
+    r#"{"version":1,"end":"1970-01-01T01:00:00Z","steps":[{"before_end":"60s","share":0.5}]}"#;
+/// The end, milliseconds since 1970.
+const END: u64 = 3_600_000;
+
+fn news(tenant: &str, step: u32, age: u64) -> TrialNews {
+    let position = TrialPosition { version: 1, digest: 1, step };
+    TrialNews {
+        record: TrialRecord { tenant: tenant.into(), position, terms: TERMS.as_bytes().to_vec() },
+        age,
+    }
+}
+
+fn steps_due(log: &TrialLog, now: u64, time_of_day: u64) -> Vec<u32> {
+    log.steps_due(now, time_of_day).iter().map(|step| step.position.step).collect()
+}
+
+#[test]
+fn the_first_step_waits_until_no_proxy_can_be_without_the_terms() {
+    let mut log = TrialLog::new(1, NOTICE);
+    log.take(S, vec![news("t", 0, 0)]);
+    assert!(steps_due(&log, S + NOTICE - 1, END).is_empty());
+    assert_eq!(steps_due(&log, S + NOTICE, END), [3], "what came due meanwhile is taken in one");
+}
+
+#[test]
+fn a_step_is_decided_once_whatever_the_clock_says_later() {
+    let mut log = TrialLog::new(1, NOTICE);
+    log.take(0, vec![news("t", 0, 0)]);
+    let clock_ahead = END + 5_000;
+    assert_eq!(steps_due(&log, 20 * S, clock_ahead), [3]);
+    log.take(20 * S, vec![news("t", 3, 0)]);
+    // The clock is set back, or the duty goes to one whose clock is right.
+    assert!(steps_due(&log, 21 * S, END - 61_000).is_empty());
+    assert!(steps_due(&log, 21 * S, END + 5_000).is_empty());
+}
+
+#[test]
+fn a_registry_started_anew_hands_out_everything_with_what_the_store_knows_of_its_age() {
+    let mut log = TrialLog::new(1, NOTICE);
+    assert!(log.take(10 * S, vec![news("t", 1, 4_000)]));
+    assert!(!log.take(11 * S, vec![news("t", 1, 0), news("t", 0, 0)]), "known already");
+    let told = log.revision();
+    assert!(!log.has_news_for(told));
+    assert!(log.has_news_for(TrialRevision::default()));
+    assert!(log.has_news_for(TrialRevision { incarnation: 7, ..told }), "another life's number says nothing");
+    assert_eq!(log.since(12 * S, TrialRevision::default()), [news("t", 1, 6_000)]);
+    // The age reaches back to before this process began.
+    let mut young = TrialLog::new(2, NOTICE);
+    young.take(S, vec![news("t", 1, 60_000)]);
+    assert_eq!(young.since(2 * S, told), [news("t", 1, 61_000)]);
+}
+
+#[test]
+fn only_what_is_newer_is_handed_out() {
+    let mut log = TrialLog::new(1, NOTICE);
+    log.take(0, vec![news("a", 0, 0), news("b", 0, 0)]);
+    let told = log.revision();
+    log.take(S, vec![news("a", 0, 0), news("b", 1, 0)]);
+    let tenants: Vec<String> =
+        log.since(S, told).into_iter().map(|news| news.record.tenant.to_string()).collect();
+    assert_eq!(tenants, ["b"]);
+}
+
+#[test]
+fn first_terms_go_to_the_largest_tenants() {
+    let first = br#"{"tenants":2,"end_in_s":30,"terms":{"steps":[{"before_end":"8s","share":0.5}]}}"#;
+    let first = FirstTerms::parse(first).unwrap();
+    let tenant = |name: &str, rate: u32| {
+        format!(r#"{{"name":"{name}","api_keys":["{name}"],"rate_per_s":{rate},"burst":9}}"#)
+    };
+    let tenants = [tenant("small", 5), tenant("large", 90), tenant("middle", 50)].join(",");
+    let json =
+        format!(r#"{{"serial":"00000001","routes":[],"backends":[],"limits":{{}},"tenants":[{tenants}]}}"#);
+    let configuration = Configuration::parse(json.as_bytes()).unwrap();
+    let records = first.records(&configuration, 1_000_000);
+    let names: Vec<&str> = records.iter().map(|record| record.tenant.as_str()).collect();
+    assert_eq!(names, ["large", "middle"]);
+    let terms = hingestage_trial::Terms::parse(&records[0].terms).unwrap();
+    assert_eq!((terms.version, terms.end), (1, Some(1_030_000)));
+    for wrong in [
+        &b"{}"[..],
+        br#"{"tenants":0,"end_in_s":1,"terms":{}}"#,
+        br#"{"tenants":1,"end_in_s":1,"terms":{"steps":3}}"#,
+    ] {
+        assert!(FirstTerms::parse(wrong).is_err());
+    }
+}
