--- a/crates/playground/src/expiry/faults.rs
+++ b/crates/playground/src/expiry/faults.rs
@@ -3,9 +3,11 @@
 use super::traffic::Traffic;
 use super::{terms, END, TERMS_WITHIN};
 use crate::layout::{Layout, Machine, ProcessSpec, Program};
-use crate::operator::put_terms;
+use crate::operator::{put_terms, ORDERS};
 use crate::processes::Processes;
+use crate::surroundings::Surroundings;
 use fastrand::Rng;
+use hingestage_standins::service_worker::ServiceWorkerMode;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -21,6 +23,8 @@
     Kill(Vec<ProcessSpec>),
     /// Processes stand still, longer than a step takes to be in effect.
     Freeze(Vec<ProcessSpec>),
+    /// Workers run orders and break off in place of an answer.
+    AnswersLost,
     /// Two operators race under one version: one extends the trial, one ends it at once.
     Race,
 }
@@ -34,7 +38,7 @@
             chosen.into_iter().map(|machine| on(program, machine)).collect::<Vec<_>>()
         };
         let core = |core: &Machine| [on(Program::Registry, core), on(Program::ConfigStore, core)];
-        match random.u32(..9) {
+        match random.u32(..10) {
             0 => Fault::None,
             1 => Fault::Kill(layout.cores.iter().flat_map(core).collect()),
             2 => Fault::Kill(layout.cores.iter().map(|core| on(Program::Registry, core)).collect()),
@@ -43,6 +47,7 @@
             5 => Fault::Kill(some(random, Program::Proxy, &layout.proxies, 2)),
             6 => Fault::Freeze(some(random, Program::Proxy, &layout.proxies, 2)),
             7 => Fault::Freeze(some(random, Program::Registry, &layout.cores, 1)),
+            8 => Fault::AnswersLost,
             _ => Fault::Race,
         }
     }
@@ -55,6 +60,7 @@
             Fault::None => "nothing".to_owned(),
             Fault::Kill(specs) => format!("killed {}", names(specs)),
             Fault::Freeze(specs) => format!("{} stood still", names(specs)),
+            Fault::AnswersLost => "answers to orders were lost".to_owned(),
             Fault::Race => "two operators raced".to_owned(),
         }
     }
@@ -65,6 +71,7 @@
         layout: &Layout,
         processes: &mut Processes,
         traffic: &Traffic,
+        surroundings: &Surroundings,
     ) -> Result<(), String> {
         match self {
             Fault::None => {}
@@ -82,7 +89,14 @@
                 sleep(FROZEN_FOR).await;
                 specs.iter().for_each(|spec| processes.freeze(spec, false));
             }
+            Fault::AnswersLost => {
+                traffic.answers_lost();
+                surroundings.set_mode(ORDERS, ServiceWorkerMode::ResetsAfterRun);
+                sleep(FROZEN_FOR).await;
+                surroundings.set_mode(ORDERS, ServiceWorkerMode::Answers);
+            }
             Fault::Race => {
+                traffic.operators_race.set(true);
                 let (extended, ended) = (terms(2, END), terms(2, Duration::ZERO));
                 let (first, second) = tokio::join!(
                     put_terms(layout, 0, &extended, TERMS_WITHIN),
--- a/crates/playground/src/expiry/mod.rs
+++ b/crates/playground/src/expiry/mod.rs
@@ -101,7 +101,7 @@
     let surroundings = Surroundings::start(&layout).await?;
     let mut processes = Processes::start(programs, directory.clone(), &layout)?;
     let traffic = Rc::new(Traffic::new(&layout));
-    let played = expire(&layout, &mut processes, &traffic, seed).await;
+    let played = expire(&layout, &mut processes, &traffic, &surroundings, seed).await;
     traffic.stop().await;
     let in_order = processes.stop().await;
     surroundings.end_all().await;
@@ -140,6 +140,7 @@
     layout: &Layout,
     processes: &mut Processes,
     traffic: &Rc<Traffic>,
+    surroundings: &Surroundings,
     seed: u64,
 ) -> Result<String, String> {
     let mut random = Rng::with_seed(seed);
@@ -152,7 +153,7 @@
     let at = random.u64(FAULTS_FROM.as_millis() as u64..FAULTS_UNTIL.as_millis() as u64);
     let fault = Fault::draw(&mut random, layout);
     sleep_until(begun + Duration::from_millis(at)).await;
-    fault.strike(layout, processes, traffic).await?;
+    fault.strike(layout, processes, traffic, surroundings).await?;
     sleep_until(begun + PAID).await;
     let paid = put_terms(layout, operator, r#"{"version":9}"#, TERMS_WITHIN).await?;
     sleep_until((begun + STOP).max(Instant::now() + (STOP - PAID))).await;
--- a/crates/playground/src/expiry/traffic.rs
+++ b/crates/playground/src/expiry/traffic.rs
@@ -73,6 +73,8 @@
     pub reports: Cell<(u64, u64)>,
     /// Places of proxies that were killed or stood still.
     pub disturbed: RefCell<BTreeSet<usize>>,
+    /// Whether two operators set terms at once.
+    pub operators_race: Cell<bool>,
     stopping: Cell<bool>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -85,6 +87,7 @@
             tries: RefCell::default(),
             reports: Cell::default(),
             disturbed: RefCell::default(),
+            operators_race: Cell::default(),
             stopping: Cell::default(),
             tasks: RefCell::default(),
         }
@@ -97,6 +100,11 @@
         self.disturbed.borrow_mut().extend(places);
     }
 
+    /// Notes that answers of workers get lost: of requests that must not be repeated nothing may be known, wherever.
+    pub fn answers_lost(&self) {
+        self.disturbed.borrow_mut().extend(0..self.proxies.len());
+    }
+
     /// Waits until every proxy has served the tenant.
     pub async fn wait_until_served(&self, within: Duration) -> Result<(), String> {
         let until = Instant::now() + within;
--- a/crates/playground/src/surroundings.rs
+++ b/crates/playground/src/surroundings.rs
@@ -3,7 +3,9 @@
 use crate::layout::{Layout, LIST_CALLS_PER_S};
 use crate::operator::{CATALOG, ORDERS};
 use hingestage_platform::{Platform, Tokio};
-use hingestage_standins::service_worker::{ServiceWorker, ServiceWorkerSpec, SharedRunLog};
+use hingestage_standins::service_worker::{
+    ServiceWorker, ServiceWorkerMode, ServiceWorkerSpec, SharedRunLog,
+};
 use hingestage_standins::worker_list::{ListedWorker, WorkerListServer};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -92,6 +94,13 @@
         Some(hosted.listed)
     }
 
+    /// Lets the workers of a service behave otherwise.
+    pub fn set_mode(&self, service: &str, mode: ServiceWorkerMode) {
+        let workers = self.workers.borrow();
+        let of_service = workers.iter().filter(|hosted| hosted.listed.service == service);
+        of_service.for_each(|hosted| hosted.worker.set_mode(mode));
+    }
+
     /// Ends all workers.
     pub async fn end_all(&self) {
         let hosted = std::mem::take(&mut *self.workers.borrow_mut());
