--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod replication;
 mod servers;
+mod trials;
 mod workers;
 
 use eyre::{bail, eyre, Result};
@@ -21,12 +22,13 @@
 use tokio::task::LocalSet;
 
 /// Sections, each with its sizes.
-const CASES: [(&str, &[usize]); 8] = [
+const CASES: [(&str, &[usize]); 9] = [
     ("configuration", &[18, 2_400, 24_000]),
     ("workers", &[32, 2_400, 24_000]),
     ("directory", &[9, 360, 3_600]),
     ("quota", &[8, 2_400, 100_000]),
     ("replication", &[3, 4, 10]),
+    ("trials", &[0, 100, 1_000]),
     ("documents-alone", &[18, 2_400, 24_000]),
     ("documents", &[18, 2_400, 24_000]),
     ("heartbeats", &[9, 100, 400, 1_000, 1_200]),
@@ -63,6 +65,7 @@
         "directory" => directory::play(size),
         "quota" => quota::play(size),
         "replication" => block_on(replication::play(size)),
+        "trials" => trials::play(size),
         "documents" => block_on(heartbeats::play_document(size, heartbeats::FEW)),
         "documents-alone" => block_on(heartbeats::play_document(size, 1)),
         "heartbeats" => block_on(heartbeats::play(size)),
