The notice of a trial's terms counts from when a store knew them; expiries end later

A registry that started anew counted the 12 s of notice from its own start. It counts from the age that its store tells now; where stores are killed as well the notice begins anew, as nobody knows better, so the rehearsed tenant pays 11 s later.

--- a/crates/playground/src/expiry/mod.rs
+++ b/crates/playground/src/expiry/mod.rs
@@ -31,9 +31,10 @@
 const SECOND_STEP: Duration = Duration::from_secs(15);
 const END: Duration = Duration::from_secs(18);
 const GRACE: Duration = Duration::from_secs(4);
-/// From the terms on: when the tenant pays, and when its clients stop.
-const PAID: Duration = Duration::from_secs(31);
-const STOP: Duration = Duration::from_secs(42);
+/// From the terms on: when the tenant pays, and when its clients stop. Where the whole core is killed, the notice of the
+/// terms begins anew.
+const PAID: Duration = Duration::from_secs(42);
+const STOP: Duration = Duration::from_secs(53);
 /// When faults may begin.
 const FAULTS_FROM: Duration = Duration::from_secs(9);
 const FAULTS_UNTIL: Duration = Duration::from_secs(30);
--- a/crates/playground/src/expiry/traffic.rs
+++ b/crates/playground/src/expiry/traffic.rs
@@ -22,7 +22,7 @@
 /// How long one try may take.
 const TRY_WITHIN: Duration = Duration::from_millis(2_500);
 /// How long a report is tried again.
-const REPORT_PATIENCE: Duration = Duration::from_secs(45);
+const REPORT_PATIENCE: Duration = Duration::from_secs(60);
 /// Shortest and longest pause before a report is tried again.
 const REPORT_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Pause between two looks at whether all proxies serve.
--- a/crates/registry/src/trials.rs
+++ b/crates/registry/src/trials.rs
@@ -19,8 +19,8 @@
     durable_by: i64,
     /// Number of the change that brought it.
     number: u64,
-    /// When any terms of the tenant were first known.
-    noticed_at: Micros,
+    /// Since when any terms of the tenant are known to have been durable.
+    noticed_at: i64,
 }
 
 /// All trials that are durable.
@@ -45,8 +45,8 @@
             if held.is_some_and(|held| held.record.position >= record.position) {
                 continue;
             }
-            let noticed_at = held.map_or(now, |held| held.noticed_at);
             let durable_by = signed(now) - signed(age * MILLI);
+            let noticed_at = held.map_or(durable_by, |held| held.noticed_at);
             self.number = number;
             self.trials.insert(record.tenant.clone(), Known { record, durable_by, number, noticed_at });
         }
@@ -93,7 +93,8 @@
 
     /// The steps to be announced at a time of day, milliseconds since 1970.
     pub fn steps_due(&self, now: Micros, time_of_day: u64) -> Vec<TrialStep> {
-        let noticed = self.trials.values().filter(|trial| now >= trial.noticed_at + self.notice);
+        let noticed =
+            self.trials.values().filter(|trial| signed(now) >= trial.noticed_at + signed(self.notice));
         due_steps(noticed.map(|trial| &trial.record), time_of_day)
     }
 }
--- a/crates/registry/tests/trials.rs
+++ b/crates/registry/tests/trials.rs
@@ -29,6 +29,11 @@
     log.take(S, vec![news("t", 0, 0)]);
     assert!(steps_due(&log, S + NOTICE - 1, END).is_empty());
     assert_eq!(steps_due(&log, S + NOTICE, END), [3], "what came due meanwhile is taken in one");
+    // A registry that takes the duty over after a restart goes by what its store knows.
+    let mut log = TrialLog::new(2, NOTICE);
+    log.take(S, vec![news("t", 0, 11_000)]);
+    assert!(steps_due(&log, 2 * S - 1, END).is_empty());
+    assert_eq!(steps_due(&log, 2 * S, END), [3]);
 }
 
 #[test]
