Others are not asked for tokens again at once when they had too little

All buckets begin empty then, so every request asks twelve others for tokens, and clients come again: two dozen datagrams a refusal fill links of 2 Mbit/s, answers come after the 50 ms in which they may be used, the tokens in them are lost, and more is refused.

The sum of all buckets is not touched: fewer tokens move.

--- a/crates/proxy/src/lending.rs
+++ b/crates/proxy/src/lending.rs
@@ -51,23 +51,25 @@
 }
 
 /// Ends a wait also where its request is given up.
-struct Ending<'a>(&'a Loans, u64);
+struct Ending<'a>(&'a Proxy, u64);
 
 impl Drop for Ending<'_> {
     fn drop(&mut self) {
-        self.0.borrowing.borrow_mut().end(self.1);
+        self.0.loans.borrowing.borrow_mut().end(self.0.now(), self.1);
     }
 }
 
 impl Proxy {
     /// Asks other proxies of the region for what a tenant's bucket lacks of a token. Gives what they lent.
     pub(crate) async fn borrow_tokens(&self, tenant: &CompactString) -> f64 {
-        let lacking = self.tenants.borrow().lacks(self.now(), tenant);
-        let Some(number) = lacking.and_then(|lacking| self.loans.borrowing.borrow_mut().begin(lacking))
+        let now = self.now();
+        let lacking = self.tenants.borrow().lacks(now, tenant);
+        let Some(number) =
+            lacking.and_then(|lacking| self.loans.borrowing.borrow_mut().begin(now, tenant, lacking))
         else {
             return 0.0;
         };
-        let _ending = Ending(&self.loans, number);
+        let _ending = Ending(self, number);
         let asked_at = self.now();
         let mut peers = self.neighbors_of_region();
         fastrand::shuffle(&mut peers);
@@ -81,7 +83,7 @@
                 break;
             }
         }
-        let lent = self.loans.borrowing.borrow_mut().end(number);
+        let lent = self.loans.borrowing.borrow_mut().end(self.now(), number);
         let late = self.now() > asked_at + USED_WITHIN;
         if late {
             0.0
--- a/crates/quota/src/borrowing.rs
+++ b/crates/quota/src/borrowing.rs
@@ -1,13 +1,22 @@
 //! Tokens that a gateway has asked others for: who has answered, and what came to it.
 
+use crate::Micros;
+use compact_str::CompactString;
 use std::collections::BTreeMap;
 
 /// Requests that wait at once, at the most.
 const WAITING_MAX: usize = 64;
+/// How long others are not asked for tokens of a tenant of which they had too little, microseconds. Clients that come again
+/// would else let each refusal cost two dozen datagrams, and on narrow links the answers would come too late to be used:
+/// then tokens are lost, more is refused, and more is asked.
+const EXHAUSTED_FOR: Micros = 200_000;
+/// Tenants that are remembered so.
+const EXHAUSTED_MAX: usize = 10_000;
 
 /// What one request is waiting for.
 #[derive(Clone, Debug)]
 struct Waiting<P> {
+    tenant: CompactString,
     lacking: f64,
     lent: f64,
     /// Those who have not answered.
@@ -21,23 +30,28 @@
 pub struct Borrowing<P> {
     next: u64,
     waiting: BTreeMap<u64, Waiting<P>>,
+    /// Tenants of whose tokens others had too little, and until when they are not asked again.
+    exhausted: BTreeMap<CompactString, Micros>,
 }
 
 impl<P> Default for Borrowing<P> {
     fn default() -> Self {
-        Borrowing { next: 0, waiting: BTreeMap::new() }
+        Borrowing { next: 0, waiting: BTreeMap::new(), exhausted: BTreeMap::new() }
     }
 }
 
 impl<P: PartialEq + Clone> Borrowing<P> {
-    /// A request lacks part of a token. Gives its number; none where too many wait.
-    pub fn begin(&mut self, lacking: f64) -> Option<u64> {
-        if self.waiting.len() >= WAITING_MAX {
+    /// A request lacks part of a token. Gives its number; none where too many wait, or others had too little of the
+    /// tenant's a moment ago.
+    pub fn begin(&mut self, now: Micros, tenant: &CompactString, lacking: f64) -> Option<u64> {
+        let exhausted = self.exhausted.get(tenant).is_some_and(|until| now < *until);
+        if exhausted || self.waiting.len() >= WAITING_MAX {
             return None;
         }
         let number = self.next;
         self.next += 1;
-        self.waiting.insert(number, Waiting { lacking, lent: 0.0, asked: Vec::new() });
+        self.waiting
+            .insert(number, Waiting { tenant: tenant.clone(), lacking, lent: 0.0, asked: Vec::new() });
         Some(number)
     }
 
@@ -71,7 +85,20 @@
     }
 
     /// A request waits no longer. Gives what came.
-    pub fn end(&mut self, number: u64) -> f64 {
-        self.waiting.remove(&number).map_or(0.0, |waiting| waiting.lent)
+    pub fn end(&mut self, now: Micros, number: u64) -> f64 {
+        let Some(Waiting { tenant, lacking, lent, .. }) = self.waiting.remove(&number) else { return 0.0 };
+        if lent < lacking {
+            self.note_exhausted(now, tenant);
+        }
+        lent
+    }
+
+    fn note_exhausted(&mut self, now: Micros, tenant: CompactString) {
+        if self.exhausted.len() >= EXHAUSTED_MAX {
+            self.exhausted.retain(|_, until| now < *until);
+        }
+        if self.exhausted.len() < EXHAUSTED_MAX {
+            self.exhausted.insert(tenant, now + EXHAUSTED_FOR);
+        }
     }
 }
