hingestage-ctl trial is tried beside stores and proxies that a test plays

It was tried by hand only. The test breaks where a class's counts, the audit's time or the exit code for a tenant without a trial are wrong.

--- a/crates/control-tool/tests/tool.rs
+++ b/crates/control-tool/tests/tool.rs
@@ -8,6 +8,7 @@
     AttemptOutcome, AttemptRecord, Explanation, KeyLease, OutcomeCount, ProxyAnswer, ProxyRequest,
     ProxyState, RegistryStatus, RequestOutcome, RequestRecord, StoreStatus, TenantCounters, WorkerGroup,
 };
+use hingestage_rpc::trials::{AuditEntry, TrialCount, TrialPosition, TrialView};
 use hingestage_rpc::workers::WorkersVersion;
 use hingestage_rpc::{serve, Handler};
 use std::future::Future;
@@ -18,6 +19,7 @@
 use tokio::task::{spawn_blocking, spawn_local, LocalSet};
 
 const VERSION: Option<ConfigVersion> = Some(ConfigVersion { serial: 0x2a, digest: 1 });
+const STEP: TrialPosition = TrialPosition { version: 3, digest: 9, step: 2 };
 const LIST: WorkersVersion = WorkersVersion { fence: 3, reader: 1, number: 17 };
 
 struct Registry(RegistryStatus);
@@ -37,8 +39,14 @@
     type Request = StoreRequest;
     type Answer = StoreAnswer;
 
-    async fn handle(self: Rc<Self>, _from: SocketAddr, _request: StoreRequest) -> StoreAnswer {
-        StoreAnswer::Status(Box::new(self.0.clone()))
+    async fn handle(self: Rc<Self>, _from: SocketAddr, request: StoreRequest) -> StoreAnswer {
+        match request {
+            StoreRequest::TrialAudit { tenant } if tenant == "beta" => {
+                StoreAnswer::TrialAudit(vec![AuditEntry { at: 0, tenant, position: STEP }])
+            }
+            StoreRequest::TrialAudit { .. } => StoreAnswer::TrialAudit(Vec::new()),
+            _ => StoreAnswer::Status(Box::new(self.0.clone())),
+        }
     }
 }
 
@@ -52,11 +60,23 @@
             ProxyRequest::Explain { id_or_tenant } if id_or_tenant == "beta" => {
                 ProxyAnswer::Explained(self.1.clone())
             }
+            ProxyRequest::Trial { tenant } => ProxyAnswer::Trial((tenant == "beta").then(trial_view)),
             _ => ProxyAnswer::Explained(Explanation::default()),
         }
     }
 }
 
+/// A proxy that knows of a step and judges by the one before.
+fn trial_view() -> TrialView {
+    let counts = [
+        TrialCount { passed: 7, ..TrialCount::default() },
+        TrialCount { slowed: 5, ..TrialCount::default() },
+        TrialCount::default(),
+    ];
+    let in_effect = TrialPosition { step: 1, ..STEP };
+    TrialView { in_effect: Some(in_effect), newest: Some(STEP), lease_left: 3_400, counts }
+}
+
 async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("its address");
@@ -329,6 +349,22 @@
     });
 }
 
+#[test]
+fn trial_tells_when_stores_took_a_step_in_and_how_each_proxy_judges() {
+    run(async {
+        let system = System::start(Fault::None).await;
+        let registry = system.registry.to_string();
+        let run = tool(&["trial", "beta", "--registry", &registry]).await;
+        assert_eq!(run.code, Some(0), "{run:?}");
+        assert!(run.output.contains("1970-01-01T00:00:00.000Z  version 3 step 2"), "{}", run.output);
+        let proxy = "in effect version 3 step 1  newest version 3 step 2  lease 3.4s  refused last: 7 passed";
+        assert!(run.output.contains(proxy), "{}", run.output);
+        assert!(run.output.contains("ordinary: 0 passed, 5 slowed"), "{}", run.output);
+        let run = tool(&["trial", "alpha", "--registry", &registry]).await;
+        assert_eq!(run.code, Some(1), "{run:?}");
+    });
+}
+
 #[test]
 fn bad_usage_ends_with_2() {
     run(async {
