--- a/crates/capacity/src/fixtures.rs
+++ b/crates/capacity/src/fixtures.rs
@@ -3,7 +3,7 @@
 use compact_str::{format_compact, CompactString};
 use hingestage_node::Settings;
 use hingestage_replication::digest;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProcessId, ProxyStatus};
+use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus};
 use hingestage_rpc::workers::{ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -78,7 +78,7 @@
     }
     json.push_str("]}");
     let json = json.into_bytes();
-    ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+    ConfigDocument::new(serial, json)
 }
 
 fn comma(place: usize) -> &'static str {
--- a/crates/capacity/src/trials.rs
+++ b/crates/capacity/src/trials.rs
@@ -3,10 +3,10 @@
 use crate::measure::{resident, seconds_each, Report};
 use compact_str::{format_compact, CompactString};
 use eyre::Result;
-use hingestage_replication::TrialSet;
+use hingestage_registry::trials::TrialLog;
 use hingestage_rpc::encoded;
 use hingestage_rpc::trials::{TrialNews, TrialPosition, TrialRecord};
-use hingestage_trial::{due_steps, TrialBook};
+use hingestage_trial::TrialBook;
 use std::hint::black_box;
 
 /// Terms as an operator writes them.
@@ -49,8 +49,9 @@
     let one = encoded(&vec![TrialNews { record: record(1, 1), age: 0 }]);
     report.bytes("a step to one proxy, as sent", one.len() as u64);
     report.bytes("all steps at a proxy's start, as sent", encoded(&news(1)).len() as u64);
-    let set: TrialSet = (0..count).map(|number| record(number, 0)).collect();
-    let due = || drop(black_box(due_steps(set.records(), TIME_OF_DAY)));
-    report.seconds("due_steps, all trials", seconds_each(1, due));
+    let mut log = TrialLog::new(1, 0);
+    log.take(NOW, news(0));
+    let due = || drop(black_box(log.steps_due(NOW, TIME_OF_DAY)));
+    report.seconds("TrialLog::steps_due, all trials", seconds_each(1, due));
     Ok(())
 }
--- a/crates/config-store/src/audit.rs
+++ b/crates/config-store/src/audit.rs
@@ -4,11 +4,11 @@
 //! of that. It is opened with the first step, so that a system without trials has none.
 
 use eyre::{Result, WrapErr};
+use hingestage_node::time_of_day;
 use hingestage_rpc::trials::{AuditEntry, TrialRecord};
 use redb::{Database, ReadableTable, ReadableTableMetadata, TableDefinition};
 use std::cell::OnceCell;
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Steps by a number that grows.
 const STEPS: TableDefinition<u64, &[u8]> = TableDefinition::new("steps");
@@ -84,8 +84,3 @@
         Ok(entries)
     }
 }
-
-/// Milliseconds since 1970 by this machine's clock.
-fn time_of_day() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -223,9 +223,8 @@
             return false;
         }
         if let Update::Trials(records) = &update {
-            let news =
-                records.iter().filter(|record| self.replica.borrow().state().trials.is_news(record)).cloned();
-            if let Err(error) = self.audit.note(&news.collect::<Vec<_>>()) {
+            let news = self.replica.borrow().state().trials.news_of(records);
+            if let Err(error) = self.audit.note(&news) {
                 // What holds is in the files; the audit only tells how it came about.
                 log::error!("audit: {error}");
             }
@@ -281,9 +280,10 @@
         loop {
             let changed = self.changed.notified();
             let news = self.replica.borrow_mut().news(self.now(), &have);
-            let is_news =
-                news.config.is_some() || news.proxies.is_some() || news.summary.drains != have.drains;
-            let is_news = is_news || news.trials.is_some();
+            let is_news = news.config.is_some()
+                || news.proxies.is_some()
+                || news.trials.is_some()
+                || news.summary.drains != have.drains;
             if is_news || self.now() >= until {
                 return StoreAnswer::Watched(Box::new(news));
             }
--- a/crates/config-store/tests/files.rs
+++ b/crates/config-store/tests/files.rs
@@ -3,8 +3,8 @@
 //! The contracts are functions over [`Disk`], so that a second implementation can be run by them.
 
 use hingestage_config_store::files::{Files, Loaded};
-use hingestage_replication::{digest, State};
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, StoreMember, Update, ZoneDrain};
+use hingestage_replication::State;
+use hingestage_rpc::messages::{ConfigDocument, StoreMember, Update, ZoneDrain};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -66,7 +66,7 @@
 
 fn config(serial: u64, content: &str) -> Update {
     let json = content.as_bytes().to_vec();
-    Update::Config(ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json })
+    Update::Config(ConfigDocument::new(serial, json))
 }
 
 fn drain(order: u64) -> Update {
--- a/crates/config-store/tests/status.rs
+++ b/crates/config-store/tests/status.rs
@@ -1,19 +1,15 @@
 //! What a running store tells operators, over sockets on loopback.
 
 use hingestage_config_store::server;
+use hingestage_fixtures::{own_network, run, PLENTY};
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
 use hingestage_rpc::messages::{Change, ConfigDocument, ConfigVersion, Proposed, StoreAnswer, StoreRequest};
 use hingestage_rpc::status::StoreStatus;
 use hingestage_rpc::Client;
-use std::future::Future;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::task::{spawn_local, LocalSet};
-
-/// Time that no test needs unless something hangs.
-const PLENTY: Duration = Duration::from_secs(20);
+use tokio::task::spawn_local;
 
 /// A store that knows no other.
 struct Stage {
@@ -25,8 +21,7 @@
         let data_dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("status-{number}"));
         let _ = std::fs::remove_dir_all(&data_dir);
         std::fs::create_dir_all(&data_dir).expect("a directory");
-        let process = std::process::id();
-        let ip = format!("127.{}.{}.{number}", 100 + process / 250 % 100, process % 250);
+        let ip = format!("{}.{number}", own_network());
         let text = format!(
             "{{node: core-1, ip: {ip}, zone: north-1, region: north, port_range: [7600, 7615], \
              seeds: ['{ip}:8202'], bootstrap: {bootstrap}, data_dir: '{}'}}",
@@ -61,12 +56,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let test = async { tokio::time::timeout(PLENTY, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn a_store_tells_what_it_holds_and_what_is_durable() {
     run(async {
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -10,7 +10,7 @@
 use crate::{Defect, Micros, MILLI, SECOND};
 use fastrand::Rng;
 use hingestage_replication::digest;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion};
+use hingestage_rpc::messages::ConfigDocument;
 use hingestage_rpc::trials::{TrialPosition, TrialRecord};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -473,7 +473,7 @@
     let backend = format!(r#"{{"name":"service-{content}","health_path":"/h","max_conns":9}}"#);
     let json = format!(r#"{{"serial":"{serial:08x}","routes":[],"backends":[{backend}],"limits":{{}}}}"#);
     let json = json.into_bytes();
-    ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+    ConfigDocument::new(serial, json)
 }
 
 /// Terms that an operator sets: an end by a clock that is right, or none.
--- a/crates/control-tool/tests/tool.rs
+++ b/crates/control-tool/tests/tool.rs
@@ -1,8 +1,8 @@
 //! The tool as a process, beside registries, stores and proxies that are played by the test.
 
+use hingestage_fixtures::{block_on as run, listener, proxy_status, registry_member, store_member};
 use hingestage_rpc::messages::{
-    ConfigVersion, ProcessId, ProxyStatus, RegistryAnswer, RegistryMember, RegistryRequest, StoreAnswer,
-    StoreMember, StoreRequest,
+    ConfigVersion, ProxyStatus, RegistryAnswer, RegistryRequest, StoreAnswer, StoreMember, StoreRequest,
 };
 use hingestage_rpc::status::{
     AttemptOutcome, AttemptRecord, Explanation, KeyLease, OutcomeCount, ProxyAnswer, ProxyRequest,
@@ -11,12 +11,10 @@
 use hingestage_rpc::trials::{AuditEntry, TrialCount, TrialPosition, TrialView};
 use hingestage_rpc::workers::WorkersVersion;
 use hingestage_rpc::{serve, Handler};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::process::{Command, Output};
 use std::rc::Rc;
-use tokio::net::TcpListener;
-use tokio::task::{spawn_blocking, spawn_local, LocalSet};
+use tokio::task::{spawn_blocking, spawn_local};
 
 const VERSION: Option<ConfigVersion> = Some(ConfigVersion { serial: 0x2a, digest: 1 });
 const STEP: TrialPosition = TrialPosition { version: 3, digest: 9, step: 2 };
@@ -77,31 +75,9 @@
     TrialView { in_effect: Some(in_effect), newest: Some(STEP), lease_left: 3_400, counts }
 }
 
-async fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let addr = listener.local_addr().expect("its address");
-    (listener, addr)
-}
-
-fn registry_member(node: &str, addr: SocketAddr) -> RegistryMember {
-    let id = ProcessId { node: node.into(), incarnation: 1 };
-    RegistryMember { id, zone: "north-1".into(), addr, reads_list: true }
-}
-
-fn proxy_status(node: &str, peer: SocketAddr) -> ProxyStatus {
-    ProxyStatus {
-        id: ProcessId { node: node.into(), incarnation: 1 },
-        zone: "north-1".into(),
-        region: "north".into(),
-        http: peer,
-        peer,
-        ready: true,
-    }
-}
-
 fn store_status(name: &str, addr: SocketAddr, members: Vec<StoreMember>) -> StoreStatus {
     StoreStatus {
-        member: store_member(name, addr),
+        member: store_member(name, "north-1", addr),
         members,
         recovering: false,
         held: VERSION,
@@ -113,10 +89,6 @@
     }
 }
 
-fn store_member(name: &str, addr: SocketAddr) -> StoreMember {
-    StoreMember { name: name.into(), zone: "north-1".into(), addr }
-}
-
 fn proxy_state(status: ProxyStatus) -> ProxyState {
     ProxyState {
         status,
@@ -180,7 +152,10 @@
             [listener().await, listener().await, listener().await, listener().await, listener().await];
         let system =
             System { registry: first.1, second_registry: second.1, second_store: store_2.1, proxy: proxy.1 };
-        let members = vec![registry_member("core-1", first.1), registry_member("core-2", second.1)];
+        let members = vec![
+            registry_member("core-1", "north-1", first.1),
+            registry_member("core-2", "north-1", second.1),
+        ];
         let status = RegistryStatus {
             member: members[0].clone(),
             config: VERSION,
@@ -193,20 +168,21 @@
             members: 1,
             store: store_1.1,
             registries: members.clone(),
-            proxies: vec![proxy_status("edge-1", proxy.1)],
+            proxies: vec![proxy_status("edge-1", "north-1", "north", proxy.1)],
         };
         let other = RegistryStatus { member: members[1].clone(), fence: None, ..status.clone() };
         spawn_local(serve(first.0, Rc::new(Registry(status))));
         if fault != Fault::NoSecondRegistry {
             spawn_local(serve(second.0, Rc::new(Registry(other))));
         }
-        let stores = vec![store_member("core-1", store_1.1), store_member("core-2", store_2.1)];
+        let stores =
+            vec![store_member("core-1", "north-1", store_1.1), store_member("core-2", "north-1", store_2.1)];
         let store = store_status("core-1", store_1.1, stores.clone());
         let recovering = fault == Fault::RecoveringStore;
         let other = StoreStatus { recovering, ..store_status("core-2", store_2.1, stores) };
         spawn_local(serve(store_1.0, Rc::new(Store(store))));
         spawn_local(serve(store_2.0, Rc::new(Store(other))));
-        let mut state = proxy_state(proxy_status("edge-1", proxy.1));
+        let mut state = proxy_state(proxy_status("edge-1", "north-1", "north", proxy.1));
         if fault == Fault::ExpiredKeys {
             state.keys = KeyLease::Expired;
         }
@@ -245,11 +221,6 @@
     tool(&["explain", id_or_tenant, "--registry", &system.registry.to_string()]).await
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn status_has_a_line_for_every_process_that_any_knows() {
     run(async {
--- a/crates/dataplane/tests/connections.rs
+++ b/crates/dataplane/tests/connections.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hingestage_dataplane::client::{Client, ClientTimes};
 use hingestage_dataplane::connections::{Answers, ConnectionSettings, Connections, Stopping};
+use hingestage_fixtures::block_on as run;
 use hingestage_platform::{Platform, Tokio};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -12,7 +13,6 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::LocalSet;
 
 const SHORT: Duration = Duration::from_millis(300);
 const LONG: Duration = Duration::from_secs(30);
@@ -41,11 +41,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 struct Served {
     connections: Rc<Connections<Tokio, Ok200>>,
     listener: TcpListener,
@@ -88,48 +83,41 @@
     begun.elapsed()
 }
 
-#[test]
-fn a_served_client_may_idle_for_its_time_and_no_longer() {
+/// A client acts, and is closed on `SHORT` after it was last allowed to be silent.
+fn is_closed_after_a_short_time(times: ClientTimes, acts: impl AsyncFnOnce(&mut TcpStream)) {
     run(async {
-        let served = Served::new(ClientTimes { idle_timeout: SHORT, ..TIMES }).await;
+        let served = Served::new(times).await;
         let mut stream = served.connect().await;
-        let took = served
-            .during(async {
-                ask(&mut stream).await;
-                closed_after(&mut stream).await
-            })
-            .await;
+        let acting = async {
+            acts(&mut stream).await;
+            closed_after(&mut stream).await
+        };
+        let took = served.during(acting).await;
         assert!(took >= SHORT - Duration::from_millis(50) && took < LATE, "{took:?}");
     });
 }
 
+#[test]
+fn a_served_client_may_idle_for_its_time_and_no_longer() {
+    is_closed_after_a_short_time(ClientTimes { idle_timeout: SHORT, ..TIMES }, async |stream| {
+        ask(stream).await
+    });
+}
+
 #[test]
 fn a_later_head_has_its_own_time_from_its_first_byte_on_however_long_a_client_may_idle() {
-    run(async {
-        let served = Served::new(ClientTimes { header_timeout: SHORT, ..TIMES }).await;
-        let mut stream = served.connect().await;
-        let took = served
-            .during(async {
-                ask(&mut stream).await;
-                // Silent for longer than a head may take: that is idling, and allowed.
-                tokio::time::sleep(2 * SHORT).await;
-                ask(&mut stream).await;
-                stream.write_all(b"GET / HT").await.unwrap();
-                closed_after(&mut stream).await
-            })
-            .await;
-        assert!(took >= SHORT - Duration::from_millis(50) && took < LATE, "{took:?}");
+    is_closed_after_a_short_time(ClientTimes { header_timeout: SHORT, ..TIMES }, async |stream| {
+        ask(stream).await;
+        // Silent for longer than a head may take: that is idling, and allowed.
+        tokio::time::sleep(2 * SHORT).await;
+        ask(stream).await;
+        stream.write_all(b"GET / HT").await.unwrap();
     });
 }
 
 #[test]
 fn a_first_head_has_its_time_from_the_connection_on() {
-    run(async {
-        let served = Served::new(ClientTimes { first_head_timeout: SHORT, ..TIMES }).await;
-        let mut stream = served.connect().await;
-        let took = served.during(closed_after(&mut stream)).await;
-        assert!(took >= SHORT - Duration::from_millis(50) && took < LATE, "{took:?}");
-    });
+    is_closed_after_a_short_time(ClientTimes { first_head_timeout: SHORT, ..TIMES }, async |_| ());
 }
 
 #[test]
--- a/crates/discovery/tests/following.rs
+++ b/crates/discovery/tests/following.rs
@@ -2,27 +2,12 @@
 
 use compact_str::CompactString;
 use hingestage_discovery::{Catalog, Follower, CHANGES_KEPT};
+use hingestage_fixtures::{worker, workers_version as version};
 use hingestage_rpc::workers::{ServiceNews, WorkerRecord, WorkersVersion};
 use proptest::prelude::*;
 
 const S: u64 = 1_000_000;
 
-fn worker(id: &str, service: &str) -> WorkerRecord {
-    WorkerRecord {
-        id: id.into(),
-        service: service.into(),
-        addr: "10.0.0.1:80".parse().expect("an address"),
-        zone: "a".into(),
-        capacity: 2,
-        draining: false,
-        cold_left: 0,
-    }
-}
-
-fn version(number: u64) -> WorkersVersion {
-    WorkersVersion { fence: 1, reader: 7, number }
-}
-
 /// Everything that is new is asked for and comes at once.
 fn catch_up(follower: &mut Follower, now: u64, from: &Catalog) {
     follower.told(now, &from.index_since(follower.told_version()));
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -18,6 +18,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
 
+/// Milliseconds since 1970 by this machine's clock, which may jump.
+pub fn time_of_day() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 /// What a program is called and does.
 pub struct Program {
     /// Its name, as in the log.
--- a/crates/playground/tests/support/mod.rs
+++ b/crates/playground/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! The programs of the system in threads of the test, and waits for what happens, each with a bound.
 
+pub use hingestage_fixtures::block_on;
 use hingestage_node::Settings;
 use hingestage_platform::{Platform, Tokio};
 use hingestage_playground::clients::{is_served, Ask};
@@ -7,14 +8,12 @@
 use hingestage_playground::layout::{Layout, ProcessSpec, Program};
 use hingestage_playground::operator::Edition;
 use hyper::{Method, StatusCode};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use tokio::task::LocalSet;
 
 /// Pause between two looks at what is waited for.
 const LOOK: Duration = Duration::from_millis(20);
@@ -70,12 +69,6 @@
     }
 }
 
-/// Runs a future on this thread, with local tasks.
-pub fn block_on<F: Future>(future: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, future)
-}
-
 /// Waits until something holds; fails with its name when the time is up.
 pub async fn until(what: &str, within: Duration, mut holds: impl AsyncFnMut() -> bool) {
     let end = Instant::now() + within;
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -246,9 +246,12 @@
     leaves_reserve: bool,
 ) -> Option<TenantLimits> {
     let level = standing.level;
+    if level.phase == Phase::Full {
+        return Some(quota);
+    }
     let share = if class == RequestClass::RefusedLast { level.share_of_last } else { level.share };
-    if share <= 0.0 || level.phase == Phase::Full {
-        return (level.phase == Phase::Full).then_some(quota);
+    if share <= 0.0 {
+        return None;
     }
     let beyond = 1.0 - level.share / level.share_of_last;
     let reserve = match class {
--- a/crates/proxy/src/request_log.rs
+++ b/crates/proxy/src/request_log.rs
@@ -2,10 +2,10 @@
 
 use crate::attempts::OpenAttempts;
 use crate::counters::Counters;
-use crate::recent::{EndedRequest, RecentRequests};
+use crate::recent::RecentRequests;
 use compact_str::CompactString;
 use hingestage_replication::Micros;
-use hingestage_rpc::status::{AttemptRecord, Explanation, RequestOutcome};
+use hingestage_rpc::status::{AttemptRecord, Explanation, RequestOutcome, RequestRecord};
 use hyper::header::HeaderValue;
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
@@ -24,9 +24,9 @@
 impl RequestLog {
     /// A request has come.
     pub fn begin(self: &Rc<Self>, now: Micros, id: Option<&HeaderValue>) -> TrackedRequest {
-        let ended = EndedRequest {
+        let ended = RequestRecord {
             id: id.map(short_id).unwrap_or_default(),
-            arrived_at: now,
+            age: 0,
             route: CompactString::default(),
             tenant: CompactString::default(),
             service: CompactString::default(),
@@ -34,7 +34,7 @@
             status: None,
             outcome: RequestOutcome::ClientLeft,
         };
-        TrackedRequest { log: self.clone(), ended: Some(ended), sent_as: None }
+        TrackedRequest { log: self.clone(), arrived_at: now, ended: Some(ended), sent_as: None }
     }
 
     /// An attempt at a worker ended.
@@ -63,9 +63,9 @@
         }
     }
 
-    fn ended(&self, request: EndedRequest) {
+    fn ended(&self, arrived_at: Micros, request: RequestRecord) {
         self.counters.borrow_mut().request_ended(&request.tenant, request.outcome);
-        self.recent.borrow_mut().push(request);
+        self.recent.borrow_mut().push(arrived_at, request);
     }
 }
 
@@ -78,7 +78,8 @@
 /// A request until its end. Dropped without an answer it counts as one whose client left.
 pub struct TrackedRequest {
     log: Rc<RequestLog>,
-    ended: Option<EndedRequest>,
+    arrived_at: Micros,
+    ended: Option<RequestRecord>,
     /// The id under which its attempts are noted.
     sent_as: Option<HeaderValue>,
 }
@@ -121,6 +122,6 @@
         if let Some(id) = &self.sent_as {
             ended.attempts = self.log.open.borrow_mut().end(id);
         }
-        self.log.ended(ended);
+        self.log.ended(self.arrived_at, ended);
     }
 }
--- a/crates/proxy/tests/operator_calls.rs
+++ b/crates/proxy/tests/operator_calls.rs
@@ -1,34 +1,28 @@
 //! What a running proxy tells operators, over sockets on loopback, beside a registry that is played by the test.
 
-use hingestage_configuration::transfer::pack;
+use hingestage_fixtures::{own_network, run, worker, workers_version, PLENTY};
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
 use hingestage_proxy::server;
-use hingestage_replication::digest;
 use hingestage_rpc::messages::{
-    ConfigDocument, ConfigTransfer, ConfigVersion, Have, RegistryAnswer, RegistryRequest, Watched, ZoneDrain,
+    ConfigDocument, ConfigTransfer, Have, RegistryAnswer, RegistryRequest, Watched, ZoneDrain,
 };
 use hingestage_rpc::status::{
     AttemptOutcome, Explanation, KeyLease, ProxyAnswer, ProxyRequest, ProxyState, RequestOutcome, WorkerGroup,
 };
-use hingestage_rpc::workers::{ServiceIndex, ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
+use hingestage_rpc::workers::{ServiceIndex, ServiceNews, ServiceUpdate, WorkerRecord};
 use hingestage_rpc::{serve, Client, Handler};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 
-/// Time that no test needs unless something hangs.
-const PLENTY: Duration = Duration::from_secs(20);
 const DOCUMENT: &str = r#"{"serial": "0000002a", "backends": [{"name": "blue"}], "routes": [
     {"name": "shop", "host": "shop.example", "prefix": "/shop/", "kind": "idempotent", "timeout": "500ms",
      "prio": 1, "backend": "blue"}],
     "tenants": [{"name": "alpha", "api_keys": ["key-alpha"], "rate_per_s": 0},
                 {"name": "beta", "api_keys": ["key-beta"], "rate_per_s": 5, "burst": 5}]}"#;
-const VERSION: WorkersVersion = WorkersVersion { fence: 1, reader: 1, number: 1 };
 
 /// A registry that has one configuration, one worker and one evacuated zone.
 struct Registry {
@@ -38,26 +32,13 @@
 }
 
 impl Registry {
-    fn transfer() -> ConfigTransfer {
-        let document = Self::document();
-        ConfigTransfer { version: document.version, base: None, packed: pack(&document.json) }
-    }
-
     fn document() -> ConfigDocument {
         let json = DOCUMENT.as_bytes().to_vec();
-        ConfigDocument { version: ConfigVersion { serial: 0x2a, digest: digest(&json) }, json }
+        ConfigDocument::new(0x2a, json)
     }
 
     fn worker(&self) -> WorkerRecord {
-        WorkerRecord {
-            id: "w-1".into(),
-            service: "blue".into(),
-            addr: self.worker,
-            zone: "north-1".into(),
-            capacity: 4,
-            draining: false,
-            cold_left: 0,
-        }
+        WorkerRecord { addr: self.worker, zone: "north-1".into(), ..worker("w-1", "blue") }
     }
 }
 
@@ -67,12 +48,14 @@
 
     async fn handle(self: Rc<Self>, _from: SocketAddr, request: RegistryRequest) -> RegistryAnswer {
         match request {
-            RegistryRequest::FetchConfig { .. } => RegistryAnswer::Config(Some(Self::transfer())),
+            RegistryRequest::FetchConfig { .. } => {
+                RegistryAnswer::Config(Some(ConfigTransfer::new(&Self::document(), None)))
+            }
             RegistryRequest::FetchServices(_) => {
                 let news = ServiceNews::Snapshot(vec![self.worker()]);
                 RegistryAnswer::Services(vec![ServiceUpdate {
                     service: "blue".into(),
-                    version: VERSION,
+                    version: workers_version(1),
                     news,
                 }])
             }
@@ -81,8 +64,8 @@
                 let have = Have {
                     config: Some(Self::document().version),
                     drains: [("south-1".into(), drain)].into(),
-                    workers: VERSION,
-                    workers_seen: VERSION,
+                    workers: workers_version(1),
+                    workers_seen: workers_version(1),
                     directory: 0,
                     ..Have::default()
                 };
@@ -92,9 +75,9 @@
                     fresh_age,
                     members: 3,
                     services: ServiceIndex {
-                        version: VERSION,
+                        version: workers_version(1),
                         whole: false,
-                        services: vec![("blue".into(), VERSION)],
+                        services: vec![("blue".into(), workers_version(1))],
                     },
                     ..Watched::default()
                 }))
@@ -113,8 +96,7 @@
 
 impl Stage {
     async fn start(number: u8, fresh: bool) -> Stage {
-        let process = std::process::id();
-        let ip = format!("127.{}.{}.{number}", 100 + process / 250 % 100, process % 250);
+        let ip = format!("{}.{number}", own_network());
         let text = format!(
             "{{node: edge-1, ip: {ip}, zone: north-1, region: north, zones: {{north-1: north, south-1: south}}, \
              listen: {{http: '{ip}:8200'}}, port_range: [7600, 7615], seeds: ['{ip}:8202']}}"
@@ -146,6 +128,13 @@
         self.try_state().await.expect("a state")
     }
 
+    /// News counts once the configuration that it speaks of is in force.
+    async fn until_fresh(&self) {
+        while self.state().await.fresh_age.is_none() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     async fn explain(&self, id_or_tenant: &str) -> Explanation {
         let request = ProxyRequest::Explain { id_or_tenant: id_or_tenant.into() };
         match self.calls.call(&request, PLENTY).await {
@@ -177,12 +166,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let test = async { tokio::time::timeout(PLENTY, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn a_proxy_tells_what_it_knows() {
     run(async {
@@ -190,7 +173,7 @@
         let state = stage.state().await;
         assert_eq!(state.status.id.node, "edge-1");
         assert_eq!(state.config, Some(Registry::document().version));
-        assert_eq!(state.workers_version, VERSION);
+        assert_eq!(state.workers_version, workers_version(1));
         let group = WorkerGroup { ready: 1, ..WorkerGroup::new("blue", "north-1") };
         assert_eq!(state.workers, [group]);
         assert_eq!(state.drained, ["south-1"]);
@@ -203,10 +186,7 @@
 fn freshness_and_the_lease_of_keys_count_from_the_registrys_news() {
     run(async {
         let stage = Stage::start(2, true).await;
-        // The news counts once the configuration it speaks of is in force.
-        while stage.state().await.fresh_age.is_none() {
-            tokio::task::yield_now().await;
-        }
+        stage.until_fresh().await;
         assert!(matches!(stage.state().await.keys, KeyLease::Left(left) if left <= 4_500));
     });
 }
@@ -226,9 +206,7 @@
 fn refusals_and_attempts_are_counted_and_explained_by_id_and_tenant() {
     run(async {
         let stage = Stage::start(4, true).await;
-        while stage.state().await.fresh_age.is_none() {
-            tokio::task::yield_now().await;
-        }
+        stage.until_fresh().await;
         assert_eq!(stage.outcome("/shop/1", "id-1", "key-gone").await, (401, RequestOutcome::UnknownKey));
         assert_eq!(stage.outcome("/shop/1", "id-2", "key-beta").await, (429, RequestOutcome::QuotaNoLease));
         assert_eq!(stage.outcome("/shop/1", "id-3", "key-alpha").await, (503, RequestOutcome::NoWorker));
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -1,43 +1,32 @@
 //! News within a zone, between running proxies on loopback, beside a registry that is played by the test.
 
 use compact_str::{format_compact, CompactString};
-use hingestage_configuration::transfer::pack;
 use hingestage_discovery::{Home, Homes, PeerProxy};
+use hingestage_fixtures::{own_network, proxy_status, run, worker, workers_version, PLENTY};
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
 use hingestage_proxy::server;
-use hingestage_replication::digest;
 use hingestage_rpc::messages::{
-    ConfigDocument, ConfigTransfer, ConfigVersion, Have, ProcessId, ProxyStatus, RegistryAnswer,
-    RegistryRequest, Watched,
+    ConfigDocument, ConfigTransfer, ConfigVersion, Have, ProxyStatus, RegistryAnswer, RegistryRequest,
+    Watched,
 };
 use hingestage_rpc::status::{ProxyAnswer, ProxyRequest, ProxyState};
-use hingestage_rpc::workers::{
-    ServiceHave, ServiceIndex, ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion,
-};
+use hingestage_rpc::workers::{ServiceHave, ServiceIndex, ServiceNews, ServiceUpdate, WorkerRecord};
 use hingestage_rpc::{serve, Client, Handler};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::task::{spawn_local, JoinHandle};
 
-/// Time that no test needs unless something hangs.
-const PLENTY: Duration = Duration::from_secs(20);
 const SERVICES: usize = 8;
 
 fn service(number: usize) -> CompactString {
     format_compact!("service-{number}")
 }
 
-fn version(number: u64) -> WorkersVersion {
-    WorkersVersion { fence: 1, reader: 1, number }
-}
-
 fn edge(number: u8) -> CompactString {
     format_compact!("edge-{number}")
 }
@@ -53,17 +42,12 @@
 }
 
 impl Registry {
-    fn transfer() -> ConfigTransfer {
-        let document = Self::document();
-        ConfigTransfer { version: document.version, base: None, packed: pack(&document.json) }
-    }
-
     fn document() -> ConfigDocument {
         let backends: Vec<String> =
             (0..SERVICES).map(|number| format!(r#"{{"name":"{}"}}"#, service(number))).collect();
         let json = format!(r#"{{"serial":"00000001","routes":[],"backends":[{}]}}"#, backends.join(","));
         let json = json.into_bytes();
-        ConfigDocument { version: ConfigVersion { serial: 1, digest: digest(&json) }, json }
+        ConfigDocument::new(1, json)
     }
 
     /// Another list: each service's worker is replaced.
@@ -74,22 +58,15 @@
     }
 
     fn index(&self) -> ServiceIndex {
-        let version = version(self.number.get());
+        let version = workers_version(self.number.get());
         let services = (0..SERVICES).map(|number| (service(number), version)).collect();
         ServiceIndex { version, whole: false, services }
     }
 
     fn update(&self, have: ServiceHave) -> ServiceUpdate {
-        let version = version(self.number.get());
-        let worker = WorkerRecord {
-            id: format_compact!("{}-{}", have.service, version.number),
-            service: have.service.clone(),
-            addr: "127.0.0.1:9".parse().expect("an address"),
-            zone: "north-1".into(),
-            capacity: 1,
-            draining: false,
-            cold_left: 0,
-        };
+        let version = workers_version(self.number.get());
+        let id = format_compact!("{}-{}", have.service, version.number);
+        let worker = WorkerRecord { zone: "north-1".into(), ..worker(&id, &have.service) };
         ServiceUpdate { service: have.service, version, news: ServiceNews::Snapshot(vec![worker]) }
     }
 }
@@ -102,7 +79,7 @@
         match request {
             RegistryRequest::FetchConfig { .. } => {
                 self.configs_fetched.set(self.configs_fetched.get() + 1);
-                RegistryAnswer::Config(Some(Self::transfer()))
+                RegistryAnswer::Config(Some(ConfigTransfer::new(&Self::document(), None)))
             }
             RegistryRequest::FetchServices(asked) => {
                 for have in &asked {
@@ -113,14 +90,18 @@
             RegistryRequest::Watch { have, .. } => {
                 loop {
                     let changed = self.changed.notified();
-                    if have.workers < version(self.number.get()) {
+                    if have.workers < workers_version(self.number.get()) {
                         break;
                     }
                     changed.await;
                 }
                 let config = Some(Self::document().version);
-                let have =
-                    Have { config, workers: version(self.number.get()), directory: 1, ..Have::default() };
+                let have = Have {
+                    config,
+                    workers: workers_version(self.number.get()),
+                    directory: 1,
+                    ..Have::default()
+                };
                 RegistryAnswer::Watched(Box::new(Watched {
                     have,
                     directory: Some(self.proxies.clone()),
@@ -142,8 +123,7 @@
 impl Zone {
     /// So many that run, and so many that take calls and never answer.
     async fn start(test: u8, count: u8, silent: u8) -> Zone {
-        let process = std::process::id();
-        let network = format!("127.{}.{}", 100 + process / 250 % 100, process % 250);
+        let network = own_network();
         let ip = |number: u8| format!("{network}.{}", 10 * test + number);
         let seed = ip(0);
         let settings: Vec<Rc<Settings>> = (1..=count + silent)
@@ -157,12 +137,8 @@
             })
             .collect();
         let proxies = settings.iter().map(|settings| ProxyStatus {
-            id: ProcessId { node: settings.node.as_str().into(), incarnation: 1 },
-            zone: "north-1".into(),
-            region: "north".into(),
             http: SocketAddr::new(settings.ip, 8200),
-            peer: settings.inner(InnerPort::Proxy),
-            ready: true,
+            ..proxy_status(&settings.node, "north-1", "north", settings.inner(InnerPort::Proxy))
         });
         let registry = Rc::new(Registry {
             number: Cell::new(1),
@@ -209,7 +185,7 @@
 
     async fn has(&self, place: usize, number: u64) -> bool {
         let state = self.state(place).await;
-        state.is_some_and(|state| state.workers_version == version(number) && state.config.is_some())
+        state.is_some_and(|state| state.workers_version == workers_version(number) && state.config.is_some())
     }
 
     /// The home of a service, as a place among the proxies.
@@ -224,12 +200,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let test = async { tokio::time::timeout(PLENTY, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn each_service_is_fetched_once_for_the_zone_and_passed_on_by_its_home() {
     run(async {
--- a/crates/proxy/tests/request_log.rs
+++ b/crates/proxy/tests/request_log.rs
@@ -2,10 +2,10 @@
 
 use compact_str::{format_compact, CompactString};
 use hingestage_proxy::counters::{Counters, TENANTS_MAX};
-use hingestage_proxy::recent::{EndedRequest, RecentRequests, ANSWER_MAX, REQUESTS_MAX};
+use hingestage_proxy::recent::{RecentRequests, ANSWER_MAX, REQUESTS_MAX};
 use hingestage_proxy::request_log::{RequestLog, ID_MAX};
 use hingestage_rpc::status::{
-    AttemptOutcome, AttemptRecord, OutcomeCount, OutcomeKind, RequestOutcome, TenantCounters,
+    AttemptOutcome, AttemptRecord, OutcomeCount, OutcomeKind, RequestOutcome, RequestRecord, TenantCounters,
 };
 use hyper::header::HeaderValue;
 use std::rc::Rc;
@@ -17,10 +17,10 @@
     format_compact!("tenant-{number}")
 }
 
-fn ended(number: usize) -> EndedRequest {
-    EndedRequest {
+fn ended(number: usize) -> RequestRecord {
+    RequestRecord {
         id: format_compact!("id-{number}"),
-        arrived_at: number as u64 * 1_000,
+        age: 0,
         route: "shop".into(),
         tenant: ALPHA,
         service: "blue".into(),
@@ -91,7 +91,7 @@
 fn the_ring_keeps_the_last_requests_and_answers_with_the_newest_first() {
     let mut recent = RecentRequests::default();
     for number in 0..REQUESTS_MAX + 1 {
-        recent.push(ended(number));
+        recent.push(number as u64 * 1_000, ended(number));
     }
     assert_eq!(recent.len(), REQUESTS_MAX);
     let now = (REQUESTS_MAX as u64 + 10) * 1_000;
--- a/crates/proxy/tests/view.rs
+++ b/crates/proxy/tests/view.rs
@@ -1,8 +1,7 @@
 //! What a proxy believes as news comes late, out of order or not at all. Time is given.
 
 use hingestage_proxy::view::{Spans, Usability, View};
-use hingestage_replication::digest;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ZoneDrain, ZoneDrains};
+use hingestage_rpc::messages::{ConfigDocument, ZoneDrain, ZoneDrains};
 use hingestage_rpc::workers::{ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
 
 const S: u64 = 1_000_000;
@@ -20,7 +19,7 @@
     let backend = format!(r#"{{"name":"{backend}","health_path":"/h","max_conns":9}}"#);
     let json = format!(r#"{{"serial":"{serial:08x}","routes":[],"backends":[{backend}],"limits":{{}}}}"#);
     let json = json.into_bytes();
-    ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+    ConfigDocument::new(serial, json)
 }
 
 fn serial(view: &View) -> Option<u64> {
@@ -32,15 +31,7 @@
 }
 
 fn worker(id: &str, cold_left: u64) -> WorkerRecord {
-    WorkerRecord {
-        id: id.into(),
-        service: "s".into(),
-        addr: "10.0.0.1:80".parse().expect("an address"),
-        zone: "a".into(),
-        capacity: 2,
-        draining: false,
-        cold_left,
-    }
+    WorkerRecord { cold_left, ..hingestage_fixtures::worker(id, "s") }
 }
 
 /// All workers of the service under a version.
@@ -102,7 +93,7 @@
 fn what_cannot_be_read_is_not_in_force() {
     let mut view = view();
     let json = b"{\"serial\":".to_vec();
-    let torn = ConfigDocument { version: ConfigVersion { serial: 9, digest: digest(&json) }, json };
+    let torn = ConfigDocument::new(9, json);
     assert!(!view.take_config(&torn));
     assert_eq!(serial(&view), Some(5));
 }
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -3,10 +3,7 @@
 use crate::server::Registry;
 use bytes::Bytes;
 use hingestage_configuration::Configuration;
-use hingestage_replication::digest;
-use hingestage_rpc::messages::{
-    Change, ConfigDocument, ConfigVersion, Proposed, ReadState, StoreAnswer, StoreRequest,
-};
+use hingestage_rpc::messages::{Change, ConfigDocument, Proposed, ReadState, StoreAnswer, StoreRequest};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
@@ -102,11 +99,9 @@
     }
 
     async fn put_config(&self, request: Request<Incoming>) -> Answer {
-        let body = Limited::new(request.into_body(), CONFIG_BYTES_MAX).collect();
-        let body = match timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return error(StatusCode::BAD_REQUEST, "the body can't be read whole"),
-            Err(_) => return error(StatusCode::REQUEST_TIMEOUT, "the body takes too long"),
+        let body = match read_body(request, CONFIG_BYTES_MAX).await {
+            Ok(body) => body,
+            Err(answer) => return answer,
         };
         let serial = match Configuration::parse(&body) {
             Ok(configuration) => configuration.serial.0,
@@ -116,8 +111,7 @@
                 return error(status, &invalid.to_string());
             }
         };
-        let version = ConfigVersion { serial, digest: digest(&body) };
-        let document = ConfigDocument { version, json: body.to_vec() };
+        let document = ConfigDocument::new(serial, body.to_vec());
         let answer = self.propose(Change::Config(document)).await;
         log::info!("configuration {serial:08x}: {}", answer.status());
         answer
@@ -168,6 +162,19 @@
     }
 }
 
+/// Reads a body of so many bytes at the most.
+///
+/// # Errors
+/// The answer to a caller whose body can't be read whole, or not in time.
+pub(crate) async fn read_body(request: Request<Incoming>, bytes_max: usize) -> Result<Bytes, Answer> {
+    let body = Limited::new(request.into_body(), bytes_max).collect();
+    match timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) => Err(error(StatusCode::BAD_REQUEST, "the body can't be read whole")),
+        Err(_) => Err(error(StatusCode::REQUEST_TIMEOUT, "the body takes too long")),
+    }
+}
+
 pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
     let mut answer = Response::new(Full::new(body.into()));
     *answer.status_mut() = status;
--- a/crates/registry/src/transfers.rs
+++ b/crates/registry/src/transfers.rs
@@ -1,6 +1,5 @@
 //! The configuration as it is handed out: packed once for all who have the same one, as a change where theirs is kept.
 
-use hingestage_configuration::transfer;
 use hingestage_rpc::messages::{ConfigDocument, ConfigTransfer, ConfigVersion};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -52,13 +51,6 @@
         let base = self.documents.iter().find(|document| Some(document.version) == have);
         let base = base.filter(|base| base.version != newest.version);
         let key = base.map(|base| base.version);
-        Some(self.packed.entry(key).or_insert_with(|| ConfigTransfer {
-            version: newest.version,
-            base: key,
-            packed: match base {
-                Some(base) => transfer::pack_change(&base.json, &newest.json),
-                None => transfer::pack(&newest.json),
-            },
-        }))
+        Some(self.packed.entry(key).or_insert_with(|| ConfigTransfer::new(newest, base)))
     }
 }
--- a/crates/registry/src/trial_calls.rs
+++ b/crates/registry/src/trial_calls.rs
@@ -1,21 +1,21 @@
 //! Operators' calls about trials, and the steps that the registry with the duty announces.
 
 use crate::first_terms::FirstTerms;
-use crate::http::{come_again, error, json, Answer, STORE_SPARE};
+use crate::http::{come_again, error, json, read_body, Answer, STORE_SPARE};
 use crate::server::{Registry, PROPOSE_WAIT};
 use bytes::Bytes;
 use eyre::{eyre, WrapErr};
 use hingestage_configuration::Configuration;
+use hingestage_node::time_of_day;
 use hingestage_replication::digest;
 use hingestage_rpc::messages::{Change, Proposed, StoreAnswer, StoreRequest};
 use hingestage_rpc::trials::{TrialPosition, TrialRecord, TERMS_BYTES_MAX};
 use hingestage_trial::{Phase, Terms};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::Serialize;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// Period at which steps that are due are looked for.
 const STEP_PERIOD: Duration = Duration::from_millis(250);
@@ -67,9 +67,9 @@
 impl Registry {
     /// Takes terms in: `PUT /trials/TENANT`.
     pub(crate) async fn put_terms(&self, tenant: &str, request: Request<Incoming>) -> Answer {
-        let body = match Limited::new(request.into_body(), TERMS_BYTES_MAX).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(_) => return error(StatusCode::BAD_REQUEST, "the terms can't be read whole or are too long"),
+        let body = match read_body(request, TERMS_BYTES_MAX).await {
+            Ok(body) => body,
+            Err(answer) => return answer,
         };
         let terms = match Terms::parse(&body) {
             Ok(terms) => terms,
@@ -178,8 +178,3 @@
         }
     }
 }
-
-/// Milliseconds since 1970 by this machine's clock.
-fn time_of_day() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/registry/src/trials.rs
+++ b/crates/registry/src/trials.rs
@@ -1,9 +1,9 @@
 //! Trials of tenants, as one registry hands them out, and which steps are to be announced.
 
 use compact_str::CompactString;
-use hingestage_replication::Micros;
+use hingestage_replication::{signed, Micros};
 use hingestage_rpc::trials::{TrialNews, TrialRecord, TrialRevision, TrialStep};
-use hingestage_trial::due_steps;
+use hingestage_trial::{due_step, Terms};
 use std::collections::BTreeMap;
 
 /// Microseconds in a millisecond.
@@ -15,6 +15,8 @@
 /// A trial that is durable.
 struct Known {
     record: TrialRecord,
+    /// Its terms; none where another build, which checked less, let them pass.
+    terms: Option<Terms>,
     /// When it was known to be durable; below zero where that was before this process began.
     durable_by: i64,
     /// Number of the change that brought it.
@@ -48,7 +50,9 @@
             let durable_by = signed(now) - signed(age * MILLI);
             let noticed_at = held.map_or(durable_by, |held| held.noticed_at);
             self.number = number;
-            self.trials.insert(record.tenant.clone(), Known { record, durable_by, number, noticed_at });
+            let terms = Terms::parse(&record.terms).ok();
+            let known = Known { record, terms, durable_by, number, noticed_at };
+            self.trials.insert(known.record.tenant.clone(), known);
         }
         self.number == number
     }
@@ -95,7 +99,7 @@
     pub fn steps_due(&self, now: Micros, time_of_day: u64) -> Vec<TrialStep> {
         let noticed =
             self.trials.values().filter(|trial| signed(now) >= trial.noticed_at + signed(self.notice));
-        due_steps(noticed.map(|trial| &trial.record), time_of_day)
+        noticed.filter_map(|trial| due_step(&trial.record, trial.terms.as_ref()?, time_of_day)).collect()
     }
 }
 
@@ -104,7 +108,3 @@
         (signed(now) - self.durable_by).max(0).unsigned_abs() / MILLI
     }
 }
-
-fn signed(micros: Micros) -> i64 {
-    i64::try_from(micros).unwrap_or(i64::MAX)
-}
--- a/crates/registry/tests/directory.rs
+++ b/crates/registry/tests/directory.rs
@@ -1,5 +1,6 @@
 //! Which proxies clients are sent to.
 
+use hingestage_fixtures::proxy_status;
 use hingestage_registry::directory::{Directory, Figures};
 use hingestage_rpc::messages::{ProcessId, ProxyStatus};
 use std::net::SocketAddr;
@@ -16,11 +17,8 @@
 fn proxy(number: u8, zone: &str, region: &str) -> ProxyStatus {
     ProxyStatus {
         id: ProcessId { node: format!("p{number}").into(), incarnation: 5 },
-        zone: zone.into(),
-        region: region.into(),
-        http: SocketAddr::from(([10, 0, 0, number], 80)),
         peer: SocketAddr::from(([10, 0, 0, number], 7602)),
-        ready: true,
+        ..proxy_status("", zone, region, SocketAddr::from(([10, 0, 0, number], 80)))
     }
 }
 
--- a/crates/registry/tests/duty.rs
+++ b/crates/registry/tests/duty.rs
@@ -1,19 +1,14 @@
 //! Which registry reads the list of workers.
 
+use hingestage_fixtures::registry_member;
 use hingestage_registry::duty::{Duty, Figures};
-use hingestage_rpc::messages::{ProcessId, RegistryMember};
+use hingestage_rpc::messages::RegistryMember;
 use hingestage_rpc::workers::WorkersVersion;
 
 const S: u64 = 1_000_000;
 
 fn member(name: &str) -> RegistryMember {
-    let addr = "10.0.0.1:7600".parse().expect("an address");
-    RegistryMember {
-        id: ProcessId { node: name.into(), incarnation: 1 },
-        zone: "a".into(),
-        addr,
-        reads_list: true,
-    }
+    registry_member(name, "a", ([10, 0, 0, 1], 7600).into())
 }
 
 /// Two registries that have not heard of each other: the one that comes first and the other.
--- a/crates/registry/tests/http.rs
+++ b/crates/registry/tests/http.rs
@@ -1,8 +1,9 @@
 //! Operators' calls to a registry with three stores behind it, all on loopback.
 
+use hingestage_fixtures::{block_on, proxy_status};
 use hingestage_node::Settings;
 use hingestage_registry::server as registry;
-use hingestage_rpc::messages::{Have, ProcessId, ProxyStatus, RegistryAnswer, RegistryRequest, Watched};
+use hingestage_rpc::messages::{Have, RegistryAnswer, RegistryRequest, Watched};
 use hingestage_rpc::workers::WorkersVersion;
 use hingestage_rpc::Client;
 use std::future::Future;
@@ -13,7 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 
 const STORES: u8 = 3;
 const ADMIN_PORT: u16 = 18_200;
@@ -139,8 +140,7 @@
 }
 
 fn run<F: Future<Output = ()>>(test: impl FnOnce(Core) -> F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test(Core::new()));
+    block_on(test(Core::new()));
 }
 
 fn start(core: &Core) {
@@ -259,15 +259,7 @@
 }
 
 async fn watch(client: &Client<RegistryRequest, RegistryAnswer>, have: &Have, wait: u64) -> Watched {
-    let http = "10.0.0.9:80".parse().expect("an address");
-    let status = ProxyStatus {
-        id: ProcessId { node: "p".into(), incarnation: 1 },
-        zone: "zone-1".into(),
-        region: "x".into(),
-        http,
-        peer: http,
-        ready: true,
-    };
+    let status = proxy_status("p", "zone-1", "x", ([10, 0, 0, 9], 80).into());
     let request = RegistryRequest::Watch { status, have: have.clone(), wait };
     match client.call(&request, PLENTY).await {
         Ok(RegistryAnswer::Watched(news)) => *news,
--- a/crates/registry/tests/platform_list.rs
+++ b/crates/registry/tests/platform_list.rs
@@ -1,6 +1,7 @@
 //! The platform's list of workers, read from a stand-in over loopback.
 
 use bytes::Bytes;
+use hingestage_fixtures::block_on;
 use hingestage_registry::platform_list::{read, ListError};
 use hingestage_rpc::workers::WorkerRecord;
 use http_body_util::Full;
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 
 /// An answer of the stand-in: status and body.
 type Page = (u16, String);
@@ -51,8 +52,7 @@
 
 /// Reads the list from a platform with some pages, and tells what it was asked.
 fn list(pages: Vec<Page>) -> (Result<Vec<WorkerRecord>, ListError>, Vec<String>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
+    block_on(async {
         let (addr, asked) = platform(pages).await;
         let read = read(addr).await;
         let asked = asked.borrow().clone();
--- a/crates/registry/tests/transfers.rs
+++ b/crates/registry/tests/transfers.rs
@@ -1,13 +1,12 @@
 //! What the configuration is handed out as.
 
 use hingestage_registry::transfers::Transfers;
-use hingestage_replication::digest;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion};
+use hingestage_rpc::messages::ConfigDocument;
 
 fn document(serial: u64, routes: usize) -> ConfigDocument {
     let routes: Vec<String> = (0..routes).map(|route| format!(r#"{{"name":"r{route}"}}"#)).collect();
     let json = format!(r#"{{"serial":"{serial:08x}","routes":[{}]}}"#, routes.join(",")).into_bytes();
-    ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+    ConfigDocument::new(serial, json)
 }
 
 #[test]
--- a/crates/replication/src/freshness.rs
+++ b/crates/replication/src/freshness.rs
@@ -37,6 +37,7 @@
     }
 }
 
-fn signed(micros: Micros) -> i64 {
+/// A moment or span as a number that can lie before a process's start.
+pub fn signed(micros: Micros) -> i64 {
     i64::try_from(micros).unwrap_or(i64::MAX)
 }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -13,7 +13,7 @@
 mod state;
 mod trials;
 
-pub use freshness::Freshness;
+pub use freshness::{signed, Freshness};
 pub use hingestage_rpc::digest;
 pub use quorum::Quorum;
 pub use replica::{Figures, Replica};
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -8,7 +8,6 @@
 use hingestage_rpc::messages::{
     Change, ConfigDocument, StoreMember, StoreNews, Summary, Update, ZoneDrain, ZoneDrains,
 };
-use hingestage_rpc::trials::TrialRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Microseconds in a millisecond.
@@ -183,9 +182,7 @@
             self.adopted_at = now;
         }
         if let Update::Trials(records) = &update {
-            let news: Vec<TrialRecord> =
-                records.iter().filter(|record| self.state.trials.is_news(record)).cloned().collect();
-            self.trial_changes.note(self.state.trials.version(), news);
+            self.trial_changes.note(self.state.trials.version(), self.state.trials.news_of(records));
         }
         self.state.apply(update);
         self.refresh(now);
--- a/crates/replication/src/trials.rs
+++ b/crates/replication/src/trials.rs
@@ -58,6 +58,11 @@
         self.records.get(&record.tenant).is_none_or(|held| record.position > held.position)
     }
 
+    /// Those of some records that are news.
+    pub fn news_of(&self, records: &[TrialRecord]) -> Vec<TrialRecord> {
+        records.iter().filter(|record| self.is_news(record)).cloned().collect()
+    }
+
     /// Whether there is room for a tenant's terms.
     pub fn has_room_for(&self, tenant: &str) -> bool {
         self.records.len() < TRIALS_MAX || self.records.contains_key(tenant)
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Replicas, configurations and orders for the tests.
 #![allow(dead_code)]
 
-use hingestage_replication::{digest, Figures, Micros, Replica, State};
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, StoreMember, Summary, Update, ZoneDrain};
+use hingestage_replication::{Figures, Micros, Replica, State};
+use hingestage_rpc::messages::{ConfigDocument, StoreMember, Summary, Update, ZoneDrain};
 
 pub const S: Micros = 1_000_000;
 
@@ -28,7 +28,7 @@
 
 pub fn document(serial: u64, content: &str) -> ConfigDocument {
     let json = format!("{serial} {content}").into_bytes();
-    ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+    ConfigDocument::new(serial, json)
 }
 
 pub fn config(serial: u64) -> Update {
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -34,6 +34,13 @@
     pub json: Vec<u8>,
 }
 
+impl ConfigDocument {
+    /// A document under a serial.
+    pub fn new(serial: u64, json: Vec<u8>) -> ConfigDocument {
+        ConfigDocument { version: ConfigVersion { serial, digest: digest(&json) }, json }
+    }
+}
+
 /// A configuration on its way to a proxy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigTransfer {
@@ -46,6 +53,15 @@
 }
 
 impl ConfigTransfer {
+    /// Packs a document, whole or as a change to one that the receiver has.
+    pub fn new(document: &ConfigDocument, base: Option<&ConfigDocument>) -> ConfigTransfer {
+        let packed = match base {
+            Some(base) => transfer::pack_change(&base.json, &document.json),
+            None => transfer::pack(&document.json),
+        };
+        ConfigTransfer { version: document.version, base: base.map(|base| base.version), packed }
+    }
+
     /// The document, made from the one that the receiver has. None where it is a change to another one, or its
     /// digest is not the version's.
     pub fn unpack(&self, held: Option<&ConfigDocument>) -> Option<ConfigDocument> {
--- a/crates/rpc/tests/calls.rs
+++ b/crates/rpc/tests/calls.rs
@@ -1,18 +1,16 @@
 //! Calls over loopback sockets, with peers that speak wrongly, fall silent or start again.
 
+use hingestage_fixtures::{block_on as run, listener, PLENTY};
 use hingestage_rpc::{serve, CallError, Client, Handler, PROTOCOL_VERSION};
 use std::cell::Cell;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 
-/// Time that no call of these tests needs unless its peer is silent.
-const PLENTY: Duration = Duration::from_secs(20);
 const SHORT: Duration = Duration::from_millis(50);
 /// Bytes ahead of a message: length, version, number of the call.
 const HEAD: usize = 13;
@@ -41,17 +39,6 @@
     }
 }
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
-async fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let addr = listener.local_addr().expect("its address");
-    (listener, addr)
-}
-
 async fn doubler() -> SocketAddr {
     let (listener, addr) = listener().await;
     spawn_local(serve(listener, Rc::new(Doubler::default())));
--- a/crates/trial/src/book.rs
+++ b/crates/trial/src/book.rs
@@ -3,7 +3,7 @@
 use crate::terms::{Level, Terms};
 use crate::timeline::{InEffect, Spans, Timeline};
 use compact_str::CompactString;
-use hingestage_replication::{Freshness, Micros};
+use hingestage_replication::{signed, Freshness, Micros};
 use hingestage_rpc::trials::{TrialNews, TrialPosition, TrialRecord, TRIALS_MAX};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -72,15 +72,17 @@
     }
 
     fn take_record(&mut self, now: Micros, record: TrialRecord, known_by: i64) {
-        let full = self.trials.len() >= TRIALS_MAX && !self.trials.contains_key(&record.tenant);
-        // Registries hand out only what they checked; another build of them might have checked less.
-        let Some(terms) = Terms::parse(&record.terms).ok().filter(|_| !full) else { return };
-        let trial = self.trials.entry(record.tenant).or_default();
-        trial.timeline.learn(now, record.position, self.freshness, known_by, &self.spans);
-        if !trial.terms.iter().any(|known| known.position.has_terms_of(&record.position)) {
+        let known = self.trials.get(&record.tenant);
+        if !known.is_some_and(|trial| trial.knows_terms_of(&record.position)) {
+            let full = known.is_none() && self.trials.len() >= TRIALS_MAX;
+            // Registries hand out only what they checked; another build of them might have checked less.
+            let Some(terms) = Terms::parse(&record.terms).ok().filter(|_| !full) else { return };
+            let trial = self.trials.entry(record.tenant.clone()).or_default();
             trial.terms.push(KnownTerms { position: record.position, terms: Rc::new(terms) });
             trial.terms.sort_unstable_by_key(|known| known.position);
         }
+        let Some(trial) = self.trials.get_mut(&record.tenant) else { return };
+        trial.timeline.learn(now, record.position, self.freshness, known_by, &self.spans);
     }
 
     /// Takes in how recent the news is: asked for at `asked_at`, `age` milliseconds old when it was told. Due after
@@ -125,11 +127,11 @@
     }
 }
 
-fn signed(micros: Micros) -> i64 {
-    i64::try_from(micros).unwrap_or(i64::MAX)
-}
-
 impl Trial {
+    fn knows_terms_of(&self, position: &TrialPosition) -> bool {
+        self.terms.iter().any(|known| known.position.has_terms_of(position))
+    }
+
     fn standing(&mut self, position: TrialPosition) -> Judgement {
         // Terms before those in effect are named no more.
         let in_effect = self.terms.iter().position(|known| known.position.has_terms_of(&position));
--- a/crates/trial/src/timeline.rs
+++ b/crates/trial/src/timeline.rs
@@ -14,7 +14,7 @@
 //! than `T + delay + uncertainty` is judged by the step before at any proxy, and none that begins before `T + delay`
 //! by the new one: two requests that begin more than `uncertainty` apart are never judged in the wrong order.
 
-use hingestage_replication::{Freshness, Micros};
+use hingestage_replication::{signed, Freshness, Micros};
 use hingestage_rpc::trials::TrialPosition;
 
 /// Steps that are announced and not in effect, at the most. Where there are more, the tenant waits for the last.
@@ -138,7 +138,3 @@
         far && signed(now) >= not_before.saturating_add(signed(spans.delay))
     }
 }
-
-fn signed(micros: Micros) -> i64 {
-    i64::try_from(micros).unwrap_or(i64::MAX)
-}
