Tests of both tools and of both whole systems start from the same pieces

How a tool ended stood in the tests of hingestage-config and hingestage-ctl, and the start of a small system in both tests of the playground. No assertion, bound or literal is another.

--- a/crates/configuration-tool/tests/exit_codes.rs
+++ b/crates/configuration-tool/tests/exit_codes.rs
@@ -1,8 +1,9 @@
 //! The tool as a process: exit codes, and what it writes where.
 
+use hingestage_fixtures::ToolRun as Run;
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::Command;
 
 const DOCUMENT: &str = r#"{"serial": "00000001", "backends": [{"name": "blue"}], "routes": [
     {"name": "shop", "host": "shop.example", "prefix": "/", "kind": "mutating", "timeout": "2s", "prio": 1,
@@ -40,20 +41,6 @@
     }
 }
 
-#[derive(Debug, PartialEq)]
-struct Run {
-    code: Option<i32>,
-    output: String,
-    errors: String,
-}
-
-impl From<Output> for Run {
-    fn from(output: Output) -> Run {
-        let text = |bytes| String::from_utf8(bytes).unwrap();
-        Run { code: output.status.code(), output: text(output.stdout), errors: text(output.stderr) }
-    }
-}
-
 fn expected(code: i32, output: &str, errors: &str) -> Run {
     Run { code: Some(code), output: output.to_owned(), errors: errors.to_owned() }
 }
--- a/crates/control-tool/tests/tool.rs
+++ b/crates/control-tool/tests/tool.rs
@@ -1,6 +1,8 @@
 //! The tool as a process, beside registries, stores and proxies that are played by the test.
 
-use hingestage_fixtures::{block_on as run, listener, proxy_status, registry_member, store_member};
+use hingestage_fixtures::{
+    block_on as run, listener, proxy_status, registry_member, store_member, ToolRun as Run,
+};
 use hingestage_rpc::messages::{
     ConfigVersion, ProxyStatus, RegistryAnswer, RegistryRequest, StoreAnswer, StoreMember, StoreRequest,
 };
@@ -12,7 +14,7 @@
 use hingestage_rpc::workers::WorkersVersion;
 use hingestage_rpc::{serve, Handler};
 use std::net::SocketAddr;
-use std::process::{Command, Output};
+use std::process::Command;
 use std::rc::Rc;
 use tokio::task::{spawn_blocking, spawn_local};
 
@@ -193,20 +195,6 @@
     }
 }
 
-#[derive(Debug, PartialEq)]
-struct Run {
-    code: Option<i32>,
-    output: String,
-    errors: String,
-}
-
-impl From<Output> for Run {
-    fn from(output: Output) -> Run {
-        let text = |bytes| String::from_utf8(bytes).expect("text");
-        Run { code: output.status.code(), output: text(output.stdout), errors: text(output.stderr) }
-    }
-}
-
 async fn tool(arguments: &[&str]) -> Run {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hingestage-ctl"));
     command.args(arguments);
--- a/crates/playground/tests/expiry.rs
+++ b/crates/playground/tests/expiry.rs
@@ -6,18 +6,12 @@
 use hingestage_platform::{Platform, Tokio};
 use hingestage_playground::clients::{attempt_id, Ask};
 use hingestage_playground::http::Connection;
-use hingestage_playground::layout::Layout;
-use hingestage_playground::operator::{
-    put_config, put_terms, Edition, CATALOG_PREFIX, ORDERS_PREFIX, TRIAL_KEY,
-};
-use hingestage_playground::surroundings::Surroundings;
+use hingestage_playground::operator::{put_terms, CATALOG_PREFIX, ORDERS_PREFIX, TRIAL_KEY};
 use hyper::header::RETRY_AFTER;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use support::{block_on, serves, until, Threads};
+use support::{block_on, serves, until, START_WITHIN};
 
-/// Time for the whole system to come up, on a machine that does other things as well.
-const START_WITHIN: Duration = Duration::from_secs(10);
 /// Time for a step: a notice of 12 s before the first of a tenant, then 4.5 s until it is in effect.
 const STEP_WITHIN: Duration = Duration::from_secs(25);
 /// Requests that begin further apart are never judged by steps in the wrong order.
@@ -81,11 +75,7 @@
 #[test]
 fn a_trial_ends_and_is_paid_at_one_moment_for_all_proxies() {
     block_on(async {
-        let process = std::process::id();
-        let layout = Layout::new(2 + (process / 250 % 250) as u8, (process % 250) as u8);
-        let surroundings = Surroundings::start(&layout).await.unwrap();
-        let _threads = Threads::start(&layout);
-        put_config(&layout, Edition::First, START_WITHIN).await.unwrap();
+        let (layout, surroundings, _threads) = support::start_system().await;
         let proxies: Vec<SocketAddr> = layout.proxies.iter().map(|proxy| proxy.http()).collect();
         let lookup = Ask { mutating: false, path: CATALOG_PREFIX.to_owned(), key: Some(TRIAL_KEY) };
         let order = Ask { mutating: true, path: ORDERS_PREFIX.to_owned(), key: Some(TRIAL_KEY) };
--- a/crates/playground/tests/support/mod.rs
+++ b/crates/playground/tests/support/mod.rs
@@ -6,7 +6,8 @@
 use hingestage_playground::clients::{is_served, Ask};
 use hingestage_playground::http::call;
 use hingestage_playground::layout::{Layout, ProcessSpec, Program};
-use hingestage_playground::operator::Edition;
+use hingestage_playground::operator::{put_config, Edition};
+use hingestage_playground::surroundings::Surroundings;
 use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -18,6 +19,19 @@
 /// Pause between two looks at what is waited for.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Time for the whole system to come up, on a machine that does other things as well.
+pub const START_WITHIN: Duration = Duration::from_secs(10);
+
+/// A small system at addresses that no other process has, with its first configuration.
+pub async fn start_system() -> (Layout, Rc<Surroundings>, Threads) {
+    let process = std::process::id();
+    let layout = Layout::new(2 + (process / 250 % 250) as u8, (process % 250) as u8);
+    let surroundings = Surroundings::start(&layout).await.unwrap();
+    let threads = Threads::start(&layout);
+    put_config(&layout, Edition::First, START_WITHIN).await.unwrap();
+    (layout, surroundings, threads)
+}
+
 /// Programs in threads; they end with this value.
 pub struct Threads {
     running: Vec<(oneshot::Sender<()>, JoinHandle<()>)>,
--- a/crates/playground/tests/system.rs
+++ b/crates/playground/tests/system.rs
@@ -17,10 +17,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use support::{block_on, is_ready, probe, serves, status, until, Threads};
+use support::{block_on, is_ready, probe, serves, status, until, Threads, START_WITHIN};
 
-/// Time for the whole system to come up, on a machine that does other things as well.
-const START_WITHIN: Duration = Duration::from_secs(10);
 /// Time for anything else.
 const WITHIN: Duration = Duration::from_secs(6);
 /// Clients in each zone, and the pace of each.
@@ -43,11 +41,7 @@
 
 impl System {
     async fn start() -> System {
-        let process = std::process::id();
-        let layout = Layout::new(2 + (process / 250 % 250) as u8, (process % 250) as u8);
-        let surroundings = Surroundings::start(&layout).await.unwrap();
-        let threads = Threads::start(&layout);
-        put_config(&layout, Edition::First, START_WITHIN).await.unwrap();
+        let (layout, surroundings, threads) = support::start_system().await;
         for proxy in &layout.proxies {
             until("a proxy is ready", START_WITHIN, async || is_ready(proxy.readiness()).await).await;
             let asks = [ask(false, CATALOG_PREFIX, LASTING_KEYS[1]), ask(false, CATALOG_PREFIX, REMOVED_KEY)];
