--- a/crates/capacity/src/configuration.rs
+++ b/crates/capacity/src/configuration.rs
@@ -7,10 +7,11 @@
 use hingestage_config_store::files::Files;
 use hingestage_configuration::{Configuration, KeyTable, RouteTable};
 use hingestage_registry::transfers::Transfers;
-use hingestage_replication::State;
+use hingestage_replication::{Disk, Record, State};
 use hingestage_rpc::encoded;
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, RegistryAnswer, Update};
+use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, RegistryAnswer};
 use std::hint::black_box;
+use std::rc::Rc;
 use std::time::Instant;
 
 const SERIAL: u64 = 7;
@@ -92,14 +93,20 @@
 
 fn measure_file(report: &Report, document: ConfigDocument) -> Result<()> {
     let dir = TemporaryDir::new("files")?;
-    let files = Files::open(dir.path())?;
-    let update = Update::Config(document);
-    let mut after = State::default();
-    after.apply(update.clone());
+    let mut files = Files::open(dir.path())?;
+    files.begin(&fixtures::store_member(0), false)?;
+    let mut round = 0;
+    let mut next = || {
+        round += 1;
+        // Each document has a name of its own, and is written anew.
+        let version = ConfigVersion { serial: round, ..document.version };
+        let config = Some(Rc::new(ConfigDocument { version, ..document.clone() }));
+        Record { state: State { config, ..State::default() }, ..Record::default() }
+    };
     let mut failed = Ok(());
     let started = Instant::now();
     let cpu = seconds_each(1, || {
-        if let Err(error) = files.write(&update, &after) {
+        if let Err(error) = files.write(&next()) {
             failed = Err(error);
         }
     });
--- a/crates/capacity/src/fixtures.rs
+++ b/crates/capacity/src/fixtures.rs
@@ -3,7 +3,7 @@
 use compact_str::{format_compact, CompactString};
 use hingestage_node::Settings;
 use hingestage_replication::digest;
-use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus};
+use hingestage_rpc::messages::{ConfigDocument, ProcessId, ProxyStatus, StoreMember};
 use hingestage_rpc::workers::{ServiceNews, ServiceUpdate, WorkerRecord, WorkersVersion};
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -190,3 +190,9 @@
     );
     Settings::parse(&text).expect("settings that are written here can be read")
 }
+
+/// A store, by its number.
+pub fn store_member(number: usize) -> StoreMember {
+    let (name, zone) = (format_compact!("core-{number}"), zone(number));
+    StoreMember { name, zone, addr: proxy_status(number).peer, disk: number as u64 + 1 }
+}
--- a/crates/capacity/src/replication.rs
+++ b/crates/capacity/src/replication.rs
@@ -3,12 +3,12 @@
 use crate::fixtures;
 use crate::measure::{median, seconds_each, Report};
 use crate::servers::{Machine, Process, TemporaryDir, STORE};
-use compact_str::format_compact;
 use eyre::Result;
-use hingestage_replication::{Figures, Replica, State, TrialSet};
+use hingestage_replication::{Figures, Record, Replica, State, TrialSet};
 use hingestage_rpc::encoded;
-use hingestage_rpc::messages::{StoreAnswer, StoreMember, StoreRequest, ZoneDrain};
+use hingestage_rpc::messages::{Membership, PeerAnswer, StoreAnswer, StoreMember, StoreRequest, ZoneDrain};
 use std::hint::black_box;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Until the stores know each other.
@@ -56,36 +56,29 @@
     report.bytes("the same, orders about all 79 zones", drained);
     for names in NAMES {
         let replica = replica(count, names, fixtures::ZONES);
-        let cpu = seconds_each(CALLS, || drop(black_box(replica.summary())));
+        let cpu = seconds_each(CALLS, || drop(black_box(replica.record().state.summary())));
         report.seconds(&format!("Replica::summary, {names} proxies"), cpu);
     }
 }
 
 fn exchange_bytes(replica: &Replica) -> u64 {
-    let (summary, members) = (replica.summary(), replica.members());
-    let request = StoreRequest::Exchange {
-        from: replica.me().clone(),
-        summary: summary.clone(),
-        members: members.clone(),
-    };
-    let answer = StoreAnswer::Exchanged { summary, members };
+    let request = StoreRequest::Peer(replica.exchange());
+    let (from, standing, known) = (replica.me().clone(), replica.standing(), replica.members());
+    let answer = StoreAnswer::Peer(PeerAnswer::Exchanged { from, standing, known });
     (encoded(&request).len() + encoded(&answer).len()) as u64
 }
 
 fn replica(stores: usize, proxies: usize, zones: usize) -> Replica {
-    let members: Vec<StoreMember> = (0..stores)
-        .map(|number| StoreMember {
-            name: format_compact!("core-{number}"),
-            zone: fixtures::zone(number),
-            addr: fixtures::proxy_status(number).peer,
-        })
-        .collect();
+    let voters: Vec<StoreMember> = (0..stores).map(fixtures::store_member).collect();
+    let me = voters[0].clone();
     let order = ZoneDrain { order: 1, drained: false };
+    let names = (0..proxies).map(|number| (fixtures::proxy_status(number).id.node, true));
     let state = State {
-        config: Some(fixtures::document(1, fixtures::DocumentSize::of_routes(18))),
+        config: Some(Rc::new(fixtures::document(1, fixtures::DocumentSize::of_routes(18)))),
         drains: (0..zones).map(|number| (fixtures::zone(number), order)).collect(),
-        proxies: (0..proxies).map(|number| (fixtures::proxy_status(number).id.node, true)).collect(),
-        trials: TrialSet::default(),
+        proxies: Rc::new(names.collect()),
+        trials: Rc::new(TrialSet::default()),
+        membership: Membership { epoch: 1, voters, previous: Vec::new() },
     };
-    Replica::new(members[0].clone(), state, members, false, Figures::default())
+    Replica::new(me, Record { state, ..Record::default() }, Vec::new(), Figures::default(), 1)
 }
--- a/crates/config-store/src/files.rs
+++ b/crates/config-store/src/files.rs
@@ -1,40 +1,113 @@
-//! The state as plain files in one directory, each written whole: a new file, synced, renamed over the old one,
-//! and the directory synced. After a loss of power each file is the old one or the new one.
+//! A replica's record as plain files in one directory: long parts under names that tell their contents, and a manifest
+//! that names what belongs together.
+//!
+//! Parts are written and synced first, with their names; then a new manifest is synced, renamed over the old one, and
+//! the directory synced. After a loss of power the manifest is the old one or the new one, and what it names is there:
+//! a file that is missing, torn or another one is damage, and is told from an empty disk.
 
-use hingestage_replication::{digest, State};
-use hingestage_rpc::messages::{ConfigDocument, ConfigVersion, ProxyNames, StoreMember, Update, ZoneDrains};
+use hingestage_replication::{digest, Disk, Record, State, TrialSet};
+use hingestage_rpc::messages::{
+    Ballot, ConfigDocument, ConfigVersion, Membership, ProxyNames, StoreMember, Summary,
+};
 use hingestage_rpc::trials::TrialRecord;
-use serde::{de::DeserializeOwned, Serialize};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
-/// Prefix of the names of configurations; serial and digest follow.
-const CONFIG_PREFIX: &str = "config-";
-const DRAINS: &str = "drains.json";
-const PROXIES: &str = "proxies.json";
-const TRIALS: &str = "trials.json";
-const MEMBERS: &str = "members.json";
-/// Suffix of a file that is being written.
+/// Version of the format.
+const FORMAT: u32 = 2;
+const MANIFEST: &str = "store.json";
+/// Suffix of a manifest that is being written.
 const UNFINISHED: &str = ".new";
-/// Configurations kept beside the newest.
-const OLD_CONFIGS: usize = 2;
+/// Suffix of a manifest that can't be used, kept for whoever looks into it.
+const DAMAGED: &str = ".damaged";
+/// Prefixes of the names of parts; a version follows.
+const CONFIG_PREFIX: &str = "config-";
+const PROXIES_PREFIX: &str = "proxies-";
+const TRIALS_PREFIX: &str = "trials-";
+/// A file of the format before this one.
+const FIRST_FORMAT: &str = "members.json";
+
+/// What names the files that belong together.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Manifest {
+    format: u32,
+    /// Whose disk it is.
+    me: StoreMember,
+    /// Whether this store founds the system.
+    founder: bool,
+    promised: Ballot,
+    accepted: Ballot,
+    /// Versions of the parts, and the orders about zones themselves.
+    summary: Summary,
+    membership: Membership,
+    /// Digests of the parts' files, by name.
+    parts: BTreeMap<String, u64>,
+}
 
 /// What the directory held at the start.
-#[derive(Debug, Default, PartialEq)]
-pub struct Loaded {
-    /// The state.
-    pub state: State,
-    /// The replicas known.
-    pub members: Vec<StoreMember>,
-    /// Whether a replica has ever begun here.
-    pub begun: bool,
+#[derive(Debug, PartialEq)]
+pub enum Loaded {
+    /// Nothing: no store has run here.
+    Empty,
+    /// All of a store's record.
+    Whole {
+        /// Whose it is.
+        me: StoreMember,
+        /// Whether that store founds the system.
+        founder: bool,
+        /// The record.
+        record: Box<Record>,
+    },
+    /// Less than the store had on it: it counts as lost.
+    Damaged(String),
+}
+
+/// Why a directory can't be used.
+#[derive(Debug)]
+pub enum FilesError {
+    /// The disk refuses.
+    Io(io::Error),
+    /// It holds the files of a version that had another format.
+    FirstFormat,
+    /// It is the directory of another machine.
+    Foreign(StoreMember),
+}
+
+impl fmt::Display for FilesError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            FilesError::Io(error) => write!(f, "{error}"),
+            FilesError::FirstFormat => {
+                write!(
+                    f,
+                    "holds {FIRST_FORMAT}, of a version before agreement: start with an empty directory"
+                )
+            }
+            FilesError::Foreign(owner) => write!(f, "is the directory of {}", owner.name),
+        }
+    }
+}
+
+impl std::error::Error for FilesError {}
+
+impl From<io::Error> for FilesError {
+    fn from(error: io::Error) -> Self {
+        FilesError::Io(error)
+    }
 }
 
 /// The directory.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Files {
     dir: PathBuf,
+    me: Option<(StoreMember, bool)>,
+    /// Digests of the files of parts that are known to be on disk, by name.
+    written: BTreeMap<String, u64>,
 }
 
 impl Files {
@@ -44,111 +117,222 @@
     /// The directory can't be made.
     pub fn open(dir: &Path) -> io::Result<Files> {
         fs::create_dir_all(dir)?;
-        Ok(Files { dir: dir.to_path_buf() })
-    }
-
-    /// Reads what is there. A file that can't be read whole is passed over: it was never acknowledged.
-    ///
-    /// # Errors
-    /// The directory can't be read.
-    pub fn load(&self) -> io::Result<Loaded> {
-        let members: Option<Vec<StoreMember>> = self.read_json(MEMBERS);
-        let state = State {
-            config: self.newest_config()?,
-            drains: self.read_json::<ZoneDrains>(DRAINS).unwrap_or_default(),
-            proxies: self.read_json::<ProxyNames>(PROXIES).unwrap_or_default(),
-            trials: self.read_json::<Vec<TrialRecord>>(TRIALS).into_iter().flatten().collect(),
-        };
-        // A replica that recovers writes updates first and its members once it has recovered.
-        let begun = members.is_some();
-        Ok(Loaded { state, members: members.unwrap_or_default(), begun })
+        Ok(Files { dir: dir.to_path_buf(), me: None, written: BTreeMap::new() })
     }
 
-    /// Makes an update durable. `after` is the state with the update in it.
+    /// Reads what is there for the store on a machine. A manifest that can't be used is kept under another name.
     ///
     /// # Errors
-    /// The disk refuses: the update may or may not be there after a restart.
-    pub fn write(&self, update: &Update, after: &State) -> io::Result<()> {
-        match update {
-            Update::Config(config) => self.write_config(config),
-            Update::Drain { .. } => self.write_json(DRAINS, &after.drains),
-            Update::Proxies(_) => self.write_json(PROXIES, &after.proxies),
-            Update::Trials(_) => {
-                let records: Vec<&TrialRecord> = after.trials.records().collect();
-                self.write_json(TRIALS, &records)
+    /// The directory can't be read, or is not this store's.
+    pub fn load(&mut self, node: &str) -> Result<Loaded, FilesError> {
+        let names = self.names()?;
+        let begun = names.iter().any(|name| is_part(name) || name.starts_with(MANIFEST));
+        if !names.contains(MANIFEST) {
+            return match (names.contains(FIRST_FORMAT), begun) {
+                (true, _) => Err(FilesError::FirstFormat),
+                (false, true) if names.iter().any(|name| is_part(name)) => {
+                    Ok(Loaded::Damaged(format!("{MANIFEST} is missing")))
+                }
+                _ => Ok(Loaded::Empty),
+            };
+        }
+        match self.read_whole() {
+            Ok((manifest, _)) if manifest.me.name != node => Err(FilesError::Foreign(manifest.me)),
+            Ok((manifest, record)) => {
+                let (me, founder) = (manifest.me, manifest.founder);
+                self.me = Some((me.clone(), founder));
+                self.written = manifest.parts;
+                self.remove_leftovers(&names);
+                Ok(Loaded::Whole { me, founder, record: Box::new(record) })
+            }
+            Err(why) => {
+                fs::rename(self.dir.join(MANIFEST), self.dir.join(format!("{MANIFEST}{DAMAGED}")))?;
+                self.sync_names()?;
+                Ok(Loaded::Damaged(why))
             }
         }
     }
 
-    /// Notes which replicas there are.
+    /// A store begins here.
     ///
     /// # Errors
     /// The disk refuses.
-    pub fn write_members(&self, members: &[StoreMember]) -> io::Result<()> {
-        self.write_json(MEMBERS, &members)
+    pub fn begin(&mut self, me: &StoreMember, founder: bool) -> io::Result<()> {
+        self.me = Some((me.clone(), founder));
+        self.write(&Record::default())
     }
 
-    fn write_config(&self, config: &ConfigDocument) -> io::Result<()> {
-        self.write_file(&config_name(config.version), &config.json)?;
-        self.forget_old_configs()
+    fn names(&self) -> io::Result<BTreeSet<String>> {
+        let entries: io::Result<Vec<fs::DirEntry>> = fs::read_dir(&self.dir)?.collect();
+        Ok(entries?.into_iter().filter_map(|entry| entry.file_name().into_string().ok()).collect())
     }
 
-    fn forget_old_configs(&self) -> io::Result<()> {
-        let mut versions = self.config_versions()?;
-        versions.sort_unstable_by(|a, b| b.cmp(a));
-        for version in versions.into_iter().skip(1 + OLD_CONFIGS) {
-            fs::remove_file(self.dir.join(config_name(version)))?;
+    fn read_whole(&self) -> Result<(Manifest, Record), String> {
+        let bytes = self.read(MANIFEST)?;
+        let manifest = parse_manifest(&bytes).ok_or_else(|| format!("{MANIFEST} is damaged"))?;
+        let state = self.read_state(&manifest)?;
+        let record = Record { promised: manifest.promised, accepted: manifest.accepted, state };
+        Ok((manifest, record))
+    }
+
+    fn read_state(&self, manifest: &Manifest) -> Result<State, String> {
+        let Summary { config, drains, proxies, trials, .. } = manifest.summary.clone();
+        let mut state = State { drains, membership: manifest.membership.clone(), ..State::default() };
+        if let Some(version) = config {
+            let json = self.read_part(manifest, &config_name(version))?;
+            state.config = Some(Rc::new(ConfigDocument { version, json }));
+        }
+        if proxies.0 > 0 {
+            let names: ProxyNames = self.read_json(manifest, &version_name(PROXIES_PREFIX, proxies))?;
+            state.proxies = Rc::new(names);
+        }
+        if trials.0 > 0 {
+            let records: Vec<TrialRecord> = self.read_json(manifest, &version_name(TRIALS_PREFIX, trials))?;
+            state.trials = Rc::new(records.into_iter().collect::<TrialSet>());
+        }
+        match state.summary() == manifest.summary {
+            true => Ok(state),
+            false => Err("a part is not what the manifest names".to_owned()),
         }
-        Ok(())
     }
 
-    fn config_versions(&self) -> io::Result<Vec<ConfigVersion>> {
-        let mut versions = Vec::new();
-        for entry in fs::read_dir(&self.dir)? {
-            let name = entry?.file_name();
-            versions.extend(name.to_str().and_then(version_of));
+    fn read(&self, name: &str) -> Result<Vec<u8>, String> {
+        fs::read(self.dir.join(name)).map_err(|error| format!("{name}: {error}"))
+    }
+
+    /// Reads the file of a part, and compares it with what the manifest says of it.
+    fn read_part(&self, manifest: &Manifest, name: &str) -> Result<Vec<u8>, String> {
+        let bytes = self.read(name)?;
+        match manifest.parts.get(name) == Some(&digest(&bytes)) {
+            true => Ok(bytes),
+            false => Err(format!("{name} is damaged")),
         }
-        Ok(versions)
     }
 
-    fn newest_config(&self) -> io::Result<Option<ConfigDocument>> {
-        let mut versions = self.config_versions()?;
-        versions.sort_unstable_by(|a, b| b.cmp(a));
-        let whole = |version: ConfigVersion| {
-            let json = fs::read(self.dir.join(config_name(version))).ok()?;
-            (digest(&json) == version.digest).then_some(ConfigDocument { version, json })
+    fn read_json<T: serde::de::DeserializeOwned>(
+        &self,
+        manifest: &Manifest,
+        name: &str,
+    ) -> Result<T, String> {
+        serde_json::from_slice(&self.read_part(manifest, name)?).map_err(|error| format!("{name}: {error}"))
+    }
+
+    /// Writes the parts of a state that are not on disk.
+    fn write_parts(&mut self, state: &State) -> io::Result<()> {
+        let mut wrote = false;
+        for name in part_names(state) {
+            if !self.written.contains_key(&name) {
+                let bytes = part_bytes(state, &name)?;
+                self.write_synced(&name, &bytes)?;
+                self.written.insert(name, digest(&bytes));
+                wrote = true;
+            }
+        }
+        if wrote {
+            self.sync_names()?;
+        }
+        Ok(())
+    }
+
+    fn parts_of(&self, state: &State) -> BTreeMap<String, u64> {
+        let names = part_names(state).into_iter();
+        names.filter_map(|name| self.written.get(&name).map(|digest| (name, *digest))).collect()
+    }
+
+    fn write_manifest(&self, record: &Record) -> io::Result<()> {
+        let (me, founder) = self.me.clone().ok_or_else(|| io::Error::other("no store has begun here"))?;
+        let manifest = Manifest {
+            format: FORMAT,
+            me,
+            founder,
+            promised: record.promised,
+            accepted: record.accepted,
+            summary: record.state.summary(),
+            membership: record.state.membership.clone(),
+            parts: self.parts_of(&record.state),
         };
-        Ok(versions.into_iter().find_map(whole))
+        let json = serde_json::to_vec(&manifest)?;
+        let unfinished = format!("{MANIFEST}{UNFINISHED}");
+        let checked = [format!("{:016x}\n", digest(&json)).as_bytes(), &json].concat();
+        self.write_synced(&unfinished, &checked)?;
+        fs::rename(self.dir.join(unfinished), self.dir.join(MANIFEST))?;
+        self.sync_names()
     }
 
-    fn read_json<T: DeserializeOwned>(&self, name: &str) -> Option<T> {
-        let bytes = fs::read(self.dir.join(name)).ok()?;
-        serde_json::from_slice(&bytes).ok()
+    /// Removes parts of a record whose manifest never came: they may be torn.
+    fn remove_leftovers(&self, names: &BTreeSet<String>) {
+        let leftover = names.iter().filter(|name| is_part(name) && !self.written.contains_key(*name));
+        for name in leftover {
+            let _ = fs::remove_file(self.dir.join(name));
+        }
     }
 
-    fn write_json<T: Serialize>(&self, name: &str, value: &T) -> io::Result<()> {
-        let bytes = serde_json::to_vec(value)?;
-        self.write_file(name, &bytes)
+    /// Removes parts that the manifest on disk does not name.
+    fn forget_old_parts(&mut self, state: &State) {
+        let needed: BTreeSet<String> = part_names(state).into_iter().collect();
+        let old: Vec<String> = self.written.keys().filter(|name| !needed.contains(*name)).cloned().collect();
+        for name in old {
+            // What can't be removed is in nobody's way.
+            let _ = fs::remove_file(self.dir.join(&name));
+            self.written.remove(&name);
+        }
     }
 
-    fn write_file(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let unfinished = self.dir.join(format!("{name}{UNFINISHED}"));
-        let mut file = File::create(&unfinished)?;
+    fn write_synced(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut file = File::create(self.dir.join(name))?;
         file.write_all(bytes)?;
-        file.sync_all()?;
-        drop(file);
-        fs::rename(&unfinished, self.dir.join(name))?;
+        file.sync_all()
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
         File::open(&self.dir)?.sync_all()
     }
 }
 
+impl Disk for Files {
+    fn write(&mut self, record: &Record) -> io::Result<()> {
+        self.write_parts(&record.state)?;
+        self.write_manifest(record)?;
+        self.forget_old_parts(&record.state);
+        Ok(())
+    }
+}
+
+fn parse_manifest(bytes: &[u8]) -> Option<Manifest> {
+    let at = bytes.iter().position(|byte| *byte == b'\n')?;
+    let (checksum, json) = (std::str::from_utf8(&bytes[..at]).ok()?, &bytes[at + 1..]);
+    let manifest: Manifest = serde_json::from_slice(json).ok()?;
+    let whole = checksum == format!("{:016x}", digest(json)) && manifest.format == FORMAT;
+    whole.then_some(manifest)
+}
+
+/// Names of the files that a state's long parts are in.
+fn part_names(state: &State) -> Vec<String> {
+    let config = state.config.as_ref().map(|config| config_name(config.version));
+    let proxies = (!state.proxies.is_empty()).then(|| version_name(PROXIES_PREFIX, state.names_version()));
+    let trials = (!state.trials.is_empty()).then(|| version_name(TRIALS_PREFIX, state.trials.version()));
+    config.into_iter().chain(proxies).chain(trials).collect()
+}
+
+fn part_bytes(state: &State, name: &str) -> io::Result<Vec<u8>> {
+    if name.starts_with(CONFIG_PREFIX) {
+        return Ok(state.config.as_ref().map(|config| config.json.clone()).unwrap_or_default());
+    }
+    if name.starts_with(PROXIES_PREFIX) {
+        return Ok(serde_json::to_vec(state.proxies.as_ref())?);
+    }
+    let records: Vec<&TrialRecord> = state.trials.records().collect();
+    Ok(serde_json::to_vec(&records)?)
+}
+
+fn is_part(name: &str) -> bool {
+    [CONFIG_PREFIX, PROXIES_PREFIX, TRIALS_PREFIX].iter().any(|prefix| name.starts_with(prefix))
+}
+
 fn config_name(version: ConfigVersion) -> String {
     format!("{CONFIG_PREFIX}{:08x}-{:016x}.json", version.serial, version.digest)
 }
 
-fn version_of(name: &str) -> Option<ConfigVersion> {
-    let (serial, digest) = name.strip_prefix(CONFIG_PREFIX)?.strip_suffix(".json")?.split_once('-')?;
-    let serial = u64::from_str_radix(serial, 16).ok()?;
-    let digest = u64::from_str_radix(digest, 16).ok()?;
-    Some(ConfigVersion { serial, digest })
+fn version_name(prefix: &str, (count, digest): (u64, u64)) -> String {
+    format!("{prefix}{count}-{digest:016x}.json")
 }
--- a/crates/config-store/tests/files.rs
+++ b/crates/config-store/tests/files.rs
@@ -1,37 +1,18 @@
-//! What a store must keep through a loss of power at any step of a write, whatever it writes to.
-//!
-//! The contracts are functions over [`Disk`], so that a second implementation can be run by them.
+//! What a store keeps through a loss of power at any step of a write, and what it makes of a disk that is damaged, empty
+//! or another machine's.
 
-use hingestage_config_store::files::{Files, Loaded};
-use hingestage_replication::State;
-use hingestage_rpc::messages::{ConfigDocument, StoreMember, Update, ZoneDrain};
+use hingestage_config_store::files::{Files, FilesError, Loaded};
+use hingestage_replication::{Disk, Record, State};
+use hingestage_rpc::messages::{
+    Ballot, Change, ConfigDocument, ConfigVersion, Membership, Proposed, StoreMember,
+};
+use hingestage_rpc::trials::{TrialPosition, TrialRecord};
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-/// A store's disk as the contracts see it.
-trait Disk {
-    /// Opened for the first time, or again after the process ended.
-    fn open(dir: &Path) -> Self;
-    fn load(&self) -> Loaded;
-    fn write(&self, update: &Update, after: &State);
-    fn write_members(&self, members: &[StoreMember]);
-}
-
-impl Disk for Files {
-    fn open(dir: &Path) -> Self {
-        Files::open(dir).expect("the directory")
-    }
-    fn load(&self) -> Loaded {
-        Files::load(self).expect("the directory")
-    }
-    fn write(&self, update: &Update, after: &State) {
-        Files::write(self, update, after).expect("the disk");
-    }
-    fn write_members(&self, members: &[StoreMember]) {
-        Files::write_members(self, members).expect("the disk");
-    }
-}
+const MANIFEST: &str = "store.json";
 
 /// An empty directory, removed at the end of the test.
 struct Dir(PathBuf);
@@ -45,16 +26,24 @@
         Dir(dir)
     }
 
-    /// The file of a configuration.
-    fn config(&self, serial: u64) -> PathBuf {
-        let prefix = format!("config-{serial:08x}-");
-        let mut entries =
-            fs::read_dir(&self.0).expect("the directory").map(|entry| entry.expect("a file").path());
-        let named = |path: &PathBuf| {
-            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
-            name.starts_with(&prefix) && name.ends_with(".json")
+    /// All files with their contents.
+    fn contents(&self) -> BTreeMap<String, Vec<u8>> {
+        let entries = fs::read_dir(&self.0).expect("the directory").map(|entry| entry.expect("a file"));
+        let content = |entry: fs::DirEntry| {
+            let name = entry.file_name().into_string().expect("a name");
+            (name, fs::read(entry.path()).expect("a file"))
         };
-        entries.find(named).expect("a configuration")
+        entries.map(content).collect()
+    }
+
+    /// Makes these all the files that there are.
+    fn put(&self, contents: &BTreeMap<String, Vec<u8>>) {
+        for name in self.contents().keys() {
+            fs::remove_file(self.0.join(name)).expect("a file");
+        }
+        for (name, bytes) in contents {
+            fs::write(self.0.join(name), bytes).expect("a file");
+        }
     }
 }
 
@@ -64,140 +53,218 @@
     }
 }
 
-fn config(serial: u64, content: &str) -> Update {
-    let json = content.as_bytes().to_vec();
-    Update::Config(ConfigDocument::new(serial, json))
+fn member(name: &str) -> StoreMember {
+    let addr = "10.0.0.1:7601".parse().expect("an address");
+    StoreMember { name: name.into(), zone: "a".into(), addr, disk: 77 }
 }
 
-fn drain(order: u64) -> Update {
-    Update::Drain { zone: "a".into(), drain: ZoneDrain { order, drained: true } }
+fn config(serial: u64, content: &str) -> Change {
+    Change::Config(ConfigDocument::new(serial, content.as_bytes().to_vec()))
 }
 
-fn proxies(name: &str) -> Update {
-    Update::Proxies([(name.into(), true)].into())
+fn terms(tenant: &str) -> Change {
+    let position = TrialPosition { version: 1, digest: 5, step: 0 };
+    Change::TrialTerms(TrialRecord { tenant: tenant.into(), position, terms: b"{}".to_vec() })
 }
 
-fn member() -> StoreMember {
-    StoreMember { name: "s0".into(), zone: "a".into(), addr: "10.0.0.1:7601".parse().expect("an address") }
+fn changes(serial: u64) -> Vec<Change> {
+    let drained = serial.is_multiple_of(2);
+    vec![
+        config(serial, &format!("content {serial}")),
+        Change::Drain { zone: "a".into(), drained },
+        Change::Proxies([(format!("p{serial}").as_str().into(), true)].into()),
+        terms(&format!("t{serial}")),
+    ]
 }
 
-/// Writes updates one after the other, as a store does.
-fn write_all<D: Disk>(disk: &D, updates: &[Update]) -> State {
-    let mut state = disk.load().state;
-    for update in updates {
-        state.apply(update.clone());
-        disk.write(update, &state);
+fn record(round: u64, changes: &[Change]) -> Record {
+    let membership = Membership { epoch: 3, voters: vec![member("s0")], previous: Vec::new() };
+    let mut state = State { membership, ..State::default() };
+    for change in changes {
+        assert_eq!(state.apply(change), Proposed::Durable);
+    }
+    Record {
+        promised: Ballot { round: round + 1, proposer: 9 },
+        accepted: Ballot { round, proposer: 8 },
+        state,
     }
-    state
 }
 
-fn serial(loaded: &Loaded) -> Option<u64> {
-    loaded.state.config.as_ref().map(|config| config.version.serial)
+/// A directory in which a store has begun, with some records written one after the other.
+fn begun(dir: &Path, records: &[Record]) -> Files {
+    let mut files = Files::open(dir).expect("the directory");
+    assert_eq!(files.load("s0").expect("the directory"), Loaded::Empty);
+    files.begin(&member("s0"), true).expect("the disk");
+    records.iter().for_each(|record| files.write(record).expect("the disk"));
+    files
 }
 
-/// What was written is there after a restart, and an empty disk says that nothing has begun.
-fn keeps_what_was_written<D: Disk>(dir: &Path) {
-    let disk = D::open(dir);
-    assert_eq!(disk.load(), Loaded::default());
-    disk.write_members(&[member()]);
-    let updates = [config(3, "three"), drain(1), proxies("p"), drain(2), proxies("q")];
-    let state = write_all(&disk, &updates);
-    assert_eq!(D::open(dir).load(), Loaded { state, members: vec![member()], begun: true });
+fn load(dir: &Path) -> Loaded {
+    Files::open(dir).expect("the directory").load("s0").expect("a directory of this store")
 }
 
-/// Of many configurations the newest holds, in whatever order they came.
-fn keeps_the_newest_of_many<D: Disk>(dir: &Path) {
-    let disk = D::open(dir);
-    for serial in [5, 9, 7, 8, 6, 300, 20] {
-        disk.write(&config(serial, &format!("content {serial}")), &State::default());
-    }
-    assert_eq!(serial(&D::open(dir).load()), Some(300));
+fn whole(record: &Record) -> Loaded {
+    Loaded::Whole { me: member("s0"), founder: true, record: Box::new(record.clone()) }
 }
 
-/// A replica that lost its disk and was told a part of it has not begun: it must go on recovering.
-fn updates_alone_are_no_beginning<D: Disk>(dir: &Path) {
-    write_all(&D::open(dir), &[drain(1), config(3, "three"), proxies("p")]);
-    let loaded = D::open(dir).load();
-    assert!(!loaded.begun, "it would speak for others after a restart");
-    assert_eq!(serial(&loaded), Some(3), "what it was told is kept");
+fn is_damaged(dir: &Path) -> bool {
+    matches!(load(dir), Loaded::Damaged(_))
 }
 
 #[test]
-fn files_keep_what_was_written() {
-    keeps_what_was_written::<Files>(&Dir::new().0);
+fn what_was_written_is_there_after_a_restart() {
+    let dir = Dir::new();
+    drop(begun(&dir.0, &[]));
+    assert_eq!(load(&dir.0), whole(&Record::default()), "a store that has begun has not lost its disk");
+    let last = record(2, &changes(4));
+    let mut files = Files::open(&dir.0).expect("the directory");
+    files.load("s0").expect("the directory");
+    for record in [record(1, &changes(3)), last.clone()] {
+        files.write(&record).expect("the disk");
+    }
+    assert_eq!(load(&dir.0), whole(&last));
 }
 
 #[test]
-fn files_keep_the_newest_of_many() {
-    keeps_the_newest_of_many::<Files>(&Dir::new().0);
+fn a_part_that_stays_is_not_written_again_and_old_parts_go() {
+    let dir = Dir::new();
+    let records: Vec<Record> = (1..=200).map(|serial| record(serial, &changes(serial))).collect();
+    drop(begun(&dir.0, &records));
+    let names: Vec<String> = dir.contents().into_keys().collect();
+    assert_eq!(names.len(), 4, "a manifest and three parts: {names:?}");
+    assert_eq!(load(&dir.0), whole(&records[199]));
 }
 
+/// Power goes at any step of a write. Parts are synced before the manifest is renamed, so until then each of them may
+/// be absent, torn or whole; old parts go after that, each by itself.
 #[test]
-fn files_of_updates_alone_are_no_beginning() {
-    updates_alone_are_no_beginning::<Files>(&Dir::new().0);
+fn power_lost_at_any_step_leaves_the_record_before_or_the_one_after() {
+    let (old, new) = (record(1, &changes(3)), record(2, &changes(4)));
+    let dir = Dir::new();
+    drop(begun(&dir.0, std::slice::from_ref(&old)));
+    let before = dir.contents();
+    let mut files = Files::open(&dir.0).expect("the directory");
+    files.load("s0").expect("the directory");
+    files.write(&new).expect("the disk");
+    let after = dir.contents();
+    let added: Vec<&String> = after.keys().filter(|name| !before.contains_key(*name)).collect();
+    let removed: Vec<&String> = before.keys().filter(|name| !after.contains_key(*name)).collect();
+    assert_eq!((added.len(), removed.len()), (3, 3));
+    for choice in 0..3u32.pow(4) {
+        let mut contents = before.clone();
+        let unfinished = format!("{MANIFEST}.new");
+        let pieces = added.iter().map(|name| (name.to_string(), &after[*name]));
+        let pieces = pieces.chain([(unfinished, &after[MANIFEST])]);
+        for (place, (name, bytes)) in pieces.enumerate() {
+            match choice / 3u32.pow(place as u32) % 3 {
+                0 => {}
+                1 => drop(contents.insert(name, bytes[..bytes.len() / 2].to_vec())),
+                _ => drop(contents.insert(name, bytes.clone())),
+            }
+        }
+        dir.put(&contents);
+        assert_eq!(load(&dir.0), whole(&old), "{choice}");
+        let mut files = Files::open(&dir.0).expect("the directory");
+        files.load("s0").expect("the directory");
+        files.write(&new).expect("the disk");
+        assert_eq!(load(&dir.0), whole(&new), "{choice}: what was left over is in nobody's way");
+    }
+    for choice in 0..2u32.pow(3) {
+        let mut contents = after.clone();
+        let kept = removed.iter().enumerate().filter(|(place, _)| choice >> place & 1 == 1);
+        contents.extend(kept.map(|(_, name)| (name.to_string(), before[*name].clone())));
+        dir.put(&contents);
+        assert_eq!(load(&dir.0), whole(&new), "{choice}");
+    }
 }
 
 #[test]
-fn power_lost_before_the_rename_leaves_the_old_files() {
+fn every_byte_that_is_flipped_or_missing_is_noticed_and_the_manifest_is_kept_aside() {
     let dir = Dir::new();
-    let disk = Files::open(&dir.0).expect("the directory");
-    disk.write_members(&[member()]).expect("the disk");
-    let old = write_all(&disk, &[config(3, "three"), drain(1), proxies("p")]);
-    let torn = ["config-00000004-0000000000000000.json.new", "drains.json.new", "members.json.new"];
-    for name in torn {
-        fs::write(dir.0.join(name), b"[{\"torn").expect("a file");
+    let last = record(2, &changes(4));
+    drop(begun(&dir.0, std::slice::from_ref(&last)));
+    let contents = dir.contents();
+    for (name, bytes) in &contents {
+        for at in 0..bytes.len() {
+            for flipped in [true, false] {
+                let mut damaged = bytes.clone();
+                damaged[at] ^= 1;
+                let damaged = if flipped { damaged } else { bytes[..at].to_vec() };
+                let mut all = contents.clone();
+                all.insert(name.clone(), damaged);
+                dir.put(&all);
+                let loaded = load(&dir.0);
+                assert!(
+                    matches!(loaded, Loaded::Damaged(_)),
+                    "{name} at {at}, flipped {flipped}: {loaded:?}"
+                );
+            }
+        }
     }
-    let whole = config(4, "four");
-    let Update::Config(four) = &whole else { unreachable!() };
-    let unnamed = format!("config-00000004-{:016x}.json.new", four.version.digest);
-    fs::write(dir.0.join(unnamed), b"four").expect("a file");
-    let loaded = Files::open(&dir.0).and_then(|files| files.load()).expect("the directory");
-    assert_eq!(loaded, Loaded { state: old, members: vec![member()], begun: true });
-    assert_eq!(serial(&Loaded { state: write_all(&disk, &[whole]), ..Loaded::default() }), Some(4));
-    assert_eq!(
-        serial(&disk.load().expect("the directory")),
-        Some(4),
-        "what was left over is in nobody's way"
-    );
+    assert!(dir.contents().contains_key("store.json.damaged"));
 }
 
 #[test]
-fn a_torn_configuration_is_passed_over_for_the_older_one() {
-    type Damage = fn(&Path);
-    let cases: [(&str, Damage); 4] = [
-        ("cut short", |path| fs::write(path, b"fo").expect("a file")),
-        ("empty", |path| fs::write(path, b"").expect("a file")),
-        ("other bytes", |path| fs::write(path, b"f0ur").expect("a file")),
-        ("unreadable", |path| {
-            fs::remove_file(path).and_then(|()| fs::create_dir(path)).expect("a directory");
-        }),
-    ];
-    for (name, damage) in cases {
-        let dir = Dir::new();
-        let disk = Files::open(&dir.0).expect("the directory");
-        write_all(&disk, &[config(3, "three"), config(4, "four")]);
-        damage(&dir.config(4));
-        let loaded = disk.load().expect("the directory");
-        assert_eq!(serial(&loaded), Some(3), "{name}");
+fn a_file_that_is_missing_is_damage_and_not_an_empty_disk() {
+    let dir = Dir::new();
+    drop(begun(&dir.0, &[record(2, &changes(4))]));
+    let contents = dir.contents();
+    for name in contents.keys() {
+        let mut left = contents.clone();
+        left.remove(name);
+        dir.put(&left);
+        assert!(is_damaged(&dir.0), "{name}");
+        assert!(name == MANIFEST || load(&dir.0) != Loaded::Empty, "{name}");
     }
 }
 
 #[test]
-fn old_configurations_are_forgotten_but_for_two() {
+fn a_store_on_a_damaged_disk_begins_as_another_one_and_is_whole_from_then_on() {
     let dir = Dir::new();
-    let disk = Files::open(&dir.0).expect("the directory");
-    let updates: Vec<Update> = (1..=9).map(|serial| config(serial, &format!("content {serial}"))).collect();
-    write_all(&disk, &updates);
-    assert_eq!(fs::read_dir(&dir.0).expect("the directory").count(), 3);
-    assert!(dir.config(7).exists());
+    drop(begun(&dir.0, &[record(2, &changes(4))]));
+    fs::write(dir.0.join(MANIFEST), b"").expect("a file");
+    let mut files = Files::open(&dir.0).expect("the directory");
+    assert!(matches!(files.load("s0"), Ok(Loaded::Damaged(_))));
+    let me = StoreMember { disk: 78, ..member("s0") };
+    files.begin(&me, false).expect("the disk");
+    let next = record(3, &changes(4));
+    files.write(&next).expect("the disk");
+    assert_eq!(load(&dir.0), Loaded::Whole { me, founder: false, record: Box::new(next) });
+}
+
+#[test]
+fn the_directory_of_another_machine_and_that_of_the_format_before_are_refused() {
+    let dir = Dir::new();
+    drop(begun(&dir.0, &[]));
+    let mut files = Files::open(&dir.0).expect("the directory");
+    assert!(matches!(files.load("s1"), Err(FilesError::Foreign(owner)) if owner == member("s0")));
+    let dir = Dir::new();
+    fs::write(dir.0.join("members.json"), b"[]").expect("a file");
+    let refused = Files::open(&dir.0).expect("the directory").load("s0").expect_err("an old format");
+    assert!(refused.to_string().contains("members.json"), "{refused}");
 }
 
 #[test]
 fn files_of_other_names_are_passed_over() {
     let dir = Dir::new();
-    for name in ["config-.json", "config-x-y.json", "config-00000001.json", "notes.txt"] {
+    for name in ["notes.txt", "store.json.new", "trial-audit.redb"] {
         fs::write(dir.0.join(name), b"{}").expect("a file");
     }
-    let loaded = Files::open(&dir.0).and_then(|files| files.load()).expect("the directory");
-    assert_eq!(loaded, Loaded::default());
+    assert_eq!(load(&dir.0), Loaded::Empty);
+}
+
+#[test]
+fn a_disk_that_refuses_leaves_the_record_before() {
+    let dir = Dir::new();
+    let old = record(1, &changes(3));
+    let mut files = begun(&dir.0, std::slice::from_ref(&old));
+    // A directory stands where the next part is to be written.
+    let version = ConfigVersion { serial: 4, digest: hingestage_replication::digest(b"content 4") };
+    let in_the_way = dir.0.join(format!("config-{:08x}-{:016x}.json", version.serial, version.digest));
+    fs::create_dir(&in_the_way).expect("a directory");
+    assert!(files.write(&record(2, &changes(4))).is_err());
+    fs::remove_dir(&in_the_way).expect("a directory");
+    assert_eq!(load(&dir.0), whole(&old));
+    files.write(&record(2, &changes(4))).expect("the disk");
+    assert_eq!(load(&dir.0), whole(&record(2, &changes(4))));
 }
--- a/crates/config-store/tests/status.rs
+++ b/crates/config-store/tests/status.rs
@@ -4,13 +4,16 @@
 use hingestage_fixtures::{own_network, run, PLENTY};
 use hingestage_node::settings::InnerPort;
 use hingestage_node::Settings;
-use hingestage_rpc::messages::{Change, ConfigDocument, ConfigVersion, Proposed, StoreAnswer, StoreRequest};
+use hingestage_rpc::messages::{Change, ConfigDocument, Proposed, StoreAnswer, StoreRequest};
 use hingestage_rpc::status::StoreStatus;
 use hingestage_rpc::Client;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::task::spawn_local;
 
+/// How long a change may take to be decided, milliseconds.
+const DECIDED_WITHIN: u64 = 1_000;
+
 /// A store that knows no other.
 struct Stage {
     calls: Client<StoreRequest, StoreAnswer>,
@@ -48,7 +51,7 @@
     }
 
     async fn propose(&self, change: Change) -> Option<Proposed> {
-        let request = StoreRequest::Propose { change, wait: 0 };
+        let request = StoreRequest::Propose { change, wait: DECIDED_WITHIN };
         match self.calls.call(&request, PLENTY).await {
             Ok(StoreAnswer::Proposed(proposed)) => Some(proposed),
             _ => None,
@@ -60,12 +63,19 @@
 fn a_store_tells_what_it_holds_and_what_is_durable() {
     run(async {
         let stage = Stage::start(1, true).await;
+        // It founds the system with its first proposal.
+        while stage.status().await.recovering {
+            tokio::task::yield_now().await;
+        }
         let empty = stage.status().await;
         assert_eq!((empty.held, empty.in_force, empty.durable), (None, None, false));
-        assert_eq!((empty.recovering, empty.members.len()), (false, 1));
-        let version = ConfigVersion { serial: 7, digest: 1 };
-        let document = ConfigDocument { version, json: b"{}".to_vec() };
+        assert_eq!((empty.recovering, empty.members.len()), (false, 1), "it founds a system by itself");
+        assert_eq!(empty.voters, ["core-1"]);
+        let document = ConfigDocument::new(7, b"{}".to_vec());
+        let version = document.version;
         assert_eq!(stage.propose(Change::Config(document)).await, Some(Proposed::Durable));
+        let other = ConfigDocument::new(7, b"{ }".to_vec());
+        assert_eq!(stage.propose(Change::Config(other)).await, Some(Proposed::SerialTaken));
         let drain = Change::Drain { zone: "north-1".into(), drained: true };
         assert_eq!(stage.propose(drain).await, Some(Proposed::Durable));
         let proxies = [("edge-1".into(), true), ("edge-2".into(), false)].into();
--- a/crates/control-sim/src/core_node.rs
+++ b/crates/control-sim/src/core_node.rs
@@ -12,13 +12,13 @@
 use hingestage_registry::duty::{self, Duty};
 use hingestage_registry::trials::TrialLog;
 use hingestage_registry::watch::InForce;
-use hingestage_replication::{Replica, State};
+use hingestage_replication::{Disk as ReplicaDisk, Figures, Outgoing, Plan, Record, Replica};
 use hingestage_rpc::messages::{
-    Change, ConfigDocument, ConfigVersion, Have, ProcessId, ProxyStatus, RegistryMember, StoreMember, Update,
-    Watched,
+    Change, ConfigVersion, Have, ProcessId, Proposed, ProxyStatus, RegistryMember, StoreMember, Watched,
 };
 use hingestage_rpc::trials::TrialRecord;
 use hingestage_rpc::workers::{ServiceIndex, WorkersVersion};
+use std::net::{IpAddr, SocketAddr};
 
 /// Ticks between exchanges of stores, meetings of registries, admissions, and reads of the list.
 const EXCHANGE_TICKS: u64 = 3;
@@ -36,26 +36,63 @@
 /// When a proxy is to tell again.
 const WATCH_WITHIN: Micros = 800 * MILLI;
 
+/// Number of orders that nobody judges.
+pub(crate) const UNWATCHED: u64 = 0;
+/// Stores that found a system.
+const FOUNDERS: usize = 3;
+
 /// What a disk holds.
 #[derive(Clone, Default)]
 struct Disk {
-    state: State,
-    members: Vec<StoreMember>,
-    /// Whether a store has run on it.
-    begun: bool,
+    /// Number of the disk; none until a store has begun on it.
+    number: Option<u64>,
+    founder: bool,
+    record: Record,
     /// Written, and lost where power goes before this moment.
-    unsynced: Vec<(Micros, Update)>,
+    unsynced: Vec<(Micros, Record)>,
 }
 
 impl Disk {
     fn sync(&mut self, now: Micros) {
-        let (done, left) = std::mem::take(&mut self.unsynced).into_iter().partition(|(due, _)| *due <= now);
-        self.unsynced = left;
-        let done: Vec<(Micros, Update)> = done;
-        done.into_iter().for_each(|(_, update)| self.state.apply(update));
+        while self.unsynced.first().is_some_and(|(due, _)| *due <= now) {
+            self.record = self.unsynced.remove(0).1;
+        }
     }
 }
 
+/// A disk while a store writes to it.
+struct Writer<'a> {
+    disk: &'a mut Disk,
+    now: Micros,
+    defect: Option<Defect>,
+}
+
+impl ReplicaDisk for Writer<'_> {
+    fn write(&mut self, record: &Record) -> std::io::Result<()> {
+        match self.defect {
+            Some(Defect::AckBeforeSync) => self.disk.unsynced.push((self.now + LATE_SYNC, record.clone())),
+            _ => self.disk.record = record.clone(),
+        }
+        Ok(())
+    }
+}
+
+/// An order that a caller waits for.
+#[derive(Clone, Debug)]
+pub(crate) struct Order {
+    pub number: u64,
+    pub ticket: u64,
+    until: Micros,
+}
+
+/// A read that a caller waits for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Read {
+    pub asked_at: Micros,
+    since: Micros,
+    until: Micros,
+}
+
 /// A core machine.
 pub(crate) struct CoreNode {
     pub process: Process,
@@ -70,35 +107,46 @@
     pub workers: Follower,
     admissions: Admissions,
     directory: Directory,
-    /// Changes that a caller waits for, and until when.
-    proposals: Vec<(Micros, Update)>,
+    orders: Vec<Order>,
+    reads: Vec<Read>,
     ticks: u64,
+    /// Whether it is gone for good.
+    pub retired: bool,
+}
+
+/// The stores of a system that starts.
+pub(crate) struct Layout<'a> {
+    /// Zones of all core machines, those that come later last.
+    pub zones: &'a [&'a str],
+    /// How many there are at the start.
+    pub present: usize,
 }
 
 impl CoreNode {
-    pub fn new(number: NodeId, zones: &[&str], defect: Option<Defect>) -> CoreNode {
-        let member = store_member(number, zones[number]);
-        let members: Vec<StoreMember> =
-            zones.iter().enumerate().map(|(number, zone)| store_member(number, zone)).collect();
-        let disk = Disk { members: members.clone(), begun: true, ..Disk::default() };
-        let replica = Replica::new(member.clone(), State::default(), members, false, Default::default());
+    pub fn new(number: NodeId, layout: &Layout, defect: Option<Defect>) -> CoreNode {
+        let member = store_member(number, layout.zones[number], 0);
         let mut node = CoreNode {
             process: Process::default(),
             duty: Duty::new(registry_member(&member, 0), duty::Figures::default()),
+            replica: Replica::new(member.clone(), Record::default(), Vec::new(), figures(), 1),
             member,
             number,
-            cores: zones.len(),
+            cores: layout.zones.len(),
             defect,
-            disk,
-            replica,
+            disk: Disk { founder: number < layout.present, ..Disk::default() },
             in_force: in_force(0, defect),
             workers: Follower::default(),
             admissions: Admissions::new(true, admission_figures(defect)),
             directory: Directory::new(directory::Figures::default()),
-            proposals: Vec::new(),
+            orders: Vec::new(),
+            reads: Vec::new(),
             ticks: 0,
+            retired: false,
         };
-        node.process.start(0);
+        if number < layout.present {
+            node.start(0, &[]);
+            node.admissions = Admissions::new(true, admission_figures(defect));
+        }
         node
     }
 
@@ -111,63 +159,130 @@
 
     /// Its disk is lost as well.
     pub fn wipe(&mut self) {
-        self.disk = Disk::default();
+        let number = self.disk.number.filter(|_| self.defect == Some(Defect::EmptyDiskVotes));
+        self.disk = Disk { number, ..Disk::default() };
     }
 
-    /// Starts on what the disk holds.
-    pub fn start(&mut self, now: Micros) {
+    /// Starts on what the disk holds. `seeds` are stores that it is told of.
+    pub fn start(&mut self, now: Micros, seeds: &[StoreMember]) {
         self.process.start(now);
-        let recovering = !self.disk.begun && self.defect != Some(Defect::EmptyDiskVotes);
-        let (state, members) = (self.disk.state.clone(), self.disk.members.clone());
-        self.replica = Replica::new(self.member.clone(), state, members, recovering, Default::default());
+        let life = u64::from(self.process.life);
+        let number = *self.disk.number.get_or_insert((life << 32) | (self.number as u64 + 1));
+        self.member.disk = number;
+        let founders = (0..FOUNDERS).map(|number| store_member(number, "", 0).addr);
+        let founders = if self.disk.founder { founders.collect() } else { Vec::new() };
+        let record = self.disk.record.clone();
+        let seed = (life << 8) | (self.number as u64 + 1);
+        self.replica = Replica::new(self.member.clone(), record, founders, figures(), seed);
+        self.replica.told_of(0, seeds);
+        if self.disk.founder {
+            let founders: Vec<StoreMember> =
+                (0..FOUNDERS).map(|number| store_member(number, "", 0)).collect();
+            self.replica.told_of(0, &founders);
+        }
         self.in_force = in_force(self.process.life, self.defect);
         let me = registry_member(&self.member, self.process.life);
         self.duty = Duty::new(me, duty::Figures::default());
         self.workers = Follower::default();
         self.admissions = Admissions::new(false, admission_figures(self.defect));
         self.directory = Directory::new(directory::Figures::default());
-        self.proposals.clear();
+        self.orders.clear();
+        self.reads.clear();
     }
 
+    /// Whether nothing is in its way, or it is not there at all.
     pub fn is_whole(&self, now: Micros) -> bool {
-        self.process.up && !self.process.is_frozen(now) && !self.replica.recovering()
+        !self.is_there() || (self.process.up && !self.process.is_frozen(now))
     }
 
-    fn take_in(&mut self, now: Micros, update: Update) {
-        if !self.replica.is_news(&update) {
-            return;
-        }
-        if self.defect == Some(Defect::AckBeforeSync) {
-            self.disk.unsynced.push((now + LATE_SYNC, update.clone()));
-        } else {
-            self.disk.state.apply(update.clone());
+    /// Whether it has ever started and is not gone for good.
+    pub fn is_there(&self) -> bool {
+        self.process.life > 0 && !self.retired
+    }
+
+    /// It comes into the place of a machine of some zone.
+    pub fn place(&mut self, zone: &str) {
+        self.member.zone = zone.into();
+    }
+
+    /// It is told to end.
+    pub fn leave(&mut self) {
+        self.replica.leave();
+    }
+
+    pub fn has_left(&self, now: Micros) -> bool {
+        self.replica.has_left(self.process.clock(now))
+    }
+
+    fn ask(&self, now: Micros, outgoing: Vec<Outgoing>) -> Vec<Envelope> {
+        let asked_at = self.process.clock(now);
+        let envelope = |Outgoing { to, request }: Outgoing| {
+            self.envelope(node_at(to.addr), None, Message::Store { asked_at, request })
+        };
+        outgoing.into_iter().map(envelope).collect()
+    }
+
+    /// Lets the replica do what is due.
+    fn poll(&mut self, now: Micros) -> Vec<Envelope> {
+        let clock = self.process.clock(now);
+        let mut writer = Writer { disk: &mut self.disk, now, defect: self.defect };
+        let outgoing = self.replica.poll(clock, &mut writer);
+        let mut sent = self.ask(now, outgoing);
+        if self.replica.take_announcement() {
+            sent.extend(self.exchange(now));
         }
-        self.replica.adopt(self.process.clock(now), update);
+        sent
+    }
+
+    /// Asks all other stores that are known how far they are.
+    fn exchange(&self, now: Micros) -> Vec<Envelope> {
+        let members = self.replica.members().into_iter().filter(|member| member.name != self.member.name);
+        let request = self.replica.exchange();
+        self.ask(now, members.map(|to| Outgoing { to, request: request.clone() }).collect())
     }
 
-    /// An operator hands a configuration over.
-    pub fn propose(&mut self, now: Micros, document: ConfigDocument) {
+    /// A caller hands an order over; none where nobody can take it.
+    pub fn propose(&mut self, now: Micros, number: u64, change: Change) -> Vec<Envelope> {
         if self.replica.recovering() {
-            return;
+            return Vec::new();
+        }
+        let clock = self.process.clock(now);
+        if let Some(ticket) = self.replica.propose(clock, change, clock + PROPOSE_WAIT) {
+            self.orders.push(Order { number, ticket, until: now + PROPOSE_WAIT });
         }
-        let update = self.replica.update_for(Change::Config(document));
-        self.take_in(now, update.clone());
-        self.proposals.push((now + PROPOSE_WAIT, update));
+        self.poll(now)
     }
 
-    /// Versions that this machine acknowledges now.
-    pub fn acknowledged(&mut self, now: Micros) -> Vec<ConfigVersion> {
+    /// What has become of orders, by their numbers.
+    pub fn outcomes(&mut self, now: Micros) -> Vec<(u64, Proposed)> {
+        let mut outcomes = Vec::new();
+        for order in std::mem::take(&mut self.orders) {
+            match self.replica.outcome(order.ticket) {
+                Some(outcome) => outcomes.push((order.number, outcome)),
+                None if now < order.until => self.orders.push(order),
+                None => self.replica.withdraw(order.ticket),
+            }
+        }
+        outcomes
+    }
+
+    /// A caller asks for the configuration.
+    pub fn read(&mut self, now: Micros) -> Vec<Envelope> {
+        let since = self.process.clock(now);
+        self.reads.push(Read { asked_at: now, since, until: now + PROPOSE_WAIT });
+        self.exchange(now)
+    }
+
+    /// Reads that are answered now, each with what it is told.
+    pub fn answers(&mut self, now: Micros) -> Vec<(Read, Option<ConfigVersion>)> {
         let clock = self.process.clock(now);
-        let replica = &self.replica;
-        let (durable, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.proposals)
+        let version = self.replica.state().config.as_ref().map(|config| config.version);
+        let skips = self.defect == Some(Defect::ReadWithoutContact);
+        let (current, waiting): (Vec<Read>, Vec<Read>) = std::mem::take(&mut self.reads)
             .into_iter()
-            .partition(|(_, update)| replica.is_durable(clock, update));
-        self.proposals = waiting.into_iter().filter(|(until, _)| now < *until).collect();
-        let versions = durable.into_iter().filter_map(|(_, update)| match update {
-            Update::Config(document) => Some(document.version),
-            _ => None,
-        });
-        versions.collect()
+            .partition(|read| skips || self.replica.is_current_since(clock, read.since));
+        self.reads = waiting.into_iter().filter(|read| now < read.until).collect();
+        current.into_iter().map(|read| (read, version)).collect()
     }
 
     /// A moment has passed.
@@ -175,22 +290,13 @@
         let clock = self.process.clock(now);
         self.ticks += 1;
         self.disk.sync(now);
-        if !self.replica.recovering() {
-            self.disk.begun = true;
-            self.disk.members = self.replica.members();
-        }
+        let mut sent = self.poll(now);
         let news = self.replica.news(clock, &self.in_force.summary);
         self.in_force.take(clock, clock, news);
         self.directory.tidy(clock);
         self.duty.tidy(clock);
-        let mut sent = Vec::new();
         if self.ticks.is_multiple_of(EXCHANGE_TICKS) {
-            self.to_other_cores(&mut sent, |node| Message::Exchange {
-                asked_at: clock,
-                from: node.member.clone(),
-                summary: node.replica.summary(),
-                members: node.replica.members(),
-            });
+            sent.extend(self.exchange(now));
         }
         if self.ticks.is_multiple_of(MEET_TICKS) {
             self.to_other_cores(&mut sent, |node| Message::Meet {
@@ -201,10 +307,10 @@
             });
         }
         if self.ticks.is_multiple_of(ADMIT_TICKS) {
-            self.admit(now);
+            sent.extend(self.admit(now));
         }
         if self.ticks.is_multiple_of(STEP_TICKS) {
-            self.announce_steps(now);
+            sent.extend(self.announce_steps(now));
         }
         if self.ticks.is_multiple_of(READ_TICKS) && clock > SECOND / 2 {
             self.read_list(now, platform, random);
@@ -222,32 +328,29 @@
         Envelope { from: self.number, to, to_life, from_life: self.process.life, message }
     }
 
-    fn admit(&mut self, now: Micros) {
+    fn admit(&mut self, now: Micros) -> Vec<Envelope> {
         let names = self.admissions.due(self.process.clock(now), &self.in_force.proxies);
-        if !names.is_empty() && !self.replica.recovering() {
-            let update = self.replica.update_for(Change::Proxies(names));
-            self.take_in(now, update);
+        if names.is_empty() {
+            return Vec::new();
         }
+        self.propose(now, UNWATCHED, Change::Proxies(names))
     }
 
     /// Announces steps of trials that are due by this machine's time of day, where it has the duty.
-    fn announce_steps(&mut self, now: Micros) {
-        if self.duty.fence().is_none() || self.replica.recovering() {
-            return;
+    fn announce_steps(&mut self, now: Micros) -> Vec<Envelope> {
+        if self.duty.fence().is_none() {
+            return Vec::new();
         }
         let steps = self.in_force.trials.steps_due(self.process.clock(now), self.process.time_of_day(now));
-        if !steps.is_empty() {
-            let update = self.replica.update_for(Change::TrialSteps(steps));
-            self.take_in(now, update);
+        if steps.is_empty() {
+            return Vec::new();
         }
+        self.propose(now, UNWATCHED, Change::TrialSteps(steps))
     }
 
     /// An operator hands terms of a trial over.
-    pub fn propose_terms(&mut self, now: Micros, record: TrialRecord) {
-        if !self.replica.recovering() {
-            let update = self.replica.update_for(Change::TrialTerms(record));
-            self.take_in(now, update);
-        }
+    pub fn propose_terms(&mut self, now: Micros, record: TrialRecord) -> Vec<Envelope> {
+        self.propose(now, UNWATCHED, Change::TrialTerms(record))
     }
 
     fn read_list(&mut self, now: Micros, platform: &mut Platform, random: &mut Rng) {
@@ -269,27 +372,18 @@
         let clock = self.process.clock(now);
         let (from, life) = (envelope.from, envelope.from_life);
         let answer = match envelope.message {
-            Message::Exchange { asked_at, from, summary, mut members } => {
-                let name = from.name.clone();
-                members.push(from);
-                self.replica.meet(members);
-                self.replica.told(&name, summary);
-                let (summary, members) = (self.replica.summary(), self.replica.members());
-                Message::Exchanged { asked_at, summary, members }
-            }
-            Message::Replicate { asked_at, update } => {
-                self.take_in(now, update);
-                Message::Replicated { asked_at, summary: self.replica.summary() }
-            }
-            Message::Exchanged { asked_at, summary, members } => {
-                self.replica.meet(members);
-                return self.heard_store(clock, from, asked_at, summary);
+            Message::Store { asked_at, request } => {
+                let mut writer = Writer { disk: &mut self.disk, now, defect: self.defect };
+                let answer = self.replica.handle(clock, request, &mut writer);
+                let mut sent = self.poll(now);
+                sent.push(self.envelope(from, Some(life), Message::StoreAnswer { asked_at, answer }));
+                return sent;
             }
-            Message::Replicated { asked_at, summary } => {
-                // Trials that are still missing there go out after the next exchange: the other side may have more of
-                // them, and would be handed the same again with each answer.
-                let mut sent = self.heard_store(clock, from, asked_at, summary);
-                sent.retain(|envelope| !envelope.message.is_trials());
+            Message::StoreAnswer { asked_at, answer } => {
+                let mut writer = Writer { disk: &mut self.disk, now, defect: self.defect };
+                let outgoing = self.replica.answered(clock, asked_at, answer, &mut writer);
+                let mut sent = self.ask(now, outgoing);
+                sent.extend(self.poll(now));
                 return sent;
             }
             Message::Meet { from, members, workers, workers_seen } => {
@@ -309,8 +403,8 @@
                 Message::Watched { asked_at, news: Box::new(self.watched(clock, status, have)) }
             }
             Message::FetchConfig => match self.in_force.configs.newest() {
-                Some(document) => Message::Config(document.clone()),
-                None => return Vec::new(),
+                Some(document) if self.in_force.offered(clock).is_some() => Message::Config(document.clone()),
+                _ => return Vec::new(),
             },
             Message::FetchServices(have) => Message::Services(self.workers.catalog().news(clock, &have)),
             Message::Services(updates) => {
@@ -323,21 +417,6 @@
         vec![self.envelope(from, Some(life), answer)]
     }
 
-    fn heard_store(
-        &mut self,
-        clock: Micros,
-        from: NodeId,
-        asked_at: Micros,
-        summary: hingestage_rpc::messages::Summary,
-    ) -> Vec<Envelope> {
-        let name = core_name(from);
-        self.replica.heard(clock, &name, asked_at, summary);
-        let missing = self.replica.missing_at(&name).into_iter();
-        missing
-            .map(|update| self.envelope(from, None, Message::Replicate { asked_at: clock, update }))
-            .collect()
-    }
-
     fn met(&mut self, clock: Micros, from: RegistryMember, members: Vec<RegistryMember>) {
         self.duty.heard(clock, from);
         members.into_iter().for_each(|member| self.duty.told_of(member));
@@ -358,11 +437,10 @@
         self.directory.heard(clock, status, WATCH_WITHIN);
         self.duty.saw(theirs.workers_seen);
         self.admissions.heard(&name, &self.in_force.proxies);
-        let freshness = self.in_force.freshness;
         let summary = &self.in_force.summary;
         Watched {
             have: Have {
-                config: summary.config,
+                config: self.in_force.offered(clock),
                 drains: summary.drains.clone(),
                 workers: self.workers.catalog().version(),
                 workers_seen: self.workers.seen_version(),
@@ -372,7 +450,7 @@
             trials: self.in_force.trials.since(clock, theirs.trials),
             services: self.workers.catalog().index_since(theirs.workers),
             directory: Some(self.directory.neighbors(clock, &zone).into_iter().cloned().collect()),
-            fresh_age: freshness.age(clock).map(|age| age / MILLI + 1),
+            fresh_age: self.in_force.fresh_age(clock),
             members: self.in_force.proxies.len() as u32,
             settled: self.in_force.proxies.get(&name) == Some(&true),
             ..Watched::default()
@@ -398,9 +476,22 @@
     format_compact!("core-{number}")
 }
 
-fn store_member(number: NodeId, zone: &str) -> StoreMember {
+/// The machine at a store's address.
+fn node_at(addr: SocketAddr) -> NodeId {
+    match addr.ip() {
+        IpAddr::V4(ip) => ip.octets()[3].into(),
+        IpAddr::V6(_) => NodeId::MAX,
+    }
+}
+
+fn store_member(number: NodeId, zone: &str, disk: u64) -> StoreMember {
     let addr = ([10, 0, 0, number as u8], 7_601).into();
-    StoreMember { name: core_name(number), zone: zone.into(), addr }
+    StoreMember { name: core_name(number), zone: zone.into(), addr, disk }
+}
+
+fn figures() -> Figures {
+    let plan = Plan { voters_min: FOUNDERS, ..Figures::default().plan };
+    Figures { plan, ..Figures::default() }
 }
 
 fn registry_member(store: &StoreMember, life: u32) -> RegistryMember {
--- a/crates/control-sim/src/defect.rs
+++ b/crates/control-sim/src/defect.rs
@@ -14,6 +14,10 @@
     WallClock,
     /// A store that lost its disk speaks as if it had had nothing.
     EmptyDiskVotes,
+    /// A store answers reads without asking others.
+    ReadWithoutContact,
+    /// An order under a serial that another document has is acknowledged.
+    OtherContentAcknowledged,
     /// All readers of the platform's list number it alike.
     DutyWithoutFence,
     /// A proxy keeps its part of common limits over a restart.
@@ -32,11 +36,13 @@
 
 impl Defect {
     /// All of them.
-    pub const ALL: [Defect; 11] = [
+    pub const ALL: [Defect; 13] = [
         Defect::AckBeforeSync,
         Defect::LeaseFromReceipt,
         Defect::WallClock,
         Defect::EmptyDiskVotes,
+        Defect::ReadWithoutContact,
+        Defect::OtherContentAcknowledged,
         Defect::DutyWithoutFence,
         Defect::PartKeptOverRestart,
         Defect::NewcomerAtOnce,
@@ -63,6 +69,8 @@
             Defect::LeaseFromReceipt => "lease-from-receipt",
             Defect::WallClock => "wall-clock",
             Defect::EmptyDiskVotes => "empty-disk-votes",
+            Defect::ReadWithoutContact => "read-without-contact",
+            Defect::OtherContentAcknowledged => "other-content-acknowledged",
             Defect::DutyWithoutFence => "duty-without-fence",
             Defect::PartKeptOverRestart => "part-kept-over-restart",
             Defect::NewcomerAtOnce => "newcomer-at-once",
--- a/crates/control-sim/src/faults.rs
+++ b/crates/control-sim/src/faults.rs
@@ -9,6 +9,8 @@
 pub(crate) const FAULTS_UNTIL: Micros = 40 * SECOND;
 /// Longest time that a fault lasts.
 const LASTS_MAX: Micros = 7 * SECOND;
+/// How long one core machine is cut off at times.
+const LONG_CUT: Micros = 20 * SECOND;
 /// Longest time that a machine is down.
 const DOWN_MAX: Micros = 3 * SECOND;
 /// Longest jump of the time of day.
@@ -31,6 +33,8 @@
     Cut { nodes: Vec<NodeId>, others: Vec<NodeId>, direction: Direction, lasts: Micros },
     /// The time of day jumps.
     Clock { node: NodeId, to: Micros },
+    /// A core machine goes for good, and a new one comes into its zone: afterwards, or where `planned` before it.
+    Replace { core: NodeId, planned: bool },
     /// A proxy that was never there starts.
     Join { proxy: NodeId },
 }
@@ -46,7 +50,10 @@
 /// How large a system is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Size {
+    /// Core machines, those that come later among them.
     pub cores: usize,
+    /// Core machines that the system starts with.
+    pub present_cores: usize,
     /// Proxies that start with the system.
     pub proxies: usize,
     /// Proxies that start later.
@@ -81,7 +88,7 @@
     let down = random.u64(200 * MILLI..DOWN_MAX);
     let lasts = random.u64(300 * MILLI..LASTS_MAX);
     let all_cores = || (0..size.cores).collect::<Vec<NodeId>>();
-    match random.u32(..13) {
+    match random.u32(..16) {
         0 => Fault::Power { nodes: vec![random.usize(..present)], down },
         1 => Fault::Power { nodes: some(random, size.cores..present), down },
         2 => Fault::Power { nodes: all_cores(), down },
@@ -104,6 +111,12 @@
             let nodes = some(random, size.cores..present);
             Fault::Cut { nodes, others: all_cores(), direction: direction(random), lasts }
         }
+        12 | 13 => Fault::Replace { core: random.usize(..size.cores), planned: random.bool() },
+        14 => {
+            let core = random.usize(..size.cores);
+            let others = (0..size.cores).filter(|other| *other != core).collect();
+            Fault::Cut { nodes: vec![core], others, direction: Direction::Both, lasts: LONG_CUT }
+        }
         _ => Fault::Clock { node: random.usize(..present), to: random.u64(..2 * JUMP_MAX) },
     }
 }
--- a/crates/control-sim/src/judge.rs
+++ b/crates/control-sim/src/judge.rs
@@ -5,7 +5,7 @@
 use crate::platform::Platform;
 use crate::proxy_node::ProxyNode;
 use crate::proxy_node::TRIAL_SPANS;
-use crate::world::TENANTS;
+use crate::world::{HEALED, TENANTS};
 use crate::{Micros, MILLI, SECOND};
 use compact_str::CompactString;
 use hingestage_discovery::Catalog;
@@ -18,6 +18,8 @@
 
 /// A key that was taken away binds so long after the acknowledgement.
 const REVOKE: Micros = 5 * SECOND;
+/// Orders are acknowledged again so long after nothing is in the way any more.
+const SERVES_WITHIN: Micros = 5 * SECOND;
 /// What rounding may add to a sum of parts.
 const ROUNDING: f64 = 1e-9;
 
@@ -38,10 +40,23 @@
     }
 }
 
+/// Orders about a zone. Its operator sends one after another.
+#[derive(Default)]
+struct DrainOrders {
+    acknowledged: bool,
+    sent_since: Vec<bool>,
+}
+
 /// What has been seen so far.
 #[derive(Default)]
 pub(crate) struct Judge {
     acknowledged: Vec<(Micros, ConfigVersion)>,
+    /// The highest serial that an operator has sent.
+    highest_sent: u64,
+    /// The content of each serial that was seen to hold.
+    holds: BTreeMap<u64, ConfigVersion>,
+    /// The order about each zone that was acknowledged last, and those sent after it.
+    drains: BTreeMap<&'static str, DrainOrders>,
     /// What each version of a service's workers has in it.
     contents: BTreeMap<(CompactString, WorkersVersion), Vec<(CompactString, bool)>>,
     /// The configuration in force at each proxy, and the life of its process.
@@ -51,8 +66,55 @@
 }
 
 impl Judge {
-    pub fn acknowledged(&mut self, now: Micros, version: ConfigVersion) {
+    /// An operator sends a configuration.
+    pub fn sent(&mut self, version: ConfigVersion) {
+        self.highest_sent = self.highest_sent.max(version.serial);
+    }
+
+    /// A configuration is acknowledged. While no higher serial was ever sent, it is the one that holds.
+    pub fn acknowledged(&mut self, now: Micros, version: ConfigVersion) -> Result<(), String> {
         self.acknowledged.push((now, version));
+        if version.serial >= self.highest_sent {
+            return self.seen_to_hold("an operator", version);
+        }
+        Ok(())
+    }
+
+    /// A configuration is refused, as another one has its serial.
+    pub fn refused(&self, version: ConfigVersion) -> Result<(), String> {
+        match self.holds.get(&version.serial) {
+            Some(held) if *held == version => Err(format!("{version:?} holds and is refused")),
+            _ => Ok(()),
+        }
+    }
+
+    /// An operator's read that began at a moment is answered.
+    pub fn read(&mut self, asked_at: Micros, version: Option<ConfigVersion>) -> Result<(), String> {
+        let before = self.acknowledged.iter().filter(|(at, _)| *at < asked_at);
+        let newest = before.map(|(_, version)| version.serial).max();
+        if version.map(|version| version.serial) < newest {
+            return Err(format!("{version:?} is read; {newest:?} was acknowledged before the read began"));
+        }
+        version.map_or(Ok(()), |version| self.seen_to_hold("a reader", version))
+    }
+
+    /// One serial has one content, whoever sees it.
+    fn seen_to_hold(&mut self, who: &str, version: ConfigVersion) -> Result<(), String> {
+        let held = *self.holds.entry(version.serial).or_insert(version);
+        match held == version {
+            true => Ok(()),
+            false => Err(format!("{who} has {version:?}, others {held:?}")),
+        }
+    }
+
+    /// An operator sends an order about a zone.
+    pub fn drain_sent(&mut self, zone: &'static str, drained: bool) {
+        self.drains.entry(zone).or_default().sent_since.push(drained);
+    }
+
+    /// An order about a zone is acknowledged.
+    pub fn drain_acknowledged(&mut self, zone: &'static str, drained: bool) {
+        self.drains.insert(zone, DrainOrders { acknowledged: drained, sent_since: Vec::new() });
     }
 
     pub fn acknowledgements(&self) -> usize {
@@ -74,6 +136,9 @@
         for proxy in &running {
             self.check_keys(now, proxy)?;
             self.check_going_back(proxy)?;
+            if let Some(version) = proxy.view.config_version() {
+                self.seen_to_hold(&proxy.name, version)?;
+            }
             self.check_contents(&proxy.name, proxy.view.followed().catalog())?;
         }
         for core in cores.iter().filter(|core| core.process.up) {
@@ -154,17 +219,17 @@
         platform: &Platform,
     ) -> Result<(), String> {
         check_trials_at_end(now, cores, proxies)?;
-        let newest = self.acknowledged.iter().map(|(_, version)| *version).max();
-        for core in cores {
-            let held = core.replica.state().config.as_ref().map(|config| config.version);
-            if held < newest {
-                return Err(format!("{} has {held:?}; {newest:?} was acknowledged", core.member.name));
-            }
-            if core.replica.recovering() {
-                return Err(format!("{} never speaks again", core.member.name));
-            }
+        let serials = self.acknowledged.iter().map(|(_, version)| version.serial);
+        let newest = serials.max().and_then(|serial| self.holds.get(&serial).copied());
+        let there: Vec<&CoreNode> = cores.iter().filter(|core| core.is_there()).collect();
+        for core in &there {
+            self.check_core_at_end(core, newest)?;
+        }
+        if !self.acknowledged.iter().any(|(at, _)| *at > HEALED + SERVES_WITHIN) {
+            return Err("nothing is acknowledged any more, with nothing in the way".to_owned());
         }
-        let readers: Vec<&CoreNode> = cores.iter().filter(|core| core.duty.fence().is_some()).collect();
+        check_voters_at_end(&there)?;
+        let readers: Vec<&&CoreNode> = there.iter().filter(|core| core.duty.fence().is_some()).collect();
         if readers.len() != 1 {
             return Err(format!("{} registries read the list", readers.len()));
         }
@@ -179,6 +244,24 @@
         Ok(())
     }
 
+    fn check_core_at_end(&self, core: &CoreNode, newest: Option<ConfigVersion>) -> Result<(), String> {
+        let (name, state) = (&core.member.name, core.replica.state());
+        let held = state.config.as_ref().map(|config| config.version);
+        if held < newest {
+            return Err(format!("{name} has {held:?}; {newest:?} was acknowledged"));
+        }
+        if core.replica.recovering() {
+            return Err(format!("{name} never speaks again"));
+        }
+        for (zone, orders) in &self.drains {
+            let drained = state.drains.get(*zone).is_some_and(|drain| drain.drained);
+            if drained != orders.acknowledged && !orders.sent_since.contains(&drained) {
+                return Err(format!("{name} has zone {zone} drained {drained}, against the last order"));
+            }
+        }
+        Ok(())
+    }
+
     fn check_proxy_at_end(
         &self,
         now: Micros,
@@ -214,12 +297,25 @@
     }
 }
 
+/// Those that vote are there, and more than half of all that are.
+fn check_voters_at_end(there: &[&CoreNode]) -> Result<(), String> {
+    let membership = there.iter().map(|core| &core.replica.state().membership).max_by_key(|m| m.epoch);
+    let voters = membership.map(|membership| membership.voters.as_slice()).unwrap_or_default();
+    let gone = voters.iter().find(|voter| !there.iter().any(|core| core.member == **voter));
+    match gone {
+        Some(gone) => Err(format!("{} votes and is not there", gone.name)),
+        None if voters.len() * 2 <= there.len() => Err(format!("{} of {} vote", voters.len(), there.len())),
+        None => Ok(()),
+    }
+}
+
 /// All proxies judge by the last step of the terms that all stores hold.
 fn check_trials_at_end(now: Micros, cores: &[CoreNode], proxies: &mut [ProxyNode]) -> Result<(), String> {
     for tenant in TENANTS {
-        let held = cores[0].replica.state().trials.get(tenant);
-        if let Some(other) = cores.iter().find(|core| core.replica.state().trials.get(tenant) != held) {
-            return Err(format!("{} has other terms of {tenant} than core-0", other.member.name));
+        let mut there = cores.iter().filter(|core| core.is_there());
+        let held = there.next().and_then(|core| core.replica.state().trials.get(tenant));
+        if let Some(other) = there.find(|core| core.replica.state().trials.get(tenant) != held) {
+            return Err(format!("{} has other terms of {tenant} than others", other.member.name));
         }
         let Some(record) = held else { continue };
         let last = Terms::parse(&record.terms).map(|terms| terms.last_step()).unwrap_or_default();
--- a/crates/control-sim/src/message.rs
+++ b/crates/control-sim/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::Micros;
 use hingestage_rpc::messages::{
-    ConfigDocument, Have, ProxyStatus, RegistryMember, StoreMember, Summary, Update, Watched,
+    ConfigDocument, Have, PeerAnswer, PeerRequest, ProxyStatus, RegistryMember, Watched,
 };
 use hingestage_rpc::workers::{ServiceHave, ServiceIndex, ServiceUpdate, WorkersVersion};
 
@@ -21,36 +21,18 @@
     pub message: Message,
 }
 
-impl Message {
-    /// Whether trials are handed over.
-    pub fn is_trials(&self) -> bool {
-        matches!(self, Message::Replicate { update: Update::Trials(_), .. })
-    }
-}
-
 /// What is said.
 #[derive(Clone, Debug)]
 pub(crate) enum Message {
-    /// A store compares what it has with another.
-    Exchange {
-        asked_at: Micros,
-        from: StoreMember,
-        summary: Summary,
-        members: Vec<StoreMember>,
-    },
-    Exchanged {
-        asked_at: Micros,
-        summary: Summary,
-        members: Vec<StoreMember>,
-    },
-    /// A store hands over what another lacks.
-    Replicate {
+    /// A store asks another.
+    Store {
         asked_at: Micros,
-        update: Update,
+        request: PeerRequest,
     },
-    Replicated {
+    /// Its answer.
+    StoreAnswer {
         asked_at: Micros,
-        summary: Summary,
+        answer: PeerAnswer,
     },
     /// Registries hear each other.
     Meet {
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -1,6 +1,6 @@
 //! The run: events in the order of a virtual clock.
 
-use crate::core_node::CoreNode;
+use crate::core_node::{CoreNode, Layout, UNWATCHED};
 use crate::faults::{self, Direction, Fault, Size, FAULTS_UNTIL};
 use crate::judge::{Broken, Judge};
 use crate::message::{Envelope, NodeId};
@@ -10,17 +10,17 @@
 use crate::{Defect, Micros, MILLI, SECOND};
 use fastrand::Rng;
 use hingestage_replication::digest;
-use hingestage_rpc::messages::ConfigDocument;
+use hingestage_rpc::messages::{Change, ConfigDocument, ConfigVersion, Proposed, StoreMember};
 use hingestage_rpc::trials::{TrialPosition, TrialRecord};
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 
 const TICK: Micros = 100 * MILLI;
 const CHECK_PERIOD: Micros = 50 * MILLI;
 /// From then on nothing is in the way.
-const HEALED: Micros = FAULTS_UNTIL + 3 * SECOND;
+pub(crate) const HEALED: Micros = FAULTS_UNTIL + 3 * SECOND;
 /// From then on operator and platform change nothing.
-pub(crate) const QUIET: Micros = FAULTS_UNTIL + 5 * SECOND;
+pub(crate) const QUIET: Micros = HEALED + 15 * SECOND;
 const END: Micros = QUIET + 30 * SECOND;
 /// How long all core machines have to be whole before a disk may be lost.
 const SYNC_TIME: Micros = 4 * SECOND;
@@ -30,6 +30,18 @@
 const START_WITHIN: Micros = 300 * MILLI;
 /// One change in so many is made by two operators at once.
 const RACE_ONCE_IN: u32 = 6;
+/// The same of orders that are sent again, reads, and orders about zones.
+const RESEND_ONCE_IN: u32 = 4;
+const READ_ONCE_IN: u32 = 2;
+const DRAIN_ONCE_IN: u32 = 4;
+/// Zones that are evacuated.
+const DRAINED_ZONES: [&str; 2] = ["a", "b"];
+/// Core machines that can come later.
+const SPARE_CORES: usize = 4;
+/// From the loss of a machine to its successor, or from that to the loss where it is planned.
+const SUCCESSOR_AFTER: Micros = SECOND;
+/// How long a machine that is told to end may take.
+const GRACE: Micros = 2 * SECOND;
 
 /// Tenants with trials.
 pub(crate) const TENANTS: [&str; 6] = ["trial-a", "trial-b", "trial-c", "trial-d", "trial-e", "trial-f"];
@@ -41,6 +53,18 @@
     Tick(NodeId, u32),
     Start(NodeId),
     Fault(Fault),
+    /// A new core machine starts in the place of one.
+    Succeed {
+        core: NodeId,
+        successor: NodeId,
+    },
+    /// A core machine is told to end.
+    Leave(NodeId),
+    /// One that was told to end ends once it is done, or its time is up.
+    End {
+        core: NodeId,
+        until: Micros,
+    },
     Operator,
     Terms,
     Platform,
@@ -80,6 +104,13 @@
     until: Micros,
 }
 
+/// What an operator has sent.
+#[derive(Clone, Copy, Debug)]
+enum OrderSent {
+    Config(ConfigVersion),
+    Drain { zone: &'static str, drained: bool },
+}
+
 /// How a run went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Played {
@@ -109,6 +140,12 @@
     whole_since: Micros,
     /// What happens at the next acknowledgement.
     after_ack: Option<(bool, Micros)>,
+    /// Whether a disk was lost since all core machines were whole for long.
+    disk_lost: bool,
+    /// Orders that were sent, by their numbers.
+    orders: BTreeMap<u64, OrderSent>,
+    last_document: Option<ConfigDocument>,
+    defect: Option<Defect>,
     events: u64,
     digest: u64,
     tell: Tell,
@@ -157,14 +194,18 @@
         // Two layouts: three core machines in two zones, and four in as many.
         let core_zones: &[&str] = if random.bool() { &["a", "a", "b"] } else { &["a", "b", "c", "d"] };
         let zones = 2 + random.usize(..3);
+        let present_cores = core_zones.len();
+        let core_zones: Vec<&str> = core_zones.iter().copied().chain(["a"; SPARE_CORES]).collect();
         let size = Size {
             cores: core_zones.len(),
+            present_cores,
             proxies: 3 + random.usize(..5),
             joining: random.usize(..3),
             zones,
         };
         let names = ["a", "b", "c", "d"];
-        let cores = (0..size.cores).map(|number| CoreNode::new(number, core_zones, defect)).collect();
+        let layout = Layout { zones: &core_zones, present: present_cores };
+        let cores = (0..size.cores).map(|number| CoreNode::new(number, &layout, defect)).collect();
         let proxies = (size.cores..size.nodes())
             .map(|number| ProxyNode::new(number, size.cores, names[number % zones], defect))
             .collect();
@@ -186,6 +227,10 @@
             terms_version: 1,
             whole_since: 0,
             after_ack: None,
+            disk_lost: false,
+            orders: BTreeMap::new(),
+            last_document: None,
+            defect,
             events: 0,
             digest: 0,
             tell,
@@ -199,7 +244,7 @@
     }
 
     fn begin(&mut self) {
-        for core in 0..self.size.cores {
+        for core in 0..self.size.present_cores {
             let at = self.random.u64(..TICK);
             self.push(at, Event::Tick(core, self.cores[core].process.life));
         }
@@ -252,9 +297,12 @@
 
     fn happen(&mut self, event: Event) -> Result<(), String> {
         match event {
-            Event::Deliver(envelope) => self.deliver(*envelope),
-            Event::Tick(node, life) => self.tick(node, life),
+            Event::Deliver(envelope) => return self.deliver(*envelope),
+            Event::Tick(node, life) => return self.tick(node, life),
             Event::Start(node) => self.start(node),
+            Event::Succeed { core, successor } => self.succeed(core, successor),
+            Event::Leave(core) => self.leave(core),
+            Event::End { core, until } => self.end(core, until),
             Event::Fault(fault) => self.strike(fault),
             Event::Operator => self.operate(),
             Event::Terms => self.set_terms(),
@@ -268,21 +316,22 @@
         Ok(())
     }
 
-    fn deliver(&mut self, envelope: Envelope) {
+    fn deliver(&mut self, envelope: Envelope) -> Result<(), String> {
         let process = *self.process(envelope.to);
         if !process.up || envelope.to_life.is_some_and(|life| life != process.life) || self.is_cut(&envelope)
         {
-            return;
+            return Ok(());
         }
         if process.is_frozen(self.now) {
-            return self.push(process.frozen_until, Event::Deliver(Box::new(envelope)));
+            self.push(process.frozen_until, Event::Deliver(Box::new(envelope)));
+            return Ok(());
         }
         let sent = match envelope.to.checked_sub(self.size.cores) {
             Some(proxy) => self.proxies[proxy].deliver(self.now, envelope),
             None => self.cores[envelope.to].deliver(self.now, envelope),
         };
         self.send(sent);
-        self.note_acknowledged();
+        self.note_outcomes()
     }
 
     fn is_cut(&self, envelope: &Envelope) -> bool {
@@ -301,13 +350,14 @@
         }
     }
 
-    fn tick(&mut self, node: NodeId, life: u32) {
+    fn tick(&mut self, node: NodeId, life: u32) -> Result<(), String> {
         let process = *self.process(node);
         if !process.up || process.life != life {
-            return;
+            return Ok(());
         }
         if process.is_frozen(self.now) {
-            return self.push(process.frozen_until, Event::Tick(node, life));
+            self.push(process.frozen_until, Event::Tick(node, life));
+            return Ok(());
         }
         let sent = match node.checked_sub(self.size.cores) {
             Some(proxy) => self.proxies[proxy].tick(self.now, &mut self.random),
@@ -315,16 +365,18 @@
         };
         self.send(sent);
         self.push(self.now + TICK, Event::Tick(node, life));
-        self.note_acknowledged();
+        self.note_outcomes()
     }
 
     fn start(&mut self, node: NodeId) {
-        if self.process(node).up {
+        let gone = node < self.size.cores && self.cores[node].retired;
+        if self.process(node).up || gone {
             return;
         }
+        let seeds = self.seeds();
         match node.checked_sub(self.size.cores) {
             Some(proxy) => self.proxies[proxy].start(self.now),
-            None => self.cores[node].start(self.now),
+            None => self.cores[node].start(self.now, &seeds),
         }
         let life = self.process(node).life;
         (self.tell)(self.now, &format!("machine {node} starts, life {life}"));
@@ -339,37 +391,117 @@
         if cut || !self.cores.iter().all(|core| core.is_whole(self.now)) {
             self.whole_since = self.now;
         }
+        if self.is_whole_for_long() {
+            self.disk_lost = false;
+        }
+    }
+
+    fn is_whole_for_long(&self) -> bool {
+        self.now >= self.whole_since + SYNC_TIME
+    }
+
+    /// A core machine goes for good, and another one comes.
+    fn replace(&mut self, core: NodeId, planned: bool) {
+        let successor = (0..self.size.cores).find(|spare| self.cores[*spare].process.life == 0);
+        let Some(successor) = successor else { return };
+        if self.disk_lost || !self.cores[core].is_there() || !self.is_whole_for_long() {
+            return;
+        }
+        self.disk_lost = true;
+        if planned {
+            self.succeed(core, successor);
+            self.push(self.now + SUCCESSOR_AFTER, Event::Leave(core));
+        } else {
+            self.push(self.now + SUCCESSOR_AFTER, Event::Succeed { core, successor });
+            self.retire(core);
+        }
+    }
+
+    fn succeed(&mut self, core: NodeId, successor: NodeId) {
+        let zone = self.cores[core].member.zone.clone();
+        self.cores[successor].place(&zone);
+        self.zones[successor] = self.zones[core];
+        self.start(successor);
+        self.whole_since = self.now;
+    }
+
+    fn leave(&mut self, core: NodeId) {
+        if self.cores[core].process.up {
+            self.cores[core].leave();
+        }
+        self.push(self.now + TICK, Event::End { core, until: self.now + GRACE });
+    }
+
+    fn end(&mut self, core: NodeId, until: Micros) {
+        if self.now < until && self.cores[core].process.up && !self.cores[core].has_left(self.now) {
+            return self.push(self.now + TICK, Event::End { core, until });
+        }
+        self.retire(core);
+    }
+
+    fn retire(&mut self, core: NodeId) {
+        (self.tell)(self.now, &format!("core-{core} is gone for good"));
+        self.cores[core].process.stop();
+        self.cores[core].retired = true;
+        self.whole_since = self.now;
+    }
+
+    /// Three stores that run.
+    fn seeds(&mut self) -> Vec<StoreMember> {
+        let running = self.cores.iter().filter(|core| core.process.up);
+        let mut members: Vec<StoreMember> = running.map(|core| core.member.clone()).collect();
+        self.random.shuffle(&mut members);
+        members.truncate(3);
+        members
     }
 
-    fn note_acknowledged(&mut self) {
+    fn note_outcomes(&mut self) -> Result<(), String> {
         for core in 0..self.size.cores {
             if !self.cores[core].process.up || self.cores[core].process.is_frozen(self.now) {
                 continue;
             }
-            for version in self.cores[core].acknowledged(self.now) {
-                (self.tell)(self.now, &format!("core-{core} acknowledges {:x}", version.serial));
-                self.judge.acknowledged(self.now, version);
+            for (read, version) in self.cores[core].answers(self.now) {
+                self.judge.read(read.asked_at, version)?;
+            }
+            for (number, outcome) in self.cores[core].outcomes(self.now) {
+                self.note_outcome(core, number, outcome)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn note_outcome(&mut self, core: NodeId, number: u64, outcome: Proposed) -> Result<(), String> {
+        let Some(order) = self.orders.get(&number).copied() else { return Ok(()) };
+        let lax = self.defect == Some(Defect::OtherContentAcknowledged);
+        match (order, outcome) {
+            (OrderSent::Config(version), Proposed::SerialTaken) if !lax => self.judge.refused(version),
+            (OrderSent::Config(version), Proposed::Durable | Proposed::SerialTaken) => {
+                (self.tell)(self.now, &format!("core-{core} acknowledges {version:?}"));
+                self.judge.acknowledged(self.now, version)?;
                 if let Some((wipe, down)) = self.after_ack.take() {
                     let wiped = wipe.then_some(core);
                     self.lose_cores((0..self.size.cores).collect(), wiped, down);
                 }
+                Ok(())
             }
+            (OrderSent::Drain { zone, drained }, Proposed::Durable) => {
+                (self.tell)(self.now, &format!("core-{core} acknowledges drain {zone} {drained}"));
+                self.judge.drain_acknowledged(zone, drained);
+                Ok(())
+            }
+            _ => Ok(()),
         }
     }
 
     /// Core machines lose power, and one of them its disk where that may be borne now.
     fn lose_cores(&mut self, nodes: Vec<NodeId>, wiped: Option<NodeId>, down: Micros) {
-        let may_wipe = self.may_lose_disks();
         self.lose_power(nodes, down);
-        if let Some(core) = wiped.filter(|_| may_wipe) {
+        if let Some(core) = wiped.filter(|core| !self.disk_lost && self.cores[*core].is_there()) {
+            self.disk_lost = true;
             self.cores[core].wipe();
         }
     }
 
-    fn may_lose_disks(&self) -> bool {
-        self.now >= self.whole_since + SYNC_TIME
-    }
-
     fn lose_power(&mut self, nodes: Vec<NodeId>, down: Micros) {
         for node in nodes {
             if !self.process(node).up {
@@ -410,12 +542,15 @@
             }
             Fault::Clock { node, to } => self.process_mut(node).wall_ahead = to,
             Fault::Join { proxy } => self.start(proxy),
+            Fault::Replace { core, planned } => self.replace(core, planned),
         }
     }
 
     fn wipe_zone(&mut self, zone: usize, down: Micros) {
-        let nodes: Vec<NodeId> = (0..self.size.cores).filter(|core| self.zones[*core] == zone).collect();
-        if self.may_lose_disks() {
+        let there = |core: &NodeId| self.zones[*core] == zone && self.cores[*core].is_there();
+        let nodes: Vec<NodeId> = (0..self.size.cores).filter(there).collect();
+        if self.is_whole_for_long() && !self.disk_lost {
+            self.disk_lost = true;
             self.lose_power(nodes.clone(), down);
             nodes.into_iter().for_each(|core| self.cores[core].wipe());
         }
@@ -425,18 +560,54 @@
         self.serial += self.random.u64(1..4);
         let races = self.random.u32(..RACE_ONCE_IN) == 0;
         for content in 0..=u8::from(races) {
-            let core = self.random.usize(..self.size.cores);
-            let process = self.cores[core].process;
-            if process.up && !process.is_frozen(self.now) {
-                self.cores[core].propose(self.now, document(self.serial, content));
+            self.send_document(document(self.serial, content));
+        }
+        if let Some(again) = self.last_document.clone().filter(|_| self.random.u32(..RESEND_ONCE_IN) == 0) {
+            self.send_document(again);
+        }
+        if self.random.u32(..DRAIN_ONCE_IN) == 0 {
+            let zone = DRAINED_ZONES[self.random.usize(..DRAINED_ZONES.len())];
+            let drained = self.random.bool();
+            self.judge.drain_sent(zone, drained);
+            self.send_order(OrderSent::Drain { zone, drained }, Change::Drain { zone: zone.into(), drained });
+        }
+        if self.random.u32(..READ_ONCE_IN) == 0 {
+            if let Some(core) = self.reachable_core() {
+                let sent = self.cores[core].read(self.now);
+                self.send(sent);
             }
         }
-        let next = self.now + self.random.u64(300 * MILLI..2 * SECOND);
+        let next = self.now + self.random.u64(900 * MILLI..2 * SECOND);
         if next < QUIET {
             self.push(next, Event::Operator);
         }
     }
 
+    /// An operator hands a document to some core machine.
+    fn send_document(&mut self, document: ConfigDocument) {
+        self.judge.sent(document.version);
+        self.last_document = Some(document.clone());
+        self.send_order(OrderSent::Config(document.version), Change::Config(document));
+    }
+
+    fn send_order(&mut self, order: OrderSent, change: Change) {
+        if let Some(core) = self.reachable_core() {
+            let number = UNWATCHED + 1 + self.orders.len() as u64;
+            self.orders.insert(number, order);
+            (self.tell)(self.now, &format!("core-{core} is asked for {order:?}"));
+            let sent = self.cores[core].propose(self.now, number, change);
+            self.send(sent);
+        }
+    }
+
+    /// A core machine that an operator reaches.
+    fn reachable_core(&mut self) -> Option<NodeId> {
+        let there: Vec<NodeId> = (0..self.size.cores).filter(|core| self.cores[*core].is_there()).collect();
+        let core = there[self.random.usize(..there.len())];
+        let process = self.cores[core].process;
+        (process.up && !process.is_frozen(self.now)).then_some(core)
+    }
+
     /// Operators set terms of trials: new ones, an extension, an end at once, or none any more; at times two at once.
     fn set_terms(&mut self) {
         self.terms_version += u64::from(self.random.u32(..RACE_ONCE_IN) > 0);
@@ -444,14 +615,13 @@
         for _ in 0..operators {
             let tenant = TENANTS[self.random.usize(..TENANTS.len())];
             let record = terms(tenant, self.terms_version, self.now, &mut self.random);
-            let core = self.random.usize(..self.size.cores);
-            let process = self.cores[core].process;
-            if process.up && !process.is_frozen(self.now) {
+            if let Some(core) = self.reachable_core() {
                 (self.tell)(
                     self.now,
                     &format!("terms of {tenant} to core-{core}: {}", String::from_utf8_lossy(&record.terms)),
                 );
-                self.cores[core].propose_terms(self.now, record);
+                let sent = self.cores[core].propose_terms(self.now, record);
+                self.send(sent);
             }
         }
         let next = self.now + self.random.u64(SECOND..7 * SECOND);
--- a/crates/control-tool/src/lines.rs
+++ b/crates/control-tool/src/lines.rs
@@ -83,13 +83,16 @@
 
 fn store(state: &StoreStatus) -> String {
     format!(
-        "  zone {}  version {} (on disk {}{})  current {}  stores {}  limits {}{}",
+        "  zone {}  version {} (on disk {}{})  current {}  epoch {}  votes {} of {}{}  limits {}{}",
         state.member.zone,
         version(state.in_force),
         version(state.held),
         if state.durable { ", durable" } else { "" },
         age(state.current_age),
+        state.epoch,
+        state.voters.len(),
         state.members.len(),
+        if state.voters.contains(&state.member.name) { "" } else { ", stands by" },
         state.proxies,
         drained(&state.drained),
     )
--- a/crates/control-tool/tests/tool.rs
+++ b/crates/control-tool/tests/tool.rs
@@ -88,6 +88,8 @@
         drained: Vec::new(),
         proxies: 1,
         current_age: Some(100),
+        epoch: 4,
+        voters: vec!["core-1".into(), "core-2".into()],
     }
 }
 
@@ -224,7 +226,7 @@
         let other = "leaves the list to another";
         assert_eq!(lines[1], format!("registry core-2 {second_registry}  {head}  {other}  {tail}"));
         let store =
-            "zone north-1  version 0000002a (on disk 0000002a, durable)  current 0.1s  stores 2  limits 1";
+            "zone north-1  version 0000002a (on disk 0000002a, durable)  current 0.1s  epoch 4  votes 2 of 2  limits 1";
         assert_eq!(lines[3], format!("store core-2 {second_store}  {store}"));
         let known =
             "zone north-1  version 0000002a  fresh 0.3s  keys hold for 4.2s  part 1/1 for 10.7s  peers 1";
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -130,6 +130,10 @@
     async fn propose(&self, change: Change) -> Answer {
         match self.propose_change(change).await {
             Ok(Proposed::Durable) => json(StatusCode::OK, "{}"),
+            Ok(Proposed::SerialTaken) => error(
+                StatusCode::CONFLICT,
+                "another document holds under this serial: read it, and send a higher one",
+            ),
             Ok(_) => come_again("not durable yet"),
             Err(message) => come_again(&message),
         }
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -278,7 +278,7 @@
     pub(crate) fn have(&self, zone: &str) -> Have {
         let in_force = self.in_force.borrow();
         Have {
-            config: in_force.summary.config,
+            config: in_force.offered(self.now()),
             drains: in_force.summary.drains.clone(),
             workers: self.workers.borrow().catalog().version(),
             workers_seen: self.workers.borrow().seen_version(),
@@ -324,7 +324,7 @@
             directory: other_directory.then(neighbors),
             trials: in_force.trials.since(now, theirs.trials),
             registries: self.registries(now),
-            fresh_age: in_force.freshness.age(now).map(|age| age / 1_000 + 1),
+            fresh_age: in_force.fresh_age(now),
             members: in_force.proxies.len() as u32,
             settled: in_force.proxies.get(name) == Some(&true),
             have,
@@ -334,7 +334,7 @@
     /// Length of the configuration as it would be sent to one who has some version, bytes.
     fn config_bytes(&self, have: Option<ConfigVersion>) -> u64 {
         let mut in_force = self.in_force.borrow_mut();
-        in_force.configs.newest_for(have).map_or(0, |transfer| transfer.packed.len() as u64)
+        in_force.transfer_for(self.now(), have).map_or(0, |transfer| transfer.packed.len() as u64)
     }
 
     fn registries(&self, now: Micros) -> Vec<RegistryAddress> {
@@ -390,7 +390,7 @@
                 }
             }
             RegistryRequest::FetchConfig { have } => {
-                RegistryAnswer::Config(self.in_force.borrow_mut().configs.newest_for(have).cloned())
+                RegistryAnswer::Config(self.in_force.borrow_mut().transfer_for(self.now(), have).cloned())
             }
             RegistryRequest::FetchServices(have) => {
                 RegistryAnswer::Services(self.workers.borrow().catalog().news(self.now(), &have))
--- a/crates/registry/src/trial_calls.rs
+++ b/crates/registry/src/trial_calls.rs
@@ -89,7 +89,7 @@
                 error(StatusCode::CONFLICT, "other terms hold: read them, and send a higher version")
             }
             Ok(Proposed::Full) => error(StatusCode::INSUFFICIENT_STORAGE, "no room for one more trial"),
-            Ok(Proposed::Pending) => come_again("not durable yet"),
+            Ok(Proposed::Pending | Proposed::SerialTaken) => come_again("not durable yet"),
             Err(message) => come_again(&message),
         }
     }
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -3,10 +3,12 @@
 use crate::transfers::Transfers;
 use crate::trials::{TrialLog, NOTICE};
 use hingestage_replication::{Freshness, Micros};
-use hingestage_rpc::messages::{ProxyNames, StoreNews, Summary};
+use hingestage_rpc::messages::{ConfigTransfer, ConfigVersion, Millis, ProxyNames, StoreNews, Summary};
 
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
+/// A registry whose store has not been in touch with a majority for so long hands out no configuration.
+const CONTACT_LEASE: Micros = 3_000 * MILLI;
 
 /// What is in force.
 pub struct InForce {
@@ -53,4 +55,26 @@
         self.summary.config = self.configs.newest().map(|config| config.version);
         drains_changed || config_changed || trials_changed
     }
+
+    /// Whether the store was in touch with a majority within the lease. The lease counts from when the store was asked.
+    pub fn is_in_contact(&self, now: Micros) -> bool {
+        self.freshness.age(now).is_some_and(|age| age < CONTACT_LEASE)
+    }
+
+    /// The configuration that proxies may be told of: none while it may be an old one.
+    pub fn offered(&self, now: Micros) -> Option<ConfigVersion> {
+        self.summary.config.filter(|_| self.is_in_contact(now))
+    }
+
+    /// The same for one who has some version, packed.
+    pub fn transfer_for(&mut self, now: Micros, have: Option<ConfigVersion>) -> Option<&ConfigTransfer> {
+        self.offered(now)?;
+        self.configs.newest_for(have)
+    }
+
+    /// Age of what is offered, milliseconds. Without an offer it would say that nothing is newer than nothing.
+    pub fn fresh_age(&self, now: Micros) -> Option<Millis> {
+        let age = self.freshness.age(now).filter(|_| self.is_in_contact(now));
+        age.map(|age| age / MILLI + 1)
+    }
 }
--- a/crates/registry/tests/http.rs
+++ b/crates/registry/tests/http.rs
@@ -163,7 +163,7 @@
         assert_eq!(core.config().await, sent);
         assert_eq!(core.put(&sent).await, 200, "sent again after the acknowledgement");
         assert_eq!(core.put(&config(6, "older")).await, 200, "an older one is acknowledged");
-        assert_eq!(core.put(&config(7, "other")).await, 200, "and so is another under the same serial");
+        assert_eq!(core.put(&config(7, "other")).await, 409, "another one under the same serial is not");
         assert_eq!(core.config().await, sent, "and neither changes anything");
         assert_eq!(core.put(&newer).await, 200);
         assert_eq!(core.config().await, newer);
@@ -232,7 +232,7 @@
             let name = path.file_name().expect("a name").to_owned();
             let text = std::fs::read_to_string(&path).expect("a file");
             let moved = text.replace(&format!("127.77.{}.", core.network), "127.78.0.");
-            std::fs::write(to.join(name), moved).expect("a file");
+            std::fs::write(to.join(name), with_checksum(moved)).expect("a file");
         }
         lone.start_store(1);
         lone.start_registry(None);
@@ -241,6 +241,16 @@
     });
 }
 
+/// A store's manifest that was changed, with the checksum of what it is now; other files as they are.
+fn with_checksum(text: String) -> String {
+    match text.split_once('\n') {
+        Some((checksum, json)) if checksum.len() == 16 => {
+            format!("{:016x}\n{json}", hingestage_rpc::digest(json.as_bytes()))
+        }
+        _ => text,
+    }
+}
+
 /// A platform whose list is empty.
 async fn platform() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -290,18 +300,21 @@
 #[test]
 fn a_proxy_with_newer_orders_than_the_registry_waits_for_news_like_any_other() {
     run(|core| async move {
-        core.start_store(1);
-        core.start_registry(None);
+        start(&core);
         drop(core.connect(ADMIN_PORT).await);
         let client = Client::new(SocketAddr::from((core.ip(1), FIRST_INNER_PORT)));
         let drain = hingestage_rpc::messages::ZoneDrain { order: 3, drained: true };
         let mut have = Have { drains: [("zone-1".into(), drain)].into(), ..Have::default() };
-        // An order that the registry hears of, though alone its store can't make it durable.
-        assert_eq!(core.call("POST", "/drain/zone-1", "").await.status, 503);
+        // What is not decided is handed to nobody: the registry hears of an order only once it is acknowledged.
+        assert_eq!(core.call_until_clear("POST", "/drain/zone-1", "").await.status, 200);
         let mut theirs = watch(&client, &have, 0).await.have;
-        while theirs.drains.is_empty() {
-            theirs = watch(&client, &have, 0).await.have;
+        for _ in 0..CALLS_MAX {
+            if !theirs.drains.is_empty() {
+                break;
+            }
+            theirs = watch(&client, &Have::default(), 100).await.have;
         }
+        assert!(!theirs.drains.is_empty(), "the registry has heard of the order");
         have.directory = theirs.directory;
         let begun = std::time::Instant::now();
         watch(&client, &have, 200).await;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,14 +1,20 @@
-//! One replica: its state, what it knows of the others, and what follows for acknowledgements and reads.
-
-use crate::quorum::Quorum;
+//! One replica: what it has accepted, what it knows of the others, and the round that it proposes in.
+//!
+//! A register that is changed by compare-and-set under ballots, without a log or a leader (`docs/agreement.md`).
+
+use crate::acceptor::{Acceptor, Disk, Record};
+use crate::peers::Peers;
+use crate::planner::{Plan, Planner};
+use crate::proposer::{askable, voters_of, Base, Phase, Promise, Proposal, Round, Step};
+use crate::quorum::{self, Disks};
 use crate::state::State;
-use crate::trials::{DurableTrials, TrialChanges};
+use crate::trials::DurableTrials;
 use crate::Micros;
-use compact_str::CompactString;
 use hingestage_rpc::messages::{
-    Change, ConfigDocument, StoreMember, StoreNews, Summary, Update, ZoneDrain, ZoneDrains,
+    Ballot, Change, Membership, PeerAnswer, PeerRequest, Proposed, Standing, StoreMember, StoreNews, Summary,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
@@ -18,400 +24,675 @@
 pub struct Figures {
     /// A replica not heard for so long is taken to be away.
     pub away_after: Micros,
-    /// A configuration that is not known to be durable is handed out after so long all the same: it may be in
-    /// force, and what holds it back would hold back all that comes after it.
-    pub hand_out_after: Micros,
+    /// Contact with a majority holds for so long: what rests on it may be said without asking again.
+    pub contact_lease: Micros,
+    /// A proposal that stays undecided for so long is completed by whoever has accepted it.
+    pub complete_after: Micros,
+    /// A round is given up after so long.
+    pub round_within: Micros,
+    /// The same for one that waits only for a zone that may be away.
+    pub zone_within: Micros,
+    /// Pause after a round that was given up, at the most.
+    pub pause_max: Micros,
+    /// Replicas that neither vote nor were heard for so long are forgotten.
+    pub forget_after: Micros,
     /// Replicas known at the most.
-    pub members_max: usize,
-    /// Replicas that there are at the least: a quorum is counted of so many also before all are known.
-    pub members_min: usize,
+    pub peers_max: usize,
+    /// Changes that wait at the most.
+    pub changes_max: usize,
+    /// Which replicas are to vote.
+    pub plan: Plan,
 }
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { away_after: 2_000_000, hand_out_after: 1_500_000, members_max: 64, members_min: 1 }
+        Figures {
+            away_after: 2_000 * MILLI,
+            contact_lease: 2_500 * MILLI,
+            complete_after: 400 * MILLI,
+            round_within: 700 * MILLI,
+            zone_within: 3_000 * MILLI,
+            pause_max: 200 * MILLI,
+            forget_after: 30_000 * MILLI,
+            peers_max: 64,
+            changes_max: 64,
+            plan: Plan { replace_after: 2_000 * MILLI, remove_after: 6_000 * MILLI, voters_min: 1 },
+        }
     }
 }
 
-/// What is known of another replica.
-#[derive(Clone, Debug, Default)]
-struct Peer {
-    /// Its answer to the latest question that it answered.
-    answer: Option<PeerAnswer>,
-    /// Orders that it has named besides. When it held them is not known, so they count for nothing else.
-    drains: ZoneDrains,
+/// A request to another replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// Whom to ask.
+    pub to: StoreMember,
+    /// What.
+    pub request: PeerRequest,
 }
 
-/// What a replica answered.
+/// A change that waits for its round.
 #[derive(Clone, Debug)]
-struct PeerAnswer {
-    /// What it held.
-    summary: Summary,
-    /// When it was asked.
-    asked_at: Micros,
-}
-
-impl Peer {
-    /// Its latest answer, unless it speaks for nobody.
-    fn valid(&self) -> Option<&PeerAnswer> {
-        self.answer.as_ref().filter(|answer| !answer.summary.recovering)
-    }
+struct Waiting {
+    ticket: u64,
+    change: Change,
+    /// Nobody waits for it from then on, and it is not proposed any more.
+    until: Micros,
 }
 
-/// One replica.
+/// One replica. Cloning it forks time.
+#[derive(Clone, Debug)]
 pub struct Replica {
     me: StoreMember,
     figures: Figures,
-    state: State,
-    /// The configuration that gateways may go by.
-    in_force: Option<ConfigDocument>,
-    adopted_at: Micros,
+    /// Addresses of the stores that found the system, where it starts for the first time.
+    founders: Vec<SocketAddr>,
+    acceptor: Acceptor,
+    peers: Peers,
+    /// The latest proposal that is known to be decided, and its state.
+    decided: Base,
     /// Trials that proxies may go by.
     trials: DurableTrials,
-    trial_changes: TrialChanges,
-    members: BTreeMap<CompactString, StoreMember>,
-    peers: BTreeMap<CompactString, Peer>,
-    recovering: bool,
+    /// Since when the accepted proposal has been undecided.
+    undecided_since: Option<Micros>,
+    round: Option<Round>,
+    next_round_at: Micros,
+    /// The highest round heard of.
+    highest_round: u64,
+    waiting: Vec<Waiting>,
+    outcomes: BTreeMap<u64, (Micros, Proposed)>,
+    next_ticket: u64,
+    leaving: bool,
+    /// A decision that is missing here, and who has it.
+    behind: Option<(StoreMember, Ballot)>,
+    /// Whether a round of this replica has decided something that others are to hear of.
+    announces: bool,
+    random: u64,
 }
 
 impl Replica {
-    /// A replica with what its disk held. `recovering` says that the disk was empty though the system has
-    /// started before: what it held is lost, and it speaks for nobody until others have told it.
+    /// A replica with what its disk held. `founders` are the addresses of those that found the system, where its disk
+    /// is as new as the system. `seed` is for pauses.
     pub fn new(
         me: StoreMember,
-        state: State,
-        members: Vec<StoreMember>,
-        recovering: bool,
+        record: Record,
+        founders: Vec<SocketAddr>,
         figures: Figures,
+        seed: u64,
     ) -> Self {
-        let in_force = None;
+        let undecided = record.accepted > Ballot::ZERO;
         let mut replica = Replica {
-            members: BTreeMap::from([(me.name.clone(), me.clone())]),
+            peers: Peers::new(me.clone(), figures.away_after, figures.peers_max),
+            highest_round: record.promised.round,
+            acceptor: Acceptor::new(me.clone(), record),
             me,
             figures,
-            state,
-            in_force,
-            adopted_at: 0,
+            founders,
+            decided: Base { ballot: Ballot::ZERO, state: State::default() },
             trials: DurableTrials::default(),
-            trial_changes: TrialChanges::default(),
-            peers: BTreeMap::new(),
-            recovering,
+            undecided_since: undecided.then_some(0),
+            round: None,
+            next_round_at: 0,
+            waiting: Vec::new(),
+            outcomes: BTreeMap::new(),
+            next_ticket: 1,
+            leaving: false,
+            behind: None,
+            announces: false,
+            random: seed | 1,
         };
-        replica.meet(members);
+        let known: Vec<StoreMember> = voters_of(replica.membership()).cloned().collect();
+        replica.peers.told_of(0, &known);
+        replica.found();
         replica
     }
 
-    /// Takes in which replicas there are. Tells whether any was new.
-    pub fn meet(&mut self, members: Vec<StoreMember>) -> bool {
-        let mut new = false;
-        for member in members {
-            let full = self.members.len() >= self.figures.members_max;
-            let known = self.members.get(&member.name);
-            if member.name == self.me.name || known == Some(&member) || (known.is_none() && full) {
-                continue;
-            }
-            self.members.insert(member.name.clone(), member);
-            new = true;
-        }
-        new
+    /// This replica.
+    pub fn me(&self) -> &StoreMember {
+        &self.me
     }
 
-    /// All replicas, this one among them.
-    pub fn members(&self) -> Vec<StoreMember> {
-        self.members.values().cloned().collect()
+    /// What is on its disk.
+    pub fn record(&self) -> &Record {
+        self.acceptor.record()
     }
 
-    /// What this replica has.
+    /// The state that is known to be decided.
     pub fn state(&self) -> &State {
-        &self.state
+        &self.decided.state
     }
 
-    /// This replica.
-    pub fn me(&self) -> &StoreMember {
-        &self.me
+    /// Which replicas vote, by what is on disk here.
+    pub fn membership(&self) -> &Membership {
+        &self.record().state.membership
     }
 
-    /// What it has, in short.
-    pub fn summary(&self) -> Summary {
-        self.state.summary(self.recovering)
+    /// All replicas that are known, this one among them.
+    pub fn members(&self) -> Vec<StoreMember> {
+        self.peers.members()
+    }
+
+    /// How far it is.
+    pub fn standing(&self) -> Standing {
+        Standing { accepted: self.record().accepted, decided: self.decided.ballot, leaving: self.leaving }
     }
 
-    /// Whether what it held is lost and not made up for.
+    /// Whether it knows of no decision: it speaks for nobody.
     pub fn recovering(&self) -> bool {
-        self.recovering
+        self.decided.ballot == Ballot::ZERO
+    }
+
+    /// What is decided, in short.
+    pub fn summary(&self) -> Summary {
+        Summary { recovering: self.recovering(), ..self.decided.state.summary() }
+    }
+
+    /// Takes in which replicas others tell of. Tells whether any was new.
+    pub fn told_of(&mut self, now: Micros, members: &[StoreMember]) -> bool {
+        self.peers.told_of(now, members)
+    }
+
+    /// What it asks others regularly.
+    pub fn exchange(&self) -> PeerRequest {
+        PeerRequest::Exchange { from: self.me.clone(), standing: self.standing(), known: self.members() }
+    }
+
+    /// The process is to end: another replica takes its vote where one stands by.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether one that is to end has done what it can to hand its vote over.
+    pub fn has_left(&self, now: Micros) -> bool {
+        let settled = self.membership().previous.is_empty();
+        !self.votes() || (settled && self.next_membership(now, &self.decided.state).is_none())
     }
 
-    /// Turns a change into an update with its version. A serial that is held already changes nothing, whatever
-    /// comes under it.
-    pub fn update_for(&self, change: Change) -> Update {
-        match change {
-            Change::Config(new) => {
-                let held = self.state.config.as_ref();
-                let newer = held.filter(|held| held.version.serial >= new.version.serial);
-                Update::Config(newer.cloned().unwrap_or(new))
+    /// Whether it has a vote.
+    pub fn votes(&self) -> bool {
+        voters_of(self.membership()).any(|voter| *voter == self.me)
+    }
+
+    /// Answers another replica.
+    pub fn handle(&mut self, now: Micros, request: PeerRequest, disk: &mut impl Disk) -> PeerAnswer {
+        match request {
+            PeerRequest::Exchange { from, standing, known } => {
+                self.peers.told_of(now, &known);
+                self.peers.told_of(now, std::slice::from_ref(&from));
+                self.told_decision(now, &from, standing.decided);
+                let (from, standing) = (self.me.clone(), self.standing());
+                PeerAnswer::Exchanged { from, standing, known: self.members() }
             }
-            Change::Proxies(names) => Update::Proxies(names),
-            Change::TrialTerms(record) => Update::Trials(vec![self.state.trials.record_for_terms(record)]),
-            Change::TrialSteps(steps) => Update::Trials(self.state.trials.records_for_steps(steps)),
-            Change::Drain { zone, drained } => {
-                let held = self.newest_drain(&zone);
-                let order =
-                    if held.order > 0 && held.drained == drained { held.order } else { held.order + 1 };
-                Update::Drain { zone, drain: ZoneDrain { order, drained } }
+            PeerRequest::Prepare { ballot } => {
+                self.highest_round = self.highest_round.max(ballot.round);
+                self.acceptor.prepare(now, ballot, self.standing(), disk)
             }
+            PeerRequest::Accept { ballot, transfer } => {
+                self.highest_round = self.highest_round.max(ballot.round);
+                let answer = self.acceptor.accept(ballot, transfer, disk);
+                self.note_accepted(now);
+                answer
+            }
+            PeerRequest::Fetch { ballot, have } => self.hand_over(ballot, &have),
         }
     }
 
-    /// The newest order about a zone that any replica is known to have.
-    fn newest_drain(&self, zone: &CompactString) -> ZoneDrain {
-        let own = self.state.drains.get(zone).into_iter();
-        let answers = self.peers.values().filter_map(|peer| peer.answer.as_ref());
-        let answered = answers.filter_map(|answer| answer.summary.drains.get(zone));
-        let named = self.peers.values().filter_map(|peer| peer.drains.get(zone));
-        own.chain(answered).chain(named).max().copied().unwrap_or_default()
+    fn hand_over(&self, ballot: Ballot, have: &Summary) -> PeerAnswer {
+        let record = self.record();
+        let (ballot, state) = if record.accepted == ballot {
+            (ballot, &record.state)
+        } else if self.decided.ballot >= ballot {
+            (self.decided.ballot, &self.decided.state)
+        } else {
+            return PeerAnswer::Failed;
+        };
+        let decided = ballot <= self.decided.ballot;
+        PeerAnswer::Fetched { ballot, decided, transfer: state.transfer(have) }
+    }
+
+    fn note_accepted(&mut self, now: Micros) {
+        let undecided = self.record().accepted > self.decided.ballot;
+        self.undecided_since = undecided.then(|| self.undecided_since.unwrap_or(now));
+    }
+
+    /// Takes in what another replica answered to what it was asked at `asked_at`.
+    pub fn answered(
+        &mut self,
+        now: Micros,
+        asked_at: Micros,
+        answer: PeerAnswer,
+        disk: &mut impl Disk,
+    ) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        match answer {
+            PeerAnswer::Exchanged { from, standing, known } => {
+                self.peers.told_of(now, &known);
+                self.heard(now, asked_at, &from, standing);
+            }
+            PeerAnswer::Promised { from, ballot, standing } => self.promised(ballot, from, standing),
+            PeerAnswer::Accepted { from, ballot } => self.accepted(now, ballot, &from),
+            PeerAnswer::Lacks { from, ballot, have } => outgoing.extend(self.complete(ballot, from, &have)),
+            PeerAnswer::Refused { from, ballot, promised } => self.refused(now, ballot, &from, promised),
+            PeerAnswer::Fetched { ballot, decided, transfer } => {
+                if let Some(state) = self.record().state.with(transfer) {
+                    self.fetched(now, ballot, decided, state, disk);
+                }
+            }
+            PeerAnswer::Failed => {}
+        }
+        outgoing.extend(self.poll(now, disk));
+        outgoing
+    }
+
+    fn heard(&mut self, now: Micros, asked_at: Micros, from: &StoreMember, standing: Standing) {
+        self.peers.heard(asked_at, from, standing);
+        self.highest_round = self.highest_round.max(standing.accepted.round);
+        self.found();
+        self.peers.watch_contact(now, &self.acceptor.record().state.membership);
+        self.told_decision(now, from, standing.decided);
+        let accepted = self.record().accepted;
+        if accepted > self.decided.ballot && self.is_decided(now) {
+            self.decide(now, accepted, self.record().state.clone());
+        }
+    }
+
+    /// Another replica knows that a proposal is decided.
+    fn told_decision(&mut self, now: Micros, from: &StoreMember, decided: Ballot) {
+        let accepted = self.record().accepted;
+        if decided > accepted {
+            self.behind = Some((from.clone(), decided));
+        } else if decided == accepted && accepted > self.decided.ballot {
+            self.decide(now, accepted, self.record().state.clone());
+        }
+    }
+
+    /// Asks for the decision that is missing here.
+    fn catch_up(&mut self) -> Option<Outgoing> {
+        let (to, ballot) = self.behind.take()?;
+        let have = self.record().state.summary();
+        (ballot > self.record().accepted)
+            .then_some(Outgoing { to, request: PeerRequest::Fetch { ballot, have } })
+    }
+
+    /// Whether enough replicas say that they have accepted the same proposal.
+    fn is_decided(&self, now: Micros) -> bool {
+        let mut holders = self.peers.holders(self.record().accepted);
+        holders.insert(self.me.disk);
+        quorum::accepts(self.membership(), &holders, &self.silent(now))
     }
 
-    /// Whether an update changes anything here. A caller writes it to disk before [`Replica::adopt`].
-    pub fn is_news(&self, update: &Update) -> bool {
-        self.state.is_news(update)
+    fn silent(&self, now: Micros) -> Disks {
+        let voters: Vec<StoreMember> = voters_of(self.membership()).cloned().collect();
+        self.peers.silent(now, &voters, self.figures.away_after)
     }
 
-    /// Takes in an update that is on disk.
-    pub fn adopt(&mut self, now: Micros, update: Update) {
-        if matches!(update, Update::Config(_)) && self.state.is_news(&update) {
-            self.adopted_at = now;
+    /// Founders begin with themselves as voters, once each of them is known.
+    fn found(&mut self) {
+        let record = self.record();
+        if self.founders.is_empty() || record.accepted > Ballot::ZERO || !self.membership().voters.is_empty()
+        {
+            return;
         }
-        if let Update::Trials(records) = &update {
-            self.trial_changes.note(self.state.trials.version(), self.state.trials.news_of(records));
+        let at = |addr: &SocketAddr| match self.me.addr == *addr {
+            true => Some(self.me.clone()),
+            false => self.peers.at(*addr).filter(|peer| peer.heard.is_some()).map(|peer| peer.member.clone()),
+        };
+        let Some(mut voters) = self.founders.iter().map(at).collect::<Option<Vec<StoreMember>>>() else {
+            return;
+        };
+        voters.sort();
+        voters.dedup();
+        if voters.contains(&self.me) {
+            let membership = Membership { epoch: 0, voters, previous: Vec::new() };
+            self.acceptor.found(State { membership, ..State::default() });
         }
-        self.state.apply(update);
-        self.refresh(now);
     }
 
-    /// Takes in what another replica answered when it was asked at `asked_at`. An answer to an older question than
-    /// the latest one that was answered replaces nothing.
-    pub fn heard(&mut self, now: Micros, from: &CompactString, asked_at: Micros, summary: Summary) {
-        if *from == self.me.name {
+    fn decide(&mut self, now: Micros, ballot: Ballot, state: State) {
+        if ballot <= self.decided.ballot {
             return;
         }
-        let peer = self.peers.entry(from.clone()).or_default();
-        if peer.answer.as_ref().is_some_and(|answer| asked_at < answer.asked_at) {
-            return;
+        if state.trials.version() != self.trials.version() {
+            self.trials.take(now, &state.trials);
         }
-        peer.answer = Some(PeerAnswer { summary, asked_at });
-        self.rebuild(now);
-        self.refresh(now);
+        self.decided = Base { ballot, state };
+        self.undecided_since = None;
+        self.note_accepted(now);
     }
 
-    /// Takes in what another replica said unasked, at a moment that is not known.
-    pub fn told(&mut self, from: &CompactString, summary: Summary) {
-        if *from != self.me.name {
-            self.peers.entry(from.clone()).or_default().drains = summary.drains;
+    fn promised(&mut self, ballot: Ballot, member: StoreMember, standing: Standing) {
+        if let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) {
+            round.promises.insert(member.disk, Promise { member, standing });
         }
     }
 
-    /// What another replica lacks, as far as is known.
-    pub fn missing_at(&self, name: &CompactString) -> Vec<Update> {
-        let Some(answer) = self.peers.get(name).and_then(|peer| peer.answer.as_ref()) else {
-            return Vec::new();
-        };
-        let mut missing = self.state.missing(&answer.summary);
-        let changes = self.trial_changes.since(answer.summary.trials);
-        for update in &mut missing {
-            if let (Update::Trials(records), Some(changes)) = (update, &changes) {
-                records.clone_from(changes);
-            }
+    fn accepted(&mut self, now: Micros, ballot: Ballot, from: &StoreMember) {
+        let silent = self.silent(now);
+        let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        let Phase::Accepting(proposal) = &mut round.phase else { return };
+        proposal.accepted.insert(from.disk);
+        if quorum::accepts(&proposal.state.membership, &proposal.accepted, &silent) {
+            let state = proposal.state.clone();
+            let outcomes = std::mem::take(&mut proposal.outcomes);
+            self.round = None;
+            self.announces = true;
+            self.decide(now, ballot, state);
+            self.resolve(now, outcomes);
         }
-        missing
     }
 
-    /// A recovering replica speaks again once it has what enough others have. Where its whole zone has lost its disks
-    /// there may not be enough: then it takes all replicas of other zones, as a durable change has a copy outside.
-    /// The others are asked only when nobody can count the copies any more that were lost with the disk: see
-    /// [`Replica::holds`].
-    fn rebuild(&mut self, now: Micros) {
-        let known = self.members.len() >= self.figures.members_min;
-        if !self.recovering || !known {
-            return;
+    /// Whether others are to hear at once of what was decided; told once.
+    pub fn take_announcement(&mut self) -> bool {
+        std::mem::take(&mut self.announces)
+    }
+
+    fn resolve(&mut self, now: Micros, outcomes: Vec<(u64, Proposed)>) {
+        for (ticket, outcome) in outcomes {
+            self.waiting.retain(|waiting| waiting.ticket != ticket);
+            self.outcomes.insert(ticket, (now, outcome));
+        }
+    }
+
+    fn complete(&self, ballot: Ballot, to: StoreMember, have: &Summary) -> Option<Outgoing> {
+        let round = self.round.as_ref().filter(|round| round.ballot == ballot)?;
+        let Phase::Accepting(proposal) = &round.phase else { return None };
+        let request = PeerRequest::Accept { ballot, transfer: proposal.state.transfer(have) };
+        Some(Outgoing { to, request })
+    }
+
+    fn refused(&mut self, now: Micros, ballot: Ballot, from: &StoreMember, promised: Ballot) {
+        self.highest_round = self.highest_round.max(promised.round);
+        let silent = self.silent(now);
+        let voters: Vec<StoreMember> = voters_of(self.membership()).cloned().collect();
+        let lost = quorum::lost(&voters, self.peers.speakers());
+        let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        round.refused.insert(from.disk);
+        if round.is_hopeless(&self.acceptor.record().state.membership, &lost, &silent) {
+            self.give_up(now);
+        }
+    }
+
+    fn fetched(&mut self, now: Micros, ballot: Ballot, decided: bool, state: State, disk: &mut impl Disk) {
+        if decided && self.acceptor.learn(ballot, state.clone(), disk) {
+            self.decide(now, ballot, state);
+        } else if let Some(round) = &mut self.round {
+            round.fetched = Some(Base { ballot, state });
         }
-        let enough = self.peers.keys().filter(|name| self.is_made_up_for(now, name)).count();
-        if enough >= self.quorum().rebuild() || (self.zone_is_lost(now) && self.has_all_outside(now)) {
-            self.recovering = false;
+    }
+
+    /// Ends a round without a decision. The next one begins after a pause by chance, so that one of several goes first.
+    fn give_up(&mut self, now: Micros) {
+        if let Some(round) = self.round.take() {
+            self.acceptor.release(round.ballot);
         }
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.next_round_at = now + 20 * MILLI + self.random % self.figures.pause_max;
     }
 
-    /// Whether all replicas of this zone say that they lost their disks as well.
-    fn zone_is_lost(&self, now: Micros) -> bool {
-        let others =
-            self.members.values().filter(|member| member.zone == self.me.zone && member.name != self.me.name);
-        others.map(|member| self.peers.get(&member.name)).all(|peer| {
-            let answer = peer.and_then(|peer| peer.answer.as_ref());
-            answer.is_some_and(|answer| answer.summary.recovering && self.is_recent(now, answer))
-        })
+    /// Asks for a change on behalf of a caller who waits until a moment. None where too many wait.
+    pub fn propose(&mut self, now: Micros, change: Change, until: Micros) -> Option<u64> {
+        if self.waiting.len() >= self.figures.changes_max {
+            return None;
+        }
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        match self.holds_for_good(now, &change) {
+            Some(outcome) => self.resolve(now, vec![(ticket, outcome)]),
+            None => self.waiting.push(Waiting { ticket, change, until }),
+        }
+        Some(ticket)
     }
 
-    /// Whether this replica has what all replicas of other zones have.
-    fn has_all_outside(&self, now: Micros) -> bool {
-        let mut outside = self.members.values().filter(|member| member.zone != self.me.zone).peekable();
-        outside.peek().is_some() && outside.all(|member| self.is_made_up_for(now, &member.name))
+    /// What becomes of a change that the decided state answers once and for all. It is said only in contact with a majority.
+    fn holds_for_good(&self, now: Micros, change: &Change) -> Option<Proposed> {
+        let lasts = matches!(change, Change::Config(_) | Change::Proxies(_) | Change::TrialSteps(_));
+        if !lasts || !self.is_in_contact(now) {
+            return None;
+        }
+        let mut state = self.decided.state.clone();
+        let outcome = state.apply(change);
+        (state == self.decided.state).then_some(outcome)
     }
 
-    /// Whether this replica has what another one was asked for lately, and long enough after this one's start.
-    fn is_made_up_for(&self, now: Micros, name: &CompactString) -> bool {
-        let answer = self.peers.get(name).and_then(Peer::valid);
-        answer.is_some_and(|answer| {
-            let trials = answer.summary.trials == self.state.trials.version();
-            trials && self.is_recent(now, answer) && covers(&self.state, &answer.summary)
-        })
+    /// What became of a change; told once.
+    pub fn outcome(&mut self, ticket: u64) -> Option<Proposed> {
+        self.outcomes.remove(&ticket).map(|(_, outcome)| outcome)
     }
 
-    /// Whether a question was asked lately, and long enough after this replica's start.
-    fn is_recent(&self, now: Micros, answer: &PeerAnswer) -> bool {
-        answer.asked_at >= self.figures.away_after && now < answer.asked_at + self.figures.away_after
+    /// Nobody waits for a change any more.
+    pub fn withdraw(&mut self, ticket: u64) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.outcomes.remove(&ticket);
     }
 
-    fn quorum(&self) -> Quorum {
-        Quorum::of(self.members.len().max(self.figures.members_min))
+    /// Whether a round is under way or waited for: time matters.
+    pub fn is_busy(&self) -> bool {
+        let waits = self.round.is_some() || !self.waiting.is_empty();
+        waits || self.undecided_since.is_some() || self.behind.is_some()
     }
 
-    /// Whether an update, or something newer in its place, is durable.
-    ///
-    /// An order that a contrary one has overtaken is not: it has no effect, and its caller has to ask again.
-    pub fn is_durable(&self, now: Micros, update: &Update) -> bool {
-        if self.is_overtaken(update) {
-            return false;
+    /// Does what is due as time passes.
+    pub fn poll(&mut self, now: Micros, disk: &mut impl Disk) -> Vec<Outgoing> {
+        self.waiting.retain(|waiting| now < waiting.until);
+        let keep = self.figures.forget_after;
+        self.outcomes.retain(|_, (at, _)| now < *at + keep);
+        self.peers.watch_contact(now, &self.acceptor.record().state.membership);
+        self.peers.forget(now, &self.acceptor.record().state.membership, keep);
+        if self.round.as_ref().is_some_and(|round| self.is_late(now, round)) {
+            self.give_up(now);
         }
-        let holders: Vec<&StoreMember> =
-            self.members.values().filter(|member| self.holds(now, &member.name, update)).collect();
-        let zones: BTreeSet<&CompactString> = holders.iter().map(|member| &member.zone).collect();
-        // A second zone counts only while one of its replicas lives: a loss that has happened is used up.
-        let present: BTreeSet<&CompactString> = self
-            .members
-            .values()
-            .filter(|member| self.is_present(now, &member.name))
-            .map(|member| &member.zone)
-            .collect();
-        let spread = zones.len() > 1 || present.len() < 2;
-        holders.len() >= self.quorum().durable() && spread
-    }
-
-    fn is_overtaken(&self, update: &Update) -> bool {
-        let Update::Drain { zone, drain } = update else { return false };
-        let newest = self.newest_drain(zone);
-        newest > *drain && newest.drained != drain.drained
-    }
-
-    /// Whether a replica lives, as far as is known; right after a start all do.
-    fn is_present(&self, now: Micros, name: &CompactString) -> bool {
-        let answer = self.peers.get(name).and_then(|peer| peer.answer.as_ref());
-        let asked_at = answer.map_or(0, |answer| answer.asked_at);
-        *name == self.me.name || now < asked_at + self.figures.away_after
-    }
-
-    /// Whether a replica has an update on its disk. What it said long ago does not count: its disk may have been
-    /// lost since, and it may have been rebuilt from others that had not got the update yet.
-    fn holds(&self, now: Micros, name: &CompactString, update: &Update) -> bool {
-        if *name == self.me.name {
-            return !self.recovering && !self.state.is_news(update);
+        let mut outgoing: Vec<Outgoing> = self.catch_up().into_iter().collect();
+        if self.round.is_none() && now >= self.next_round_at && self.wants_round(now) {
+            outgoing.extend(self.begin(now, disk));
+        } else {
+            outgoing.extend(self.go_on(now, disk));
         }
-        let answer = self.peers.get(name).and_then(Peer::valid);
-        answer.is_some_and(|answer| {
-            now < answer.asked_at + self.figures.away_after
-                && summary_covers(&answer.summary, &self.state, update)
-        })
+        outgoing
     }
 
-    /// The configuration that gateways may go by.
-    pub fn in_force(&self) -> Option<&ConfigDocument> {
-        self.in_force.as_ref()
+    fn is_late(&self, now: Micros, round: &Round) -> bool {
+        let waits_for_zone = match &round.phase {
+            Phase::Preparing => false,
+            Phase::Accepting(proposal) => {
+                quorum::has_majority(&proposal.state.membership.voters, &proposal.accepted)
+            }
+        };
+        let within = if waits_for_zone { self.figures.zone_within } else { self.figures.round_within };
+        now >= round.started_at + within
     }
 
-    /// Brings what is in force up to date; called as time passes as well.
-    pub fn refresh(&mut self, now: Micros) {
-        self.refresh_trials(now);
-        let Some(newest) = self.state.config.clone() else { return };
-        if self.in_force.as_ref().is_some_and(|held| held.version >= newest.version) {
-            return;
+    fn wants_round(&self, now: Micros) -> bool {
+        if self.membership().voters.is_empty() {
+            return false;
         }
-        let waited = now >= self.adopted_at + self.figures.hand_out_after;
-        if waited || self.is_durable(now, &Update::Config(newest.clone())) {
-            self.in_force = Some(newest);
+        let undecided = self.undecided_since.is_some_and(|since| now >= since + self.figures.complete_after);
+        let begins = self.record().accepted == Ballot::ZERO;
+        let mine = self.is_first(now);
+        !self.waiting.is_empty()
+            || (undecided && self.votes())
+            || (mine && (begins || !self.membership().previous.is_empty()))
+            || ((mine || self.leaving) && self.next_membership(now, &self.decided.state).is_some())
+    }
+
+    /// Whether this is the first of the voters that are present: it sees to the membership.
+    fn is_first(&self, now: Micros) -> bool {
+        let mut present = self.membership().voters.iter().filter(|voter| self.peers.is_present(now, voter));
+        present.next() == Some(&self.me)
+    }
+
+    fn next_membership(&self, now: Micros, state: &State) -> Option<Membership> {
+        let (plan, me, standing) = (self.figures.plan, &self.me, self.standing());
+        Planner { plan, now, me, standing, peers: &self.peers }.next(&state.membership)
+    }
+
+    fn others_of(&self, membership: &Membership) -> Vec<StoreMember> {
+        let voters = askable(membership).into_iter();
+        voters.filter(|voter| voter.addr != self.me.addr).collect()
+    }
+
+    fn begin(&mut self, now: Micros, disk: &mut impl Disk) -> Vec<Outgoing> {
+        let ballot = Ballot { round: self.highest_round + 1, proposer: self.me.disk };
+        self.highest_round = ballot.round;
+        let standing = self.standing();
+        // The ballot is on disk before anybody hears of it, so that none is used twice.
+        let PeerAnswer::Promised { from, .. } = self.acceptor.prepare(now, ballot, standing, disk) else {
+            self.give_up(now);
+            return Vec::new();
+        };
+        let mut round = Round::new(ballot, now);
+        round.asked = self.others_of(self.membership());
+        let outgoing = ask(&round.asked, ballot);
+        round.asked.push(self.me.clone());
+        self.round = Some(round);
+        self.promised(ballot, from, standing);
+        outgoing.into_iter().chain(self.go_on(now, disk)).collect()
+    }
+
+    fn go_on(&mut self, now: Micros, disk: &mut impl Disk) -> Vec<Outgoing> {
+        let mine = Base { ballot: self.record().accepted, state: self.record().state.clone() };
+        let peers = &self.peers;
+        let lost = |voters: &[StoreMember]| quorum::lost(voters, peers.speakers());
+        let Some(round) = self.round.as_mut().filter(|round| matches!(round.phase, Phase::Preparing)) else {
+            return self.look_again(now);
+        };
+        match round.step(&mine, lost) {
+            Step::Wait => Vec::new(),
+            Step::Ask(members) => ask(&members, round.ballot),
+            Step::Fetch(to, ballot) => {
+                let request = PeerRequest::Fetch { ballot, have: mine.state.summary() };
+                vec![Outgoing { to, request }]
+            }
+            Step::Build(base) => self.build(now, base, disk),
         }
     }
 
-    /// Trials are durable as a whole: replicas tell each other one digest of all.
-    fn refresh_trials(&mut self, now: Micros) {
-        let all = Update::Trials(Vec::new());
-        if self.trials.version() != self.state.trials.version() && self.is_durable(now, &all) {
-            self.trials.take(now, &self.state.trials);
+    /// A proposal may be decided by what time has shown: a zone is away.
+    fn look_again(&mut self, now: Micros) -> Vec<Outgoing> {
+        if let Some(ballot) = self.round.as_ref().map(|round| round.ballot) {
+            if self.record().accepted == ballot {
+                let me = self.me.clone();
+                self.accepted(now, ballot, &me);
+            }
+        }
+        Vec::new()
+    }
+
+    /// Proposes the state that follows: what was promised, and all that waits.
+    fn build(&mut self, now: Micros, base: Base, disk: &mut impl Disk) -> Vec<Outgoing> {
+        let Some(round) = &mut self.round else { return Vec::new() };
+        let told = round.promises.values().any(|promise| promise.standing.decided >= base.ballot);
+        let decided = told || base.ballot <= self.decided.ballot;
+        let ballot = round.ballot;
+        let mut state = base.state.clone();
+        let outcomes: Vec<(u64, Proposed)> =
+            self.waiting.iter().map(|waiting| (waiting.ticket, state.apply(&waiting.change))).collect();
+        if decided && !state.membership.previous.is_empty() {
+            state.membership.previous = Vec::new();
+        } else if let Some(next) = self.next_membership(now, &state) {
+            state.membership = next;
         }
+        if decided && state == base.state && base.ballot > Ballot::ZERO {
+            self.round = None;
+            if base.ballot > self.record().accepted {
+                self.acceptor.learn(base.ballot, base.state.clone(), disk);
+            }
+            self.decide(now, base.ballot, base.state);
+            self.resolve(now, outcomes);
+            return Vec::new();
+        }
+        self.offer(now, ballot, base, state, outcomes, disk)
+    }
+
+    fn offer(
+        &mut self,
+        now: Micros,
+        ballot: Ballot,
+        base: Base,
+        state: State,
+        outcomes: Vec<(u64, Proposed)>,
+        disk: &mut impl Disk,
+    ) -> Vec<Outgoing> {
+        let own = self.acceptor.accept(ballot, state.transfer_from(&self.record().state), disk);
+        self.note_accepted(now);
+        let outgoing = self.others_of(&state.membership).into_iter().map(|to| {
+            let known = self.peers.get(&to.name).and_then(|peer| peer.heard);
+            // Whoever has something else says what it lacks.
+            let has_base = known.is_some_and(|heard| heard.standing.accepted == base.ballot);
+            let transfer = match has_base {
+                true => state.transfer_from(&base.state),
+                false => state.transfer(&Summary::default()),
+            };
+            let request = PeerRequest::Accept { ballot, transfer };
+            Outgoing { to, request }
+        });
+        let outgoing = outgoing.collect();
+        if let Some(round) = &mut self.round {
+            round.refused.clear();
+            round.phase = Phase::Accepting(Proposal { state, accepted: Disks::new(), outcomes });
+        }
+        if let PeerAnswer::Accepted { from, .. } = own {
+            self.accepted(now, ballot, &from);
+        }
+        outgoing
     }
 
-    /// The latest moment at which nothing newer than what is in force here can have been acknowledged.
+    /// Whether a majority has been heard within the lease.
+    pub fn is_in_contact(&self, now: Micros) -> bool {
+        let as_of = self.current_as_of(now);
+        as_of.is_some_and(|moment| now < moment + self.figures.contact_lease)
+    }
+
+    /// The latest moment at which nothing newer than what is decided here can have been decided anywhere.
+    ///
+    /// Invariant *contact*: a majority of the voters was asked since, and none of it had accepted anything newer.
     pub fn current_as_of(&self, now: Micros) -> Option<Micros> {
-        if self.recovering {
+        if self.recovering() {
             return None;
         }
-        let in_force = self.in_force.as_ref().map(|config| config.version);
-        let names = self.state.names_version();
-        // Other names, even as many, may be names that are missing here.
-        let says_so = |answer: &&PeerAnswer| {
-            answer.summary.config <= in_force
-                && covers_drains(&self.state, &answer.summary)
-                && answer.summary.proxies == names
-                && answer.summary.trials == self.trials.version()
+        let membership = &self.decided.state.membership;
+        let of_previous = if membership.previous.is_empty() {
+            Some(now)
+        } else {
+            self.heard_since(now, &membership.previous)
         };
-        let answers = self.peers.values().filter_map(Peer::valid).filter(says_so);
-        let mut times: Vec<Micros> = answers.map(|answer| answer.asked_at).collect();
-        let all_trials_durable = self.state.trials.version() == self.trials.version();
-        if all_trials_durable && self.state.config.as_ref().map(|config| config.version) <= in_force {
-            times.push(now);
-        }
+        Some(self.heard_since(now, &membership.voters)?.min(of_previous?))
+    }
+
+    fn heard_since(&self, now: Micros, voters: &[StoreMember]) -> Option<Micros> {
+        let mut times: Vec<Micros> = voters.iter().filter_map(|voter| self.agreed_at(now, voter)).collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
-        times.get(self.quorum().current() - 1).copied()
+        times.get(quorum::majority(voters.len()) - 1).copied()
+    }
+
+    /// When a voter was asked that had accepted nothing newer than what is decided here.
+    fn agreed_at(&self, now: Micros, voter: &StoreMember) -> Option<Micros> {
+        if *voter == self.me {
+            return (self.record().accepted <= self.decided.ballot).then_some(now);
+        }
+        let heard = self.peers.get(&voter.name).filter(|peer| peer.member == *voter)?.heard?;
+        (heard.standing.accepted <= self.decided.ballot).then_some(heard.asked_at)
+    }
+
+    /// Whether so many replicas have been asked since a moment that nothing decided can be missing here.
+    pub fn is_current_since(&self, now: Micros, since: Micros) -> bool {
+        self.current_as_of(now).is_some_and(|moment| moment >= since)
     }
 
     /// What is in force, to be told to a registry that has some of it.
     pub fn news(&mut self, now: Micros, have: &Summary) -> StoreNews {
-        self.refresh(now);
-        let mut summary = self.summary();
-        summary.config = self.in_force.as_ref().map(|config| config.version);
-        let config = self.in_force.as_ref().filter(|config| Some(config.version) > have.config).cloned();
-        let proxies = (summary.proxies != have.proxies).then(|| self.state.proxies.clone());
-        summary.trials = self.trials.version();
+        let state = &self.decided.state;
+        let summary = self.summary();
+        let newer = state.config.as_ref().filter(|config| Some(config.version) != have.config);
+        let config = newer.map(|config| config.as_ref().clone());
+        let proxies = (summary.proxies != have.proxies).then(|| state.proxies.as_ref().clone());
         let trials = (summary.trials != have.trials).then(|| self.trials.news(now));
         let fresh_age = self.current_as_of(now).map(|at| now.saturating_sub(at) / MILLI + 1);
         StoreNews { summary, config, proxies, trials, fresh_age }
     }
-
-    /// Whether so many replicas have been asked since a moment that nothing durable can be missing here.
-    pub fn is_current_since(&self, now: Micros, since: Micros) -> bool {
-        if self.recovering {
-            return false;
-        }
-        let says_so = |answer: &&PeerAnswer| answer.asked_at >= since && covers(&self.state, &answer.summary);
-        let others = self.peers.values().filter_map(Peer::valid).filter(says_so).count();
-        now >= since && others + 1 >= self.quorum().current()
-    }
-}
-
-/// Whether a state has all that a summary names.
-fn covers(state: &State, summary: &Summary) -> bool {
-    summary.config <= state.config.as_ref().map(|config| config.version)
-        && covers_drains(state, summary)
-        && summary.proxies.0 <= state.proxies.len() as u64
 }
 
-fn covers_drains(state: &State, summary: &Summary) -> bool {
-    summary.drains.iter().all(|(zone, drain)| state.drains.get(zone).is_some_and(|held| held >= drain))
-}
-
-/// Whether a replica with this summary has an update, or something newer in its place.
-fn summary_covers(summary: &Summary, state: &State, update: &Update) -> bool {
-    match update {
-        Update::Config(config) => summary.config >= Some(config.version),
-        Update::Drain { zone, drain } => summary.drains.get(zone) >= Some(drain),
-        Update::Proxies(_) => summary.proxies == state.names_version(),
-        Update::Trials(_) => summary.trials == state.trials.version(),
-    }
+fn ask(members: &[StoreMember], ballot: Ballot) -> Vec<Outgoing> {
+    let ask = |to: &StoreMember| Outgoing { to: to.clone(), request: PeerRequest::Prepare { ballot } };
+    members.iter().map(ask).collect()
 }
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -1,96 +1,157 @@
-//! What a replica keeps, and the rule by which of two versions one holds.
+//! What a store keeps, and how a change turns one state into the next.
 
 use crate::trials::TrialSet;
+use compact_str::CompactString;
 use hingestage_rpc::digest;
-use hingestage_rpc::messages::{ConfigDocument, ProxyNames, Summary, Update, ZoneDrains};
+use hingestage_rpc::messages::{
+    Change, ConfigDocument, Membership, Part, Proposed, ProxyNames, Summary, Transfer, ZoneDrain, ZoneDrains,
+};
 use hingestage_rpc::trials::TrialRecord;
+use std::rc::Rc;
 
-/// What a replica keeps.
+/// What a store keeps. Parts that are long are shared between states.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct State {
     /// The newest configuration.
-    pub config: Option<ConfigDocument>,
+    pub config: Option<Rc<ConfigDocument>>,
     /// The newest order about each zone.
     pub drains: ZoneDrains,
     /// Proxies that take part in common limits; names are only added.
-    pub proxies: ProxyNames,
+    pub proxies: Rc<ProxyNames>,
     /// The newest trial of each tenant.
-    pub trials: TrialSet,
+    pub trials: Rc<TrialSet>,
+    /// Which stores vote.
+    pub membership: Membership,
 }
 
 impl State {
-    /// What it holds, in short.
-    pub fn summary(&self, recovering: bool) -> Summary {
+    /// What it comes to, in short.
+    pub fn summary(&self) -> Summary {
         Summary {
             config: self.config.as_ref().map(|config| config.version),
             drains: self.drains.clone(),
             proxies: self.names_version(),
             trials: self.trials.version(),
-            recovering,
+            recovering: false,
         }
     }
 
-    /// Whether an update changes anything. Of two configurations the one with the higher serial holds, of two
-    /// under one serial the one with the higher digest: every replica says the same.
-    pub fn is_news(&self, update: &Update) -> bool {
-        match update {
-            Update::Config(config) => self.config.as_ref().is_none_or(|held| config.version > held.version),
-            Update::Drain { zone, drain } => self.drains.get(zone).is_none_or(|held| drain > held),
-            Update::Proxies(names) => {
-                names.iter().any(|(name, settled)| self.proxies.get(name) < Some(settled))
-            }
-            Update::Trials(records) => records.iter().any(|record| self.trials.is_news(record)),
-        }
+    /// Number and digest of the names of proxies.
+    pub fn names_version(&self) -> (u64, u64) {
+        (self.proxies.len() as u64, names_digest(&self.proxies))
     }
 
-    /// Takes an update in, where it is news.
-    pub fn apply(&mut self, update: Update) {
-        if !self.is_news(&update) {
-            return;
+    /// This state for one who has what a summary says.
+    pub fn transfer(&self, have: &Summary) -> Transfer {
+        let target = self.summary();
+        let mut parts = Vec::new();
+        if let Some(config) = self.config.as_ref().filter(|_| have.config != target.config) {
+            parts.push(Part::Config(ConfigDocument::clone(config)));
+        }
+        if have.proxies != target.proxies {
+            parts.push(Part::Proxies(ProxyNames::clone(&self.proxies)));
         }
-        match update {
-            Update::Config(config) => self.config = Some(config),
-            Update::Drain { zone, drain } => drop(self.drains.insert(zone, drain)),
-            Update::Proxies(names) => self.add_proxies(names),
-            Update::Trials(records) => self.add_trials(records),
+        if have.trials != target.trials {
+            parts.push(Part::Trials(self.trials.records().cloned().collect()));
         }
+        Transfer { target, membership: self.membership.clone(), parts }
     }
 
-    fn add_trials(&mut self, records: Vec<TrialRecord>) {
-        for record in records {
-            self.trials.apply(record);
+    /// This state for one who is known to have another one.
+    pub fn transfer_from(&self, base: &State) -> Transfer {
+        let mut transfer = self.transfer(&base.summary());
+        for part in &mut transfer.parts {
+            if let Part::Trials(records) = part {
+                *part = Part::TrialChanges(base.trials.news_of(records));
+            }
         }
+        transfer
     }
 
-    fn add_proxies(&mut self, names: ProxyNames) {
-        for (name, settled) in names {
-            *self.proxies.entry(name).or_default() |= settled;
+    /// The state that a transfer makes of this one; none where parts are missing or are not what they should be.
+    pub fn with(&self, transfer: Transfer) -> Option<State> {
+        let mut state =
+            State { drains: transfer.target.drains.clone(), membership: transfer.membership, ..self.clone() };
+        for part in transfer.parts {
+            match part {
+                Part::Config(config) if digest(&config.json) == config.version.digest => {
+                    state.config = Some(Rc::new(config));
+                }
+                Part::Config(_) => return None,
+                Part::Proxies(names) => state.proxies = Rc::new(names),
+                Part::Trials(records) => state.trials = Rc::new(records.into_iter().collect()),
+                Part::TrialChanges(records) => drop(state.add_trials(records)),
+            }
         }
+        (state.summary() == Summary { recovering: false, ..transfer.target }).then_some(state)
     }
 
-    /// Number and digest of the names of proxies.
-    pub fn names_version(&self) -> (u64, u64) {
-        (self.proxies.len() as u64, names_digest(&self.proxies))
+    /// Carries a change out, and tells what becomes of it if the state that results is decided.
+    ///
+    /// Invariant *one content*: the document under a serial is never exchanged for another one.
+    pub fn apply(&mut self, change: &Change) -> Proposed {
+        match change {
+            Change::Config(document) => self.apply_config(document),
+            Change::Drain { zone, drained } => self.apply_drain(zone, *drained),
+            Change::Proxies(names) => self.add_proxies(names),
+            Change::TrialTerms(record) => self.apply_terms(record),
+            Change::TrialSteps(steps) => self.add_trials(self.trials.records_for_steps(steps.clone())),
+        }
     }
 
-    /// What another replica lacks, by its summary. Of trials everything, where the summary names other ones.
-    pub fn missing(&self, theirs: &Summary) -> Vec<Update> {
-        let mut updates = Vec::new();
-        if let Some(config) = self.config.as_ref().filter(|config| Some(config.version) > theirs.config) {
-            updates.push(Update::Config(config.clone()));
+    fn apply_config(&mut self, document: &ConfigDocument) -> Proposed {
+        let held = self.config.as_ref().map(|held| held.version);
+        match held {
+            Some(held) if held.serial == document.version.serial && held != document.version => {
+                Proposed::SerialTaken
+            }
+            Some(held) if held.serial >= document.version.serial => Proposed::Durable,
+            _ => {
+                self.config = Some(Rc::new(document.clone()));
+                Proposed::Durable
+            }
+        }
+    }
+
+    /// An order that holds already needs no new number.
+    fn apply_drain(&mut self, zone: &CompactString, drained: bool) -> Proposed {
+        let held = self.drains.get(zone).copied().unwrap_or_default();
+        if held.order == 0 || held.drained != drained {
+            self.drains.insert(zone.clone(), ZoneDrain { order: held.order + 1, drained });
         }
-        for (zone, drain) in &self.drains {
-            if theirs.drains.get(zone).is_none_or(|held| drain > held) {
-                updates.push(Update::Drain { zone: zone.clone(), drain: *drain });
+        Proposed::Durable
+    }
+
+    fn add_proxies(&mut self, names: &ProxyNames) -> Proposed {
+        if names.iter().any(|(name, settled)| self.proxies.get(name) < Some(settled)) {
+            let all = Rc::make_mut(&mut self.proxies);
+            for (name, settled) in names {
+                *all.entry(name.clone()).or_default() |= settled;
             }
         }
-        if theirs.proxies != self.names_version() {
-            updates.push(Update::Proxies(self.proxies.clone()));
+        Proposed::Durable
+    }
+
+    fn apply_terms(&mut self, record: &TrialRecord) -> Proposed {
+        if !self.trials.has_room_for(&record.tenant) {
+            return Proposed::Full;
+        }
+        let record_to_hold = self.trials.record_for_terms(record.clone());
+        self.add_trials(vec![record_to_hold]);
+        match self.trials.has_terms_of(&record.tenant, &record.position) {
+            true => Proposed::Durable,
+            false => Proposed::Overtaken,
         }
-        if theirs.trials != self.trials.version() && !self.trials.is_empty() {
-            updates.push(Update::Trials(self.trials.records().cloned().collect()));
+    }
+
+    fn add_trials(&mut self, records: Vec<TrialRecord>) -> Proposed {
+        if records.iter().any(|record| self.trials.is_news(record)) {
+            let trials = Rc::make_mut(&mut self.trials);
+            for record in records {
+                trials.apply(record);
+            }
         }
-        updates
+        Proposed::Durable
     }
 }
 
--- a/crates/replication/src/trials.rs
+++ b/crates/replication/src/trials.rs
@@ -4,12 +4,10 @@
 use compact_str::CompactString;
 use hingestage_rpc::digest;
 use hingestage_rpc::trials::{TrialNews, TrialPosition, TrialRecord, TrialStep, TRIALS_MAX};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
-/// Changes kept to hand over in place of the whole set.
-const CHANGES_KEPT: usize = 16;
 
 /// Number and digest of a set of trials.
 pub type TrialsVersion = (u64, u64);
@@ -107,29 +105,6 @@
     digest(format!("{} {version} {terms} {step}", record.tenant).as_bytes())
 }
 
-/// The last changes of a set: what one who had the set before them lacks.
-#[derive(Clone, Debug, Default)]
-pub struct TrialChanges {
-    /// The version before each change, and what came.
-    changes: VecDeque<(TrialsVersion, Vec<TrialRecord>)>,
-}
-
-impl TrialChanges {
-    /// Notes a change of a set that had this version before.
-    pub fn note(&mut self, before: TrialsVersion, records: Vec<TrialRecord>) {
-        if self.changes.len() >= CHANGES_KEPT {
-            self.changes.pop_front();
-        }
-        self.changes.push_back((before, records));
-    }
-
-    /// What has come since a version; none where that is not known.
-    pub fn since(&self, version: TrialsVersion) -> Option<Vec<TrialRecord>> {
-        let place = self.changes.iter().position(|(before, _)| *before == version)?;
-        Some(self.changes.iter().skip(place).flat_map(|(_, records)| records.iter().cloned()).collect())
-    }
-}
-
 /// Trials that are durable, and since when that is known.
 #[derive(Clone, Debug, Default)]
 pub struct DurableTrials {
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Version of the messages. Processes of different versions don't talk.
-pub const PROTOCOL_VERSION: u8 = 3;
+pub const PROTOCOL_VERSION: u8 = 4;
 /// The longest message, bytes: a configuration of the largest size with room to spare.
 const MESSAGE_MAX: usize = 64 << 20;
 /// Bytes ahead of a message: length, version, number of the call.
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -92,22 +92,31 @@
 /// limit only once all leases from before its admission are over.
 pub type ProxyNames = BTreeMap<CompactString, bool>;
 
-/// A change of what the stores keep.
+/// Number of a proposal: of two, the higher one holds. No two proposers ever use the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Above every round that the proposer has heard of.
+    pub round: u64,
+    /// The disk of the store that proposes.
+    pub proposer: u64,
+}
+
+impl Ballot {
+    /// Before any proposal.
+    pub const ZERO: Ballot = Ballot { round: 0, proposer: 0 };
+}
+
+/// A part of what the stores keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Update {
-    /// A configuration.
+pub enum Part {
+    /// The configuration.
     Config(ConfigDocument),
-    /// An order about a zone.
-    Drain {
-        /// The zone.
-        zone: CompactString,
-        /// The order.
-        drain: ZoneDrain,
-    },
-    /// Proxies that take part in common limits from now on.
+    /// All proxies that take part in common limits.
     Proxies(ProxyNames),
-    /// Trials of tenants.
+    /// Trials of all tenants.
     Trials(Vec<TrialRecord>),
+    /// Trials that are newer than those that the receiver is known to have.
+    TrialChanges(Vec<TrialRecord>),
 }
 
 /// What a store holds, in short.
@@ -121,12 +130,12 @@
     pub proxies: (u64, u64),
     /// Number and digest of the trials.
     pub trials: (u64, u64),
-    /// Whether the store lost its disk and has not caught up: it speaks for nobody.
+    /// Whether the store has not been told yet what was decided: it speaks for nobody.
     pub recovering: bool,
 }
 
 /// A store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StoreMember {
     /// Name of its machine.
     pub name: CompactString,
@@ -134,22 +143,140 @@
     pub zone: CompactString,
     /// Where it is called.
     pub addr: SocketAddr,
+    /// Drawn when its disk was first used: a store whose disk was lost comes back as another one.
+    pub disk: u64,
 }
 
-/// What a store is asked.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum StoreRequest {
-    /// Another store tells what it holds, and whom it knows.
+/// Which stores vote.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Grows with each change of the voters.
+    pub epoch: u64,
+    /// The stores that vote, by name.
+    pub voters: Vec<StoreMember>,
+    /// The voters before them, while the change is not settled: quorums of both sets are needed. Else empty.
+    pub previous: Vec<StoreMember>,
+}
+
+/// The state of a store as it goes to another one: what it comes to, and the parts that the other lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// What the state comes to.
+    pub target: Summary,
+    /// Which stores vote.
+    pub membership: Membership,
+    /// The parts that differ.
+    pub parts: Vec<Part>,
+}
+
+/// How far a store is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The proposal that it has on disk.
+    pub accepted: Ballot,
+    /// The latest proposal that it knows to be decided.
+    pub decided: Ballot,
+    /// Whether it was told to end.
+    pub leaving: bool,
+}
+
+/// What stores ask each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// How far are you? This is how far I am.
     Exchange {
         /// Who asks.
         from: StoreMember,
-        /// What it holds.
-        summary: Summary,
+        /// How far it is.
+        standing: Standing,
         /// Whom it knows.
-        members: Vec<StoreMember>,
+        known: Vec<StoreMember>,
+    },
+    /// Accept nothing below this ballot any more.
+    Prepare {
+        /// The ballot of a proposal that is to follow.
+        ballot: Ballot,
     },
-    /// Another store hands over what this one lacks.
-    Replicate(Update),
+    /// Accept a proposal.
+    Accept {
+        /// Its ballot.
+        ballot: Ballot,
+        /// The state that it proposes.
+        transfer: Transfer,
+    },
+    /// Hand over the state of a proposal, or a later one that is decided.
+    Fetch {
+        /// The proposal.
+        ballot: Ballot,
+        /// What the asker has.
+        have: Summary,
+    },
+}
+
+/// What stores answer each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// To an exchange.
+    Exchanged {
+        /// Who answers.
+        from: StoreMember,
+        /// How far it is.
+        standing: Standing,
+        /// Whom it knows.
+        known: Vec<StoreMember>,
+    },
+    /// Nothing below the ballot will be accepted.
+    Promised {
+        /// Who promises.
+        from: StoreMember,
+        /// The ballot.
+        ballot: Ballot,
+        /// How far it is.
+        standing: Standing,
+    },
+    /// The proposal is on disk.
+    Accepted {
+        /// Who has accepted it.
+        from: StoreMember,
+        /// Its ballot.
+        ballot: Ballot,
+    },
+    /// The parts that came do not make up the state; this is what is there.
+    Lacks {
+        /// Who answers.
+        from: StoreMember,
+        /// Ballot of the proposal.
+        ballot: Ballot,
+        /// What it has.
+        have: Summary,
+    },
+    /// A higher ballot has been promised, or another proposal is under way.
+    Refused {
+        /// Who refuses.
+        from: StoreMember,
+        /// The ballot that was asked for.
+        ballot: Ballot,
+        /// The one that was promised.
+        promised: Ballot,
+    },
+    /// A state.
+    Fetched {
+        /// Ballot of the proposal.
+        ballot: Ballot,
+        /// Whether it is decided.
+        decided: bool,
+        /// The state.
+        transfer: Transfer,
+    },
+    /// The disk refuses, or there is no such state.
+    Failed,
+}
+
+/// What a store is asked.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreRequest {
+    /// Another store asks.
+    Peer(PeerRequest),
     /// A registry asks for a change, and to be told when it is durable.
     Propose {
         /// The change.
@@ -201,15 +328,8 @@
 /// What a store answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum StoreAnswer {
-    /// What it holds, and whom it knows.
-    Exchanged {
-        /// What it holds.
-        summary: Summary,
-        /// Whom it knows.
-        members: Vec<StoreMember>,
-    },
-    /// The update is on its disk.
-    Replicated(Summary),
+    /// To another store.
+    Peer(PeerAnswer),
     /// What became of a change.
     Proposed(Proposed),
     /// News for a registry.
@@ -238,8 +358,10 @@
 pub enum Proposed {
     /// It outlasts any loss that is to be borne, or something newer does.
     Durable,
-    /// Not yet.
+    /// Not known yet.
     Pending,
+    /// Another document holds under the same serial.
+    SerialTaken,
     /// Other terms of a trial hold in its place.
     Overtaken,
     /// There is no room for the trial of one more tenant.
--- a/crates/rpc/src/status.rs
+++ b/crates/rpc/src/status.rs
@@ -392,4 +392,8 @@
     pub proxies: u32,
     /// Age of the latest moment at which nothing newer can have been acknowledged anywhere.
     pub current_age: Option<Millis>,
+    /// Number of the set of voters that it knows.
+    pub epoch: u64,
+    /// Names of the voters.
+    pub voters: Vec<CompactString>,
 }
--- a/crates/small-worlds/src/lib.rs
+++ b/crates/small-worlds/src/lib.rs
@@ -3,5 +3,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agreement;
 pub mod decisions;
 pub mod search;
