Stores: zones counted by one function, and no copies where nothing is to be done

Cause: read again, the planner counted zones beside the quorums' own count; a poll copied the accepted state also where no round was being prepared; each decision copied all trials to find that the audit lacked none; the check of a directory without a manifest asked twice for the same files.

Change: the planner calls quorum::zones; the phase is looked at before the copy; the audit is passed over where the trials have the same version; one function says what a directory without a manifest is. Behaviour is as before; no test is changed.

--- a/crates/config-store/src/files.rs
+++ b/crates/config-store/src/files.rs
@@ -126,15 +126,8 @@
     /// The directory can't be read, or is not this store's.
     pub fn load(&mut self, node: &str) -> Result<Loaded, FilesError> {
         let names = self.names()?;
-        let begun = names.iter().any(|name| is_part(name) || name.starts_with(MANIFEST));
         if !names.contains(MANIFEST) {
-            return match (names.contains(FIRST_FORMAT), begun) {
-                (true, _) => Err(FilesError::FirstFormat),
-                (false, true) if names.iter().any(|name| is_part(name)) => {
-                    Ok(Loaded::Damaged(format!("{MANIFEST} is missing")))
-                }
-                _ => Ok(Loaded::Empty),
-            };
+            return without_manifest(&names);
         }
         match self.read_whole() {
             Ok((manifest, _)) if manifest.me.name != node => Err(FilesError::Foreign(manifest.me)),
@@ -298,6 +291,17 @@
     }
 }
 
+/// What a directory without a manifest is.
+fn without_manifest(names: &BTreeSet<String>) -> Result<Loaded, FilesError> {
+    if names.contains(FIRST_FORMAT) {
+        return Err(FilesError::FirstFormat);
+    }
+    match names.iter().any(|name| is_part(name)) {
+        true => Ok(Loaded::Damaged(format!("{MANIFEST} is missing"))),
+        false => Ok(Loaded::Empty),
+    }
+}
+
 fn parse_manifest(bytes: &[u8]) -> Option<Manifest> {
     let at = bytes.iter().position(|byte| *byte == b'\n')?;
     let (checksum, json) = (std::str::from_utf8(&bytes[..at]).ok()?, &bytes[at + 1..]);
--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -128,7 +128,7 @@
     let founders = if founder { seed_stores(settings) } else { Vec::new() };
     let tolerated = settings.tolerate.machines;
     let plan =
-        Plan { voters_min: (2 * tolerated + 1).max(founders_min(settings)), ..Figures::default().plan };
+        Plan { voters_min: (2 * tolerated + 1).max(seed_stores(settings).len()), ..Figures::default().plan };
     let seed = incarnation() ^ me.disk;
     Ok(Replica::new(me, record, founders, Figures { plan, ..Figures::default() }, seed))
 }
@@ -149,10 +149,6 @@
     machines.into_iter().map(|ip| settings.inner_at(ip, InnerPort::ConfigStore)).collect()
 }
 
-fn founders_min(settings: &Settings) -> usize {
-    seed_stores(settings).len()
-}
-
 /// Asks the seeds for replicas that are not known yet. The settings file is read again: seeds change.
 async fn find_members(store: Rc<Store>, settings: Rc<Settings>) {
     let file = SettingsFile::new(settings);
@@ -287,6 +283,9 @@
             return;
         }
         let before = self.audited.replace(trials.clone());
+        if before.version() == trials.version() {
+            return;
+        }
         let records: Vec<_> = trials.records().cloned().collect();
         if let Err(error) = self.audit.note(&before.news_of(&records)) {
             // What holds is in the files; the audit only tells how it came about.
--- a/crates/replication/src/planner.rs
+++ b/crates/replication/src/planner.rs
@@ -4,10 +4,9 @@
 //! membership; the old one's vote counts no more. There are never fewer voters than losses to be borne ask for.
 
 use crate::peers::{Peer, Peers};
-use crate::quorum::Disks;
+use crate::quorum::{zones, Disks};
 use crate::Micros;
 use hingestage_rpc::messages::{Membership, Standing, StoreMember};
-use std::collections::BTreeSet;
 
 /// Periods and sizes by which voters are chosen.
 #[derive(Clone, Copy, Debug)]
@@ -124,7 +123,7 @@
 fn replaced(voters: &[StoreMember], old: &StoreMember, new: &StoreMember) -> Option<Vec<StoreMember>> {
     let next: Vec<StoreMember> =
         voters.iter().map(|voter| if voter == old { new.clone() } else { voter.clone() }).collect();
-    let enough = zones(&next) >= zones(voters).min(2);
+    let enough = zones(&next, |_| true) >= zones(voters, |_| true).min(2);
     enough.then_some(next)
 }
 
@@ -132,10 +131,6 @@
     voters.iter().filter(|voter| *voter != gone).cloned().collect()
 }
 
-fn zones(voters: &[StoreMember]) -> usize {
-    voters.iter().map(|voter| &voter.zone).collect::<BTreeSet<_>>().len()
-}
-
 fn sorted(mut voters: Vec<StoreMember>) -> Vec<StoreMember> {
     voters.sort();
     voters
--- a/crates/replication/src/quorum.rs
+++ b/crates/replication/src/quorum.rs
@@ -64,7 +64,8 @@
         && (previous.is_empty() || decides(previous, disks, silent) || survives(previous, disks, &lost))
 }
 
-fn zones(voters: &[StoreMember], counts: impl Fn(u64) -> bool) -> usize {
+/// In how many zones those voters are whose disks count.
+pub(crate) fn zones(voters: &[StoreMember], counts: impl Fn(u64) -> bool) -> usize {
     let counted = voters.iter().filter(|voter| counts(voter.disk));
     counted.map(|voter| &voter.zone).collect::<BTreeSet<_>>().len()
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -550,12 +550,13 @@
     }
 
     fn go_on(&mut self, now: Micros, disk: &mut impl Disk) -> Vec<Outgoing> {
-        let mine = Base { ballot: self.record().accepted, state: self.record().state.clone() };
-        let peers = &self.peers;
-        let lost = |voters: &[StoreMember]| quorum::lost(voters, peers.speakers());
         let Some(round) = self.round.as_mut().filter(|round| matches!(round.phase, Phase::Preparing)) else {
             return self.look_again(now);
         };
+        let record = self.acceptor.record();
+        let mine = Base { ballot: record.accepted, state: record.state.clone() };
+        let peers = &self.peers;
+        let lost = |voters: &[StoreMember]| quorum::lost(voters, peers.speakers());
         match round.step(&mine, lost) {
             Step::Wait => Vec::new(),
             Step::Ask(members) => ask(&members, round.ballot),
