--- a/crates/dataplane/tests/connections.rs
+++ b/crates/dataplane/tests/connections.rs
@@ -8,11 +8,16 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use std::cell::Cell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 
 const SHORT: Duration = Duration::from_millis(300);
 const LONG: Duration = Duration::from_secs(30);
@@ -26,8 +31,13 @@
 };
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: test\r\n\r\n";
 
-/// Answers every request with `ok`.
-struct OkHandler;
+/// Answers every request with `ok`, after a delay.
+#[derive(Default)]
+struct OkHandler {
+    delay: Duration,
+    /// Requests whose handling has begun.
+    begun: Cell<usize>,
+}
 
 impl RequestHandler for OkHandler {
     type Body = Full<Bytes>;
@@ -35,8 +45,11 @@
     async fn handle(
         self: &Rc<Self>,
         _request: Request<Incoming>,
-        _client: &Rc<Client>,
+        client: &Rc<Client>,
     ) -> Response<Full<Bytes>> {
+        self.begun.set(self.begun.get() + 1);
+        client.busy.set(true);
+        Tokio.sleep(self.delay).await;
         Response::new(Full::from("ok"))
     }
 
@@ -47,15 +60,21 @@
 
 struct TestServer {
     connections: Rc<Connections<Tokio, OkHandler>>,
+    handler: Rc<OkHandler>,
     listener: TcpListener,
 }
 
 impl TestServer {
     async fn new(timeouts: ClientTimeouts) -> TestServer {
+        TestServer::with_handler(timeouts, OkHandler::default()).await
+    }
+
+    async fn with_handler(timeouts: ClientTimeouts, handler: OkHandler) -> TestServer {
         let settings =
             ConnectionSettings { max_connections: 8, max_idle: 8, timeouts, max_head_bytes: 16 * 1024 };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        TestServer { connections: Connections::new(Tokio, Rc::new(OkHandler), settings), listener }
+        let handler = Rc::new(handler);
+        TestServer { connections: Connections::new(Tokio, handler.clone(), settings), handler, listener }
     }
 
     /// Accepts connections while `client` runs.
@@ -134,10 +153,78 @@
         assert_eq!(server.connections.open_count(), 1);
         let now = Tokio.now();
         let shutdown = Shutdown { accept_until: now, close_idle: true, deadline: now + LATE };
-        let TestServer { connections, listener } = server;
+        let TestServer { connections, listener, .. } = server;
         connections.stop(listener, shutdown).await;
         assert_eq!(connections.open_count(), 0);
         assert!(now.elapsed() < LATE);
         assert!(time_until_closed(&mut stream).await < LATE);
     });
 }
+
+/// A server in a thread of its own, whose connections end with its shutdown as those of a process do.
+struct ServerThread {
+    addr: SocketAddr,
+    stop: oneshot::Sender<()>,
+    /// Returns the number of requests whose handling began after the stop.
+    thread: JoinHandle<usize>,
+}
+
+impl ServerThread {
+    async fn start(handler_delay: Duration, shutdown: fn(Instant) -> Shutdown) -> ServerThread {
+        let (addr_sender, addr) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        let serve = async move {
+            let handler = OkHandler { delay: handler_delay, ..OkHandler::default() };
+            let server = TestServer::with_handler(TIMEOUTS, handler).await;
+            addr_sender.send(server.listener.local_addr().unwrap()).unwrap();
+            server.run_with(stopped).await.unwrap();
+            let begun_before = server.handler.begun.get();
+            server.connections.stop(server.listener, shutdown(Tokio.now())).await;
+            server.handler.begun.get() - begun_before
+        };
+        let thread = std::thread::spawn(move || run(serve));
+        ServerThread { addr: addr.await.unwrap(), stop, thread }
+    }
+}
+
+/// Sends a request after a pause, and returns whether a complete answer came.
+async fn is_answered_after(mut stream: TcpStream, pause: Duration) -> bool {
+    Tokio.sleep(pause).await;
+    let _ = stream.write_all(REQUEST).await;
+    let mut answer = Vec::new();
+    let _ = tokio::time::timeout(LATE, stream.read_to_end(&mut answer)).await;
+    answer.ends_with(b"ok")
+}
+
+#[test]
+fn every_request_begun_on_a_kept_connection_during_a_shutdown_is_answered() {
+    run(async {
+        let delay = Duration::from_millis(200);
+        let server = ServerThread::start(delay, |now| Shutdown {
+            accept_until: now,
+            close_idle: false,
+            deadline: now + Duration::from_secs(1),
+        })
+        .await;
+        let mut streams = Vec::new();
+        for _ in 0..8 {
+            let mut stream = TcpStream::connect(server.addr).await.unwrap();
+            request(&mut stream).await;
+            streams.push(stream);
+        }
+        server.stop.send(()).unwrap();
+        let pause = Duration::from_millis(140);
+        let clients = streams
+            .into_iter()
+            .zip(0..)
+            .map(|(stream, number)| spawn_local(is_answered_after(stream, pause * number)));
+        let clients: Vec<_> = clients.collect();
+        let mut answered = 0;
+        for client in clients {
+            answered += usize::from(client.await.unwrap());
+        }
+        let begun = server.thread.join().unwrap();
+        assert!(begun > 0);
+        assert_eq!(answered, begun);
+    });
+}
