--- a/crates/dataplane/src/client.rs
+++ b/crates/dataplane/src/client.rs
@@ -35,6 +35,8 @@
     timeouts: ClientTimeouts,
     /// Whether a request has been received and not yet answered.
     pub busy: Cell<bool>,
+    /// Whether the head of a request has been received and its response has not ended.
+    pub(crate) handling: Cell<bool>,
     served: Cell<bool>,
     /// Time of the connection, of the last response or of its last progress.
     last_activity: Cell<Instant>,
@@ -67,6 +69,7 @@
         Rc::new(Client {
             timeouts,
             busy,
+            handling: Cell::new(false),
             served,
             last_activity,
             close_now,
@@ -83,6 +86,11 @@
         !self.busy.get() && self.transport.blocked_since.get().is_none()
     }
 
+    /// Whether a request is owed a response, or the end of one.
+    pub fn in_request(&self) -> bool {
+        self.handling.get() || self.transport.blocked_since.get().is_some()
+    }
+
     /// Whether at least one request has been answered and no byte of the next one has arrived.
     pub fn awaits_next_request(&self) -> bool {
         let head = self.transport.head.borrow();
@@ -154,6 +162,7 @@
     /// Records the end of a response.
     pub fn record_answer(&self, now: Instant) {
         self.busy.set(false);
+        self.handling.set(false);
         self.streaming.set(false);
         self.served.set(true);
         self.last_activity.set(now);
--- a/crates/dataplane/src/connections.rs
+++ b/crates/dataplane/src/connections.rs
@@ -71,6 +71,26 @@
     pub deadline: Instant,
 }
 
+/// What a shutdown left behind, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownReport {
+    /// Connections that were still open.
+    pub open_connections: usize,
+    /// Requests without a complete response.
+    pub unanswered: usize,
+    /// Requests received since the start of the shutdown.
+    pub received: usize,
+    /// When the last of them was received, from the start of the shutdown.
+    pub last_received_after: Option<Duration>,
+}
+
+/// Requests received since the start of a shutdown.
+#[derive(Clone, Copy, Default)]
+struct ShutdownRequests {
+    received: usize,
+    last_received_at: Option<Instant>,
+}
+
 /// The open client connections.
 pub struct Connections<P: Platform, A: RequestHandler> {
     platform: P,
@@ -81,6 +101,7 @@
     released: Rc<Notify>,
     next_id: Cell<u64>,
     problem_count: Cell<u64>,
+    shutdown_requests: Cell<Option<ShutdownRequests>>,
 }
 
 impl<P: Platform, A: RequestHandler> Connections<P, A> {
@@ -94,6 +115,7 @@
             released: Rc::default(),
             next_id: Cell::new(0),
             problem_count: Cell::new(0),
+            shutdown_requests: Cell::new(None),
         })
     }
 
@@ -152,7 +174,9 @@
     /// Shuts down: keeps accepting for a while, answers all received requests and closes idle connections at
     /// once, while new connections can still be accepted for requests that cross the close. With a successor,
     /// idle connections end after their next response or by `idle_timeout` instead.
-    pub async fn stop(self: &Rc<Self>, listener: P::Listener, shutdown: Shutdown) {
+    pub async fn stop(self: &Rc<Self>, listener: P::Listener, shutdown: Shutdown) -> ShutdownReport {
+        let since = self.platform.now();
+        self.shutdown_requests.set(Some(ShutdownRequests::default()));
         if shutdown.close_idle {
             self.close_idle(|client| client.was_served());
         }
@@ -165,6 +189,27 @@
             let released = self.released.notified();
             let _ = self.platform.timeout_at(shutdown.deadline, released).await;
         }
+        self.report(since)
+    }
+
+    fn report(&self, since: Instant) -> ShutdownReport {
+        let requests = self.shutdown_requests.get();
+        let last_received_at = requests.and_then(|requests| requests.last_received_at);
+        ShutdownReport {
+            open_connections: self.open_count(),
+            unanswered: self.clients.borrow().values().filter(|client| client.in_request()).count(),
+            received: requests.map_or(0, |requests| requests.received),
+            last_received_after: last_received_at.map(|at| at.saturating_duration_since(since)),
+        }
+    }
+
+    fn count_request(&self) {
+        if let Some(requests) = self.shutdown_requests.get() {
+            self.shutdown_requests.set(Some(ShutdownRequests {
+                received: requests.received + 1,
+                last_received_at: Some(self.platform.now()),
+            }));
+        }
     }
 
     fn close_idle(&self, which: impl Fn(&Client) -> bool) {
@@ -205,6 +250,8 @@
     }
 
     async fn respond(&self, request: Request<Incoming>, client: &Rc<Client>) -> Response<A::Body> {
+        self.count_request();
+        client.handling.set(true);
         let mut response = self.handler.handle(request, client).await;
         if !self.handler.keeps_connections() || self.idle_count() >= self.settings.max_idle {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/dataplane/tests/connections.rs
+++ b/crates/dataplane/tests/connections.rs
@@ -173,7 +173,7 @@
     async fn start(handler_delay: Duration, shutdown: fn(Instant) -> Shutdown) -> ServerThread {
         let (addr_sender, addr) = oneshot::channel();
         let (stop, stopped) = oneshot::channel();
-        let serve = async move {
+        let serve = async move || {
             let handler = OkHandler { delay: handler_delay, ..OkHandler::default() };
             let server = TestServer::with_handler(TIMEOUTS, handler).await;
             addr_sender.send(server.listener.local_addr().unwrap()).unwrap();
@@ -182,7 +182,7 @@
             server.connections.stop(server.listener, shutdown(Tokio.now())).await;
             server.handler.begun.get() - begun_before
         };
-        let thread = std::thread::spawn(move || run(serve));
+        let thread = std::thread::spawn(move || run(serve()));
         ServerThread { addr: addr.await.unwrap(), stop, thread }
     }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -12,7 +12,7 @@
 use hingestage_dataplane::body::BodyLimits;
 use hingestage_dataplane::client::ClientTimeouts;
 use hingestage_dataplane::collect::{CollectSettings, Collector};
-use hingestage_dataplane::connections::{ConnectionSettings, Connections, Shutdown};
+use hingestage_dataplane::connections::{ConnectionSettings, Connections, Shutdown, ShutdownReport};
 use hingestage_node::settings::InternalPort;
 use hingestage_node::{incarnation, Settings, Signals};
 use hingestage_platform::Platform;
@@ -162,13 +162,25 @@
     let now = proxy.platform.now();
     let until = now + settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     let accepts_until = now + settings.bounds.grace / 2;
-    connections
+    let report = connections
         .stop(listener, Shutdown { accept_until: accepts_until, close_idle: false, deadline: until })
         .await;
-    log::info!("ended with {} connections", connections.open_count());
+    log_end(report);
     Ok(())
 }
 
+fn log_end(report: ShutdownReport) {
+    let last = report.last_received_after.map_or_else(String::new, |after| {
+        format!(", the last {:.3} s after the signal", after.as_secs_f64())
+    });
+    log::info!(
+        "ended with {} connections, {} requests unanswered, {} received since the signal{last}",
+        report.open_connections,
+        report.unanswered,
+        report.received
+    );
+}
+
 fn connection_settings(settings: &Settings) -> ConnectionSettings {
     ConnectionSettings {
         max_connections: settings.limits.max_fds / CLIENT_FD_DIVISOR,
