Shutdown: a request begins only if it can be answered before the process ends

Accepting ended at half of the grace, but kept connections served on until the process ended at grace less 0.3 s, and whatever had begun by then was cut off: the deadline of the process was nobody's concern when a request began. The same held for the gateway in service, most of all with a successor, where idle connections stay open for one more request.

A shutdown now has five points in time, kept by a state that all connections share. A request that has been read whole begins if the shutdown is young or if its deadline lies before the last answers; otherwise it is refused as not run. Its time is cut to the last answers' point. Idle connections are closed at half of the grace; connections on which a head or a body arrives are left alone. What is unanswered at the end gets 504 in place of a closed connection. A request counts as begun as soon as it is read, so that one that waits for admission is no longer taken for an idle connection and closed.

--- a/crates/dataplane/src/client.rs
+++ b/crates/dataplane/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::body::StreamedBody;
 use crate::monitored_stream::TransportState;
+use crate::shutdown::ShutdownState;
 use hingestage_platform::Platform;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -33,10 +34,10 @@
 /// State of one client connection.
 pub struct Client {
     timeouts: ClientTimeouts,
-    /// Whether a request has been received and not yet answered.
-    pub busy: Cell<bool>,
+    /// Whether a request has been received whole and not yet answered.
+    pub(crate) busy: Cell<bool>,
     /// Whether the head of a request has been received and its response has not ended.
-    pub(crate) handling: Cell<bool>,
+    handling: Cell<bool>,
     served: Cell<bool>,
     /// Time of the connection, of the last response or of its last progress.
     last_activity: Cell<Instant>,
@@ -52,6 +53,7 @@
     pub transport: Rc<TransportState>,
     /// Notified when any client of the server has been answered or has disconnected.
     released: Rc<Notify>,
+    shutdown: Rc<ShutdownState>,
 }
 
 impl Client {
@@ -62,6 +64,7 @@
         timeouts: ClientTimeouts,
         max_head_bytes: usize,
         released: Rc<Notify>,
+        shutdown: Rc<ShutdownState>,
     ) -> Rc<Client> {
         let (busy, served, close_now) = (Cell::new(false), Cell::new(false), Cell::new(false));
         let (last_activity, streaming, discarding) = (Cell::new(now), Cell::new(false), Cell::new(false));
@@ -78,6 +81,7 @@
             close_signal,
             transport,
             released,
+            shutdown,
         })
     }
 
@@ -86,11 +90,32 @@
         !self.busy.get() && self.transport.blocked_since.get().is_none()
     }
 
+    /// Marks the receipt of a request's head.
+    pub(crate) fn begin_handling(&self, now: Instant) {
+        self.handling.set(true);
+        self.shutdown.count_received(now);
+    }
+
+    /// Begins a request that has been received whole, and returns the time by which it must be answered. `None` if the
+    /// server is shutting down and the request must be refused.
+    pub fn begin_request(&self, now: Instant, deadline: Instant) -> Option<Instant> {
+        let answer_time = self.shutdown.answer_time(now, deadline)?;
+        self.busy.set(true);
+        Some(answer_time)
+    }
+
     /// Whether a request is owed a response, or the end of one.
     pub fn in_request(&self) -> bool {
         self.handling.get() || self.transport.blocked_since.get().is_some()
     }
 
+    /// Whether no byte of a request has arrived since the connection or the last response.
+    pub fn awaits_request(&self) -> bool {
+        let head = self.transport.head.borrow();
+        let in_progress = self.in_request() || self.streaming.get() || self.discarding.get();
+        !in_progress && head.reading_since().is_none() && !head.is_complete()
+    }
+
     /// Whether at least one request has been answered and no byte of the next one has arrived.
     pub fn awaits_next_request(&self) -> bool {
         let head = self.transport.head.borrow();
@@ -188,7 +213,7 @@
     #[test]
     fn a_connection_with_blocked_output_is_not_idle() {
         let now = Instant::now();
-        let client = Client::new(now, TIMES, MAX_HEAD_BYTES, Rc::default());
+        let client = Client::new(now, TIMES, MAX_HEAD_BYTES, Rc::default(), Rc::default());
         client.served.set(true);
         assert_eq!((client.is_idle(), client.deadline()), (true, Some(now + TIMES.idle_timeout)));
         client.transport.blocked_since.set(Some(now));
@@ -202,7 +227,7 @@
     #[test]
     fn a_later_head_timeout_starts_at_its_first_byte() {
         let (now, pause) = (Instant::now(), Duration::from_secs(2));
-        let client = Client::new(now, TIMES, MAX_HEAD_BYTES, Rc::default());
+        let client = Client::new(now, TIMES, MAX_HEAD_BYTES, Rc::default(), Rc::default());
         client.transport.head.borrow_mut().push(now + pause, b"GET ");
         assert_eq!(client.deadline(), Some(now + TIMES.first_head_timeout));
         client.served.set(true);
--- a/crates/dataplane/src/connections.rs
+++ b/crates/dataplane/src/connections.rs
@@ -3,6 +3,7 @@
 use crate::client::{Client, ClientTimeouts};
 use crate::log_sparsely;
 use crate::monitored_stream::MonitoredStream;
+use crate::shutdown::{Shutdown, ShutdownReport, ShutdownState};
 use bytes::Bytes;
 use hingestage_platform::{Listener, Platform};
 use hyper::body::{Body, Incoming};
@@ -25,6 +26,8 @@
 const GRACEFUL_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long new connections wait in the backlog while all slots serve requests; after that they are closed.
 const FULL_WAIT_MAX: Duration = Duration::from_secs(2);
+/// How long a connection accepted at the end of a shutdown's accepting may take to send its first request.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -33,7 +36,7 @@
     /// The body of a response.
     type Body: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + 'static;
 
-    /// Handles a request. The handler sets [`Client::busy`] while a request is in progress, and
+    /// Handles a request. The handler calls [`Client::begin_request`] once it has read the request whole, and sets
     /// [`Client::streaming`] where the response body outlives this call; [`Client::record_answer`] then marks
     /// its end. Dropping the future early means that the client has disconnected.
     fn handle(
@@ -44,6 +47,12 @@
 
     /// Whether connections are kept alive after a response.
     fn keeps_connections(&self) -> bool;
+
+    /// The response to a request that has not begun and never will, because the server is shutting down.
+    fn refused(&self) -> Response<Self::Body>;
+
+    /// The response to a request that has begun and is not finished when the shutdown ends.
+    fn abandoned(&self) -> Response<Self::Body>;
 }
 
 /// Limits of client connections.
@@ -60,37 +69,6 @@
     pub max_head_bytes: usize,
 }
 
-/// How connections are closed during shutdown.
-#[derive(Clone, Copy, Debug)]
-pub struct Shutdown {
-    /// New connections are accepted until then.
-    pub accept_until: Instant,
-    /// Whether idle connections are closed without a prior `connection: close`.
-    pub close_idle: bool,
-    /// The shutdown ends then even if connections are still open.
-    pub deadline: Instant,
-}
-
-/// What a shutdown left behind, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ShutdownReport {
-    /// Connections that were still open.
-    pub open_connections: usize,
-    /// Requests without a complete response.
-    pub unanswered: usize,
-    /// Requests received since the start of the shutdown.
-    pub received: usize,
-    /// When the last of them was received, from the start of the shutdown.
-    pub last_received_after: Option<Duration>,
-}
-
-/// Requests received since the start of a shutdown.
-#[derive(Clone, Copy, Default)]
-struct ShutdownRequests {
-    received: usize,
-    last_received_at: Option<Instant>,
-}
-
 /// The open client connections.
 pub struct Connections<P: Platform, A: RequestHandler> {
     platform: P,
@@ -101,7 +79,9 @@
     released: Rc<Notify>,
     next_id: Cell<u64>,
     problem_count: Cell<u64>,
-    shutdown_requests: Cell<Option<ShutdownRequests>>,
+    shutdown: Rc<ShutdownState>,
+    /// Whether connections are closed as soon as they are idle.
+    closing_idle: Cell<bool>,
 }
 
 impl<P: Platform, A: RequestHandler> Connections<P, A> {
@@ -115,7 +95,8 @@
             released: Rc::default(),
             next_id: Cell::new(0),
             problem_count: Cell::new(0),
-            shutdown_requests: Cell::new(None),
+            shutdown: Rc::default(),
+            closing_idle: Cell::new(false),
         })
     }
 
@@ -171,50 +152,42 @@
             .for_each(|client| client.close(true));
     }
 
-    /// Shuts down: keeps accepting for a while, answers all received requests and closes idle connections at
-    /// once, while new connections can still be accepted for requests that cross the close. With a successor,
-    /// idle connections end after their next response or by `idle_timeout` instead.
+    /// Shuts down: every request that has begun gets a response, by `answer_by` at the latest. Returns at the
+    /// deadline, or once no connection is open.
     pub async fn stop(self: &Rc<Self>, listener: P::Listener, shutdown: Shutdown) -> ShutdownReport {
-        let since = self.platform.now();
-        self.shutdown_requests.set(Some(ShutdownRequests::default()));
-        if shutdown.close_idle {
-            self.close_idle(|client| client.was_served());
+        let Shutdown { accept_until, close_idle_at, answer_by, deadline, .. } = shutdown;
+        self.shutdown.begin(self.platform.now(), shutdown);
+        if close_idle_at < accept_until {
+            let _ = self.platform.timeout_at(close_idle_at, self.accept(&listener)).await;
+            self.close_idle(Client::was_served);
         }
-        let _ = self.platform.timeout_at(shutdown.accept_until, self.accept(&listener)).await;
+        let _ = self.platform.timeout_at(accept_until, self.accept(&listener)).await;
         drop(listener);
-        if shutdown.close_idle {
-            self.close_idle(|_| true);
-        }
-        while self.open_count() > 0 && self.platform.now() < shutdown.deadline {
-            let released = self.released.notified();
-            let _ = self.platform.timeout_at(shutdown.deadline, released).await;
-        }
-        self.report(since)
-    }
-
-    fn report(&self, since: Instant) -> ShutdownReport {
-        let requests = self.shutdown_requests.get();
-        let last_received_at = requests.and_then(|requests| requests.last_received_at);
-        ShutdownReport {
-            open_connections: self.open_count(),
-            unanswered: self.clients.borrow().values().filter(|client| client.in_request()).count(),
-            received: requests.map_or(0, |requests| requests.received),
-            last_received_after: last_received_at.map(|at| at.saturating_duration_since(since)),
-        }
+        self.wait_until_closed(close_idle_at.max(accept_until + FIRST_REQUEST_WAIT).min(answer_by)).await;
+        self.closing_idle.set(true);
+        self.wait_until_closed(answer_by).await;
+        self.shutdown.abandon_requests();
+        self.wait_until_closed(deadline).await;
+        let unanswered = self.clients.borrow().values().filter(|client| client.in_request()).count();
+        self.shutdown.report(self.open_count(), unanswered)
     }
 
-    fn count_request(&self) {
-        if let Some(requests) = self.shutdown_requests.get() {
-            self.shutdown_requests.set(Some(ShutdownRequests {
-                received: requests.received + 1,
-                last_received_at: Some(self.platform.now()),
-            }));
+    /// Waits until no connection is open, at most until `until`.
+    async fn wait_until_closed(&self, until: Instant) {
+        while self.open_count() > 0 && self.platform.now() < until {
+            let released = self.released.notified();
+            if self.closing_idle.get() {
+                self.close_idle(|_| true);
+            }
+            let _ = self.platform.timeout_at(until, released).await;
         }
     }
 
+    /// Closes connections on which no byte of a request has arrived since the last response. A request that crosses
+    /// the close is not read.
     fn close_idle(&self, which: impl Fn(&Client) -> bool) {
         let clients = self.clients.borrow();
-        clients.values().filter(|c| c.is_idle() && which(c)).for_each(|c| c.close(false));
+        clients.values().filter(|c| c.awaits_request() && which(c)).for_each(|c| c.close(false));
     }
 
     /// Closes the least valuable idle connection. Silent connections with a partial request go first, so that
@@ -240,7 +213,8 @@
     fn spawn_connection(self: &Rc<Self>, stream: P::Stream) {
         let (connections, id) = (self.clone(), self.next_client_id());
         let ConnectionSettings { timeouts, max_head_bytes, .. } = self.settings;
-        let client = Client::new(self.platform.now(), timeouts, max_head_bytes, self.released.clone());
+        let (released, shutdown) = (self.released.clone(), self.shutdown.clone());
+        let client = Client::new(self.platform.now(), timeouts, max_head_bytes, released, shutdown);
         self.clients.borrow_mut().insert(id, client.clone());
         self.platform.spawn(async move {
             connections.serve(stream, &client).await;
@@ -250,9 +224,15 @@
     }
 
     async fn respond(&self, request: Request<Incoming>, client: &Rc<Client>) -> Response<A::Body> {
-        self.count_request();
-        client.handling.set(true);
-        let mut response = self.handler.handle(request, client).await;
+        client.begin_handling(self.platform.now());
+        let mut response = tokio::select! {
+            biased;
+            response = self.handler.handle(request, client) => response,
+            () = self.shutdown.requests_abandoned() => match client.busy.get() {
+                true => self.handler.abandoned(),
+                false => self.handler.refused(),
+            },
+        };
         if !self.handler.keeps_connections() || self.idle_count() >= self.settings.max_idle {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -293,8 +273,8 @@
         // A partial request head or an unread response must not hold the slot indefinitely.
         let close_timeout = if client.close_now.get() { Duration::ZERO } else { GRACEFUL_CLOSE_TIMEOUT };
         let stalled = client.streaming.get() && client.close_now.get();
-        if self.platform.timeout(close_timeout, conn.as_mut()).await.is_err() && !client.is_idle() && !stalled
-        {
+        let in_request = || !client.is_idle() || (client.in_request() && !client.close_now.get());
+        if self.platform.timeout(close_timeout, conn.as_mut()).await.is_err() && in_request() && !stalled {
             let _ = conn.await;
         }
     }
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`driver`] runs the decision logic and owns the open requests; [`hooks`] lets other subsystems take part.
 //! On the worker side, [`workers`] pools connections and makes attempts over a [`protocol`]. On the client
-//! side, [`connections`] accepts clients and [`collect`] reads request bodies.
+//! side, [`connections`] accepts clients, [`collect`] reads request bodies and [`shutdown`] ends it all in order.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -16,6 +16,7 @@
 pub mod monitored_stream;
 pub mod protocol;
 pub mod response_body;
+pub mod shutdown;
 pub mod tracked_connection;
 pub mod workers;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,8 +23,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
-/// Time added to the longest deadline after a stop, until which connections may stay open.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
 /// How long discovery may stay silent before the gateway is ready with its cached list.
 const CACHED_LIST_DELAY: Duration = Duration::from_secs(1);
 /// Interval of housekeeping.
@@ -149,7 +147,11 @@
         () = connections.accept(&listener) => {}
     }
     let max_wait = driver.max_wait().map_or(config.longest_deadline(), |l| l.max(config.longest_deadline()));
-    connections.stop(listener, server.stopping(max_wait + STOP_MARGIN)).await;
+    let report = connections.stop(listener, server.stopping(max_wait)).await;
+    platform.log(format_args!(
+        "ended with {} connections, {} requests unanswered, {} abandoned, {} refused",
+        report.open_connections, report.unanswered, report.abandoned, report.refused
+    ));
     if let Some(fleet) = subsystems.fleet.get() {
         fleet.flush_goodbyes().await;
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,10 +7,11 @@
 use hingestage_dataplane::body::{BodyLimits, RequestBody};
 use hingestage_dataplane::client::{Client, ClientTimeouts};
 use hingestage_dataplane::collect::{CollectError, CollectSettings, Collector};
-use hingestage_dataplane::connections::{ConnectionSettings, RequestHandler, Shutdown};
+use hingestage_dataplane::connections::{ConnectionSettings, RequestHandler};
 use hingestage_dataplane::driver::{Answer, Driver, IncomingRequest, Ticket, ANSWER_MARGIN};
 use hingestage_dataplane::protocol::RequestParts;
 use hingestage_dataplane::response_body::ResponseBody;
+use hingestage_dataplane::shutdown::Shutdown;
 use hingestage_dataplane::workers::WorkerResponse;
 use hingestage_lifecycle::{Lifecycle, LifecycleEvent};
 use hingestage_platform::Platform;
@@ -55,6 +56,11 @@
 /// accumulate.
 const TIMEOUT_MAX_DEADLINES: u32 = 4;
 
+/// How long after a stop all requests still begin.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the responses to requests that are abandoned at the end of a stop.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(100);
+
 /// The limits on client connections.
 pub fn connection_settings(config: &Config) -> ConnectionSettings {
     ConnectionSettings {
@@ -109,13 +115,17 @@
         self.life.borrow().accepts_clients() && self.driver.may_start_requests()
     }
 
-    /// How connections are closed on a stop; all end after `longest`.
-    pub fn stopping(&self, longest: Duration) -> Shutdown {
+    /// The points in time of a stop. Requests that begin up to `STOP_MARGIN` after it have `max_wait` for their answers.
+    pub fn stopping(&self, max_wait: Duration) -> Shutdown {
         let (life, now) = (self.life.borrow(), self.platform.now());
+        let answer_by = now + STOP_MARGIN + max_wait;
         Shutdown {
             accept_until: life.accept_until().unwrap_or(now),
-            close_idle: life.close_idle(),
-            deadline: now + longest,
+            // With a successor connections end by their next response or their idle timeout.
+            close_idle_at: if life.close_idle() { now } else { answer_by },
+            begin_until: now + STOP_MARGIN,
+            answer_by,
+            deadline: answer_by + LAST_RESPONSE_TIME,
         }
     }
 
@@ -225,15 +235,18 @@
             let up = if self.wants_clients() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return plain(up, "");
         }
-        let taken = match self.read(request, client).await {
+        let mut taken = match self.read(request, client).await {
             Ok(taken) => taken,
             Err(refusal) => return refuse(refusal),
         };
+        let Some(answer_time) = client.begin_request(self.platform.now(), taken.deadline) else {
+            return self.refused();
+        };
+        taken.deadline = answer_time;
         let flow = match &taken.parts.body {
             RequestBody::Streamed(flow) => Some(flow.clone()),
             RequestBody::Buffered(_) => None,
         };
-        client.busy.set(true);
         let class = taken.class;
         // Dropping the ticket before the answer means that the client has left.
         let Some((ticket, answer)) = self.driver.admit(taken) else {
@@ -252,6 +265,14 @@
     fn keeps_connections(&self) -> bool {
         self.life.borrow().keeps_connections()
     }
+
+    fn refused(&self) -> Response<ResponseBody<P>> {
+        refuse((StatusCode::TOO_MANY_REQUESTS, "shutting down: trying again is harmless"))
+    }
+
+    fn abandoned(&self) -> Response<ResponseBody<P>> {
+        plain(StatusCode::GATEWAY_TIMEOUT, "shutting down")
+    }
 }
 
 /// Status and message of a refused request.
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -39,6 +39,15 @@
 /// Minimum remaining time to start a request.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
+/// The response to a request that must not begin any more. It has not run.
+const SHUTTING_DOWN: Refusal = Refusal {
+    status: StatusCode::SERVICE_UNAVAILABLE,
+    message: "shutting down",
+    outcome: RequestOutcome::NoTimeLeft,
+    retry_after: Some(RETRY_OTHER_PROXY),
+    close_connection: true,
+};
+
 type Reply = Response<ResponseBody<Tokio>>;
 
 /// An error response of the proxy itself.
@@ -107,6 +116,16 @@
     fn keeps_connections(&self) -> bool {
         !self.is_stopping()
     }
+
+    fn refused(&self) -> Reply {
+        respond(SHUTTING_DOWN)
+    }
+
+    fn abandoned(&self) -> Reply {
+        respond(
+            Refusal::new(StatusCode::GATEWAY_TIMEOUT, "shutting down", RequestOutcome::TimedOut).closing(),
+        )
+    }
 }
 
 impl Proxy {
@@ -145,7 +164,9 @@
                 Refusal::new(StatusCode::BAD_REQUEST, "bad framing", RequestOutcome::BadRequest).closing()
             }
         })?;
-        if until <= self.platform.now() + MIN_TIME_LEFT {
+        let now = self.platform.now();
+        let until = client.begin_request(now, until).ok_or(SHUTTING_DOWN)?;
+        if until <= now + MIN_TIME_LEFT {
             return Err(Refusal::new(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no time left",
@@ -182,7 +203,6 @@
                 body,
             },
         };
-        client.busy.set(true);
         tracked.start_attempts(&taken.parts.id);
         let Some((ticket, answer)) = service.driver.admit(taken) else {
             return Err(Refusal::new(
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -12,7 +12,8 @@
 use hingestage_dataplane::body::BodyLimits;
 use hingestage_dataplane::client::ClientTimeouts;
 use hingestage_dataplane::collect::{CollectSettings, Collector};
-use hingestage_dataplane::connections::{ConnectionSettings, Connections, Shutdown, ShutdownReport};
+use hingestage_dataplane::connections::{ConnectionSettings, Connections};
+use hingestage_dataplane::shutdown::{Shutdown, ShutdownReport};
 use hingestage_node::settings::InternalPort;
 use hingestage_node::{incarnation, Settings, Signals};
 use hingestage_platform::Platform;
@@ -73,6 +74,10 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Safety margin subtracted from the time between SIGTERM and SIGKILL.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time for the first request of the connections accepted last, before idle connections are closed.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
+/// Time for the responses to requests that are abandoned at the end of a shutdown.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
 /// Prevents concurrent fetches of one version: another fetch starts only after the timeout of the one before.
 pub(crate) struct FetchGuard<V>(Cell<Option<(V, Micros)>>);
@@ -159,24 +164,35 @@
     }
     log::info!("told to end: {} connections", connections.open_count());
     proxy.stopping.set(true);
-    let now = proxy.platform.now();
-    let until = now + settings.bounds.grace.saturating_sub(GRACE_MARGIN);
-    let accepts_until = now + settings.bounds.grace / 2;
-    let report = connections
-        .stop(listener, Shutdown { accept_until: accepts_until, close_idle: false, deadline: until })
-        .await;
+    let report = connections.stop(listener, shutdown(proxy.platform.now(), settings.bounds.grace)).await;
     log_end(report);
     Ok(())
 }
 
+/// The points in time of a shutdown that is followed by SIGKILL after `grace`. Requests begin in its first half; those
+/// whose time ends before the process may begin later.
+fn shutdown(now: Instant, grace: Duration) -> Shutdown {
+    let half = grace / 2;
+    let deadline = grace.saturating_sub(GRACE_MARGIN);
+    Shutdown {
+        accept_until: now + half.saturating_sub(FIRST_REQUEST_TIME),
+        close_idle_at: now + half,
+        begin_until: now + half,
+        answer_by: now + deadline.saturating_sub(LAST_RESPONSE_TIME),
+        deadline: now + deadline,
+    }
+}
+
 fn log_end(report: ShutdownReport) {
     let last = report.last_received_after.map_or_else(String::new, |after| {
         format!(", the last {:.3} s after the signal", after.as_secs_f64())
     });
     log::info!(
-        "ended with {} connections, {} requests unanswered, {} received since the signal{last}",
+        "ended with {} connections, {} requests unanswered, {} abandoned; since the signal {} refused of {} received{last}",
         report.open_connections,
         report.unanswered,
+        report.abandoned,
+        report.refused,
         report.received
     );
 }
