Soak of shutdowns with real processes; it finds orders lost by registries

'hingestage soak' ends and restarts proxies, registries and stores in series that overlap, with second signals and SIGHUP, under clients that use their connections until these close and operators that change the configuration. The verdict rests on what clients, operators and workers saw.

--- a/crates/playground/src/clients.rs
+++ b/crates/playground/src/clients.rs
@@ -18,7 +18,7 @@
 /// How long a client waits for one request, all tries together.
 const PATIENCE: Duration = Duration::from_secs(4);
 /// How long one try may take.
-const TRY_WITHIN: Duration = Duration::from_millis(2_000);
+pub const TRY_WITHIN: Duration = Duration::from_millis(2_000);
 /// How long a registry may take to answer where to go.
 const LOOKUP_WITHIN: Duration = Duration::from_secs(1);
 /// How long a client holds an answer about where to go.
--- a/crates/playground/src/layout.rs
+++ b/crates/playground/src/layout.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Ports, alike on all machines.
 const HTTP_PORT: u16 = 8200;
@@ -21,6 +22,9 @@
 /// Calls a second that the platform's list takes.
 pub const LIST_CALLS_PER_S: f64 = 20.0;
 
+/// Time from SIGTERM to SIGKILL, unless a layout has another.
+const GRACE: Duration = Duration::from_secs(6);
+
 /// Where something stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -125,6 +129,8 @@
     pub cores: Vec<Machine>,
     /// Machines with a proxy.
     pub proxies: Vec<Machine>,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
 }
 
 impl Layout {
@@ -143,7 +149,7 @@
         };
         let cores = (0..3).map(|number| machine("core", number, CORES_AT)).collect();
         let proxies = (0..proxies).map(|number| machine("edge", number, PROXIES_AT)).collect();
-        Layout { network, places: places.to_vec(), cores, proxies }
+        Layout { network, places: places.to_vec(), cores, proxies, grace: GRACE }
     }
 
     /// Where the platform's list of workers is.
@@ -194,6 +200,7 @@
             "seeds": self.cores.iter().map(Machine::admin).collect::<Vec<_>>(),
             "bootstrap": bootstrap,
             "data_dir": self.data_dir(process, below),
+            "bounds": { "grace": format!("{}ms", self.grace.as_millis()) },
             "tolerate": { "machines": 1, "zones": 0, "regions": 0 },
             "cloud_api": { "addr": self.worker_list(), "rate_per_s": LIST_CALLS_PER_S, "lag": "500ms" },
         });
--- a/crates/playground/src/lib.rs
+++ b/crates/playground/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod operator;
 pub mod processes;
 mod run;
+pub mod soak;
 pub mod surroundings;
 mod table;
 pub mod tally;
--- a/crates/playground/src/operator.rs
+++ b/crates/playground/src/operator.rs
@@ -66,6 +66,11 @@
 
     /// The document.
     pub fn document(self) -> Bytes {
+        self.document_under(self as u32)
+    }
+
+    /// The document under another serial.
+    pub fn document_under(self, serial: u32) -> Bytes {
         let probe = self.probe_path();
         let mut routes = vec![
             route("catalog", CATALOG_PREFIX, CATALOG, "idempotent", false),
@@ -79,7 +84,7 @@
             Edition::Changed => routes.push(route("offers", OFFERS_PREFIX, CATALOG, "idempotent", false)),
         }
         let document = json!({
-            "serial": self.serial(),
+            "serial": format!("{serial:08x}"),
             "routes": routes,
             "backends": [backend(CATALOG), backend(ORDERS)],
             "tenants": [
--- a/crates/playground/src/processes.rs
+++ b/crates/playground/src/processes.rs
@@ -45,6 +45,20 @@
 struct Running {
     spec: ProcessSpec,
     child: Child,
+    started: Instant,
+    /// Whether it has been told to end.
+    ending: bool,
+}
+
+impl Running {
+    fn is(&self, spec: &ProcessSpec) -> bool {
+        self.spec.program == spec.program && self.spec.machine.name == spec.machine.name
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let _ = pid.map(|pid| kill_process(pid, signal));
+    }
 }
 
 /// The processes of a system. They are killed when this is dropped, and when this process ends.
@@ -80,7 +94,7 @@
     fn launch(&mut self, spec: &ProcessSpec, bootstrap: bool) -> Result<(), String> {
         let text = self.layout.settings(spec, &self.directory, bootstrap)?;
         let child = self.spawn(spec, &text).map_err(|e| format!("{spec}: {e}"))?;
-        self.running.push(Running { spec: spec.clone(), child });
+        self.running.push(Running { spec: spec.clone(), child, started: Instant::now(), ending: false });
         Ok(())
     }
 
@@ -106,21 +120,37 @@
 
     /// Lets a process stand still, or go on.
     pub fn freeze(&self, spec: &ProcessSpec, stands_still: bool) {
-        let signal = if stands_still { Signal::STOP } else { Signal::CONT };
-        let same = |running: &&Running| {
-            running.spec.program == spec.program && running.spec.machine.name == spec.machine.name
-        };
-        let running = self.running.iter().find(same);
-        let pid = running.and_then(|running| i32::try_from(running.child.id()).ok()).and_then(Pid::from_raw);
-        let _ = pid.map(|pid| kill_process(pid, signal));
+        self.signal(spec, if stands_still { Signal::STOP } else { Signal::CONT });
+    }
+
+    /// Sends a signal to a process, if it runs.
+    pub fn signal(&self, spec: &ProcessSpec, signal: Signal) {
+        self.running.iter().filter(|running| running.is(spec)).for_each(|running| running.signal(signal));
+    }
+
+    /// How long ago a process that runs was started.
+    pub fn age(&self, spec: &ProcessSpec) -> Option<Duration> {
+        self.running.iter().find(|running| running.is(spec)).map(|running| running.started.elapsed())
+    }
+
+    /// Tells a process to end; returns whether it runs and had not been told before.
+    pub fn begin_end(&mut self, spec: &ProcessSpec) -> bool {
+        let running = self.running.iter_mut().find(|running| running.is(spec) && !running.ending);
+        let Some(running) = running else { return false };
+        running.ending = true;
+        running.signal(Signal::TERM);
+        true
+    }
+
+    /// Whether a process has ended; one that has is forgotten.
+    pub fn has_ended(&mut self, spec: &ProcessSpec) -> bool {
+        self.running.retain_mut(|running| !running.is(spec) || matches!(running.child.try_wait(), Ok(None)));
+        !self.running.iter().any(|running| running.is(spec))
     }
 
     /// Kills a process without notice.
     pub fn kill(&mut self, spec: &ProcessSpec) {
-        let same = |running: &Running| {
-            running.spec.program == spec.program && running.spec.machine.name == spec.machine.name
-        };
-        let Some(place) = self.running.iter().position(same) else { return };
+        let Some(place) = self.running.iter().position(|running| running.is(spec)) else { return };
         let mut running = self.running.remove(place);
         let _ = running.child.kill();
         let _ = running.child.wait();
@@ -136,10 +166,7 @@
 
     /// Tells all to end, and kills those that don't in time. Tells whether none had to be killed.
     pub async fn stop(mut self) -> bool {
-        for running in &self.running {
-            let pid = i32::try_from(running.child.id()).ok().and_then(Pid::from_raw);
-            let _ = pid.map(|pid| kill_process(pid, Signal::TERM));
-        }
+        self.running.iter().for_each(|running| running.signal(Signal::TERM));
         let until = Instant::now() + END_WITHIN;
         while !self.running.is_empty() && Instant::now() < until {
             self.running.retain_mut(|running| matches!(running.child.try_wait(), Ok(None)));
--- /dev/null
+++ b/crates/playground/src/soak/mod.rs
@@ -0,0 +1,192 @@
+//! Soak of shutdowns with real processes: series of signals and restarts, drawn from a seed, under clients that use
+//! their connections until the process is gone and operators that change the configuration. The verdict rests on what
+//! clients, operators and workers saw.
+
+mod clients;
+mod orders;
+mod shutdowns;
+mod verdict;
+
+use crate::layout::{Layout, FOUR_PLACES};
+use crate::operator::{put_config, Edition};
+use crate::processes::{find_programs, Processes};
+use crate::surroundings::{Surroundings, WorkerLoad};
+use clients::RequestLog;
+use fastrand::Rng;
+use hingestage_print::say;
+use orders::OrderLog;
+use shutdowns::{Shutdowns, SoakPlan};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{sleep, Instant};
+use verdict::Verdict;
+
+/// How long a system may take to come up.
+const START_WITHIN: Duration = Duration::from_secs(30);
+/// Time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(3);
+/// How long clients and operators may take to end.
+const END_WITHIN: Duration = Duration::from_secs(8);
+/// Pause between two looks at what is waited for.
+const LOOK: Duration = Duration::from_millis(20);
+/// Kept connections of clients to each proxy.
+const CONNECTIONS_PER_PROXY: usize = 6;
+/// Requests that a worker runs at once.
+const WORKER_CAPACITY: usize = 64;
+/// How long workers work on a request; a seed has one of these.
+const WORK: [Duration; 3] = [Duration::from_millis(5), Duration::from_millis(60), Duration::from_millis(250)];
+/// The loopback networks are `127.3.x.0`.
+const SECOND: u8 = 3;
+
+/// Ends and restarts processes of whole systems in series that overlap, one system for each seed, while clients use their
+/// connections until the process is gone. Ends with 0 where every request and order that a process took was answered.
+#[derive(clap::Args, Debug)]
+pub struct Args {
+    /// How many seeds.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=256))]
+    seeds: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 0)]
+    from: u64,
+    /// Systems at a time.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=16))]
+    at_once: u8,
+    /// Proxies of each system, beside the six processes of its core.
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u8).range(2..=80))]
+    proxies: u8,
+    /// How long signals go on, seconds.
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(1..=3_600))]
+    seconds: u64,
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// A system can't be started, or a request or an order was lost.
+pub async fn run(args: Args) -> Result<(), String> {
+    let programs = find_programs()?;
+    let mut sum = Verdict::default();
+    let mut broken = Vec::new();
+    let seeds: Vec<u64> = (args.from..args.from + args.seeds).collect();
+    for some in seeds.chunks(usize::from(args.at_once)) {
+        let played: Vec<(u64, JoinHandle<Result<Verdict, String>>)> = some
+            .iter()
+            .map(|seed| (*seed, spawn_local(play(programs.clone(), args.proxies, args.seconds, *seed))))
+            .collect();
+        for (seed, played) in played {
+            match played.await.unwrap_or_else(|error| Err(error.to_string())) {
+                Ok(verdict) => {
+                    say!("seed {seed}: {verdict}");
+                    broken.extend(verdict.broken.iter().map(|what| format!("seed {seed}: {what}")));
+                    sum.add(&verdict);
+                }
+                Err(message) => broken.push(format!("seed {seed}: {message}")),
+            }
+        }
+    }
+    say!("all: {sum}");
+    match broken.as_slice() {
+        [] => Ok(()),
+        broken => Err(broken.join("\n")),
+    }
+}
+
+/// What goes on in a system while its processes are ended and restarted.
+struct Soak {
+    layout: Layout,
+    processes: RefCell<Processes>,
+    surroundings: Rc<Surroundings>,
+    requests: RefCell<RequestLog>,
+    orders: RefCell<OrderLog>,
+    shutdowns: RefCell<Shutdowns>,
+    /// Set when clients and operators are to end.
+    stop: Cell<bool>,
+    /// Clients and operators that have not ended.
+    open: Cell<usize>,
+}
+
+impl Soak {
+    /// Runs a client or an operator, and counts it until its end.
+    fn spawn_user(self: &Rc<Self>, user: impl Future<Output = ()> + 'static) {
+        let soak = self.clone();
+        self.open.set(self.open.get() + 1);
+        spawn_local(async move {
+            user.await;
+            soak.open.set(soak.open.get() - 1);
+        });
+    }
+
+    async fn stop_users(&self) -> Result<(), String> {
+        self.stop.set(true);
+        let until = Instant::now() + END_WITHIN;
+        while self.open.get() > 0 {
+            if Instant::now() >= until {
+                return Err("clients or operators did not end".to_owned());
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+}
+
+/// Plays one seed.
+async fn play(programs: PathBuf, proxies: u8, seconds: u64, seed: u64) -> Result<Verdict, String> {
+    let mut random = Rng::with_seed(seed);
+    // Lists of workers are served until the command ends, so each seed has its own network.
+    let network = (seed % 256) as u8;
+    let mut layout = Layout::of(SECOND, network, &FOUR_PLACES, proxies);
+    layout.grace = GRACE;
+    let directory = std::env::temp_dir().join(format!("hingestage-soak-{}-{network}", std::process::id()));
+    let load = WorkerLoad { work: WORK[random.usize(..WORK.len())], capacity: WORKER_CAPACITY };
+    let surroundings = Surroundings::start_with(&layout, load).await?;
+    let processes = Processes::start(programs, directory.clone(), &layout)?;
+    let soak = Rc::new(Soak {
+        layout,
+        processes: RefCell::new(processes),
+        surroundings,
+        requests: RefCell::default(),
+        orders: RefCell::default(),
+        shutdowns: RefCell::default(),
+        stop: Cell::new(false),
+        open: Cell::new(0),
+    });
+    put_config(&soak.layout, Edition::First, START_WITHIN).await?;
+    clients::wait_until_served(&soak, START_WITHIN).await?;
+    clients::start(&soak, CONNECTIONS_PER_PROXY);
+    orders::start(&soak);
+    shutdowns::play(&soak, SoakPlan::draw(&mut random, Duration::from_secs(seconds))).await;
+    soak.stop_users().await?;
+    let read_back = orders::read_back(&soak).await;
+    end(soak, read_back, &directory).await
+}
+
+/// Ends all processes and judges.
+async fn end(soak: Rc<Soak>, read_back: Option<u32>, directory: &Path) -> Result<Verdict, String> {
+    let soak = Rc::into_inner(soak).ok_or("a task of the soak did not end")?;
+    let mut processes = soak.processes.into_inner();
+    let ended = processes.ended();
+    let in_order = processes.stop().await;
+    soak.surroundings.end_all().await;
+    let runs = &soak.surroundings.log.borrow().runs;
+    let mut verdict = Verdict::judge(
+        &soak.requests.into_inner(),
+        runs,
+        &soak.orders.into_inner(),
+        &soak.shutdowns.into_inner(),
+    );
+    verdict.check_read_back(read_back);
+    verdict.broken.extend(ended);
+    if !in_order {
+        verdict.broken.push("a process had to be killed at the end".to_owned());
+    }
+    if verdict.broken.is_empty() {
+        let _ = std::fs::remove_dir_all(directory);
+    } else {
+        say!("settings and logs are in {}", directory.display());
+    }
+    Ok(verdict)
+}
--- /dev/null
+++ b/crates/playground/src/soak/verdict.rs
@@ -0,0 +1,208 @@
+//! The verdict on a soak, by what clients, operators and workers saw.
+
+use super::clients::{RequestEnd, RequestLog, SentRequest};
+use super::orders::{Order, OrderEnd, OrderLog, SentOrder};
+use super::shutdowns::{Shutdown, Shutdowns};
+use crate::clients::{promises_not_run, TRY_WITHIN};
+use crate::layout::Program;
+use hingestage_test_servers::service_worker::Run;
+use hyper::StatusCode;
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What was sent so long before a connection closes has been read.
+const READ_WITHIN: Duration = Duration::from_millis(200);
+/// What was sent so long before SIGTERM has been read.
+const READ_BEFORE_SIGNAL: Duration = Duration::from_millis(50);
+/// How much earlier than a request's deadline its answer may say that time is up.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
+
+/// What became of the requests and orders of one soak or more.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    served: u64,
+    refused: u64,
+    /// Answered at their deadline.
+    late: u64,
+    /// Sent as their connection closed, and not read.
+    crossed: u64,
+    /// Connections that closed while idle.
+    closed_idle: u64,
+    orders: u64,
+    orders_crossed: u64,
+    acknowledged: Option<u32>,
+    shutdowns: u64,
+    told_twice: u64,
+    /// Rules that were broken.
+    pub broken: Vec<String>,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "{} requests served, {} refused, {} late, {} unread at a close, {} connections closed idle; {} orders \
+             answered, {} unread; {} shutdowns, {} with a second signal; {} rules broken",
+            self.served,
+            self.refused,
+            self.late,
+            self.crossed,
+            self.closed_idle,
+            self.orders,
+            self.orders_crossed,
+            self.shutdowns,
+            self.told_twice,
+            self.broken.len()
+        )
+    }
+}
+
+/// Counts of runs by the request's id.
+type RunCounts<'a> = HashMap<&'a str, u32>;
+
+impl Verdict {
+    /// Judges one soak.
+    pub fn judge(requests: &RequestLog, runs: &[Run], orders: &OrderLog, shutdowns: &Shutdowns) -> Verdict {
+        let mut verdict = Verdict { closed_idle: requests.closed_idle, ..Verdict::default() };
+        let mut counts = RunCounts::new();
+        runs.iter().for_each(|run| *counts.entry(run.attempt.as_str()).or_default() += 1);
+        requests.requests.iter().for_each(|request| verdict.judge_request(request, &counts, shutdowns));
+        orders.orders.iter().for_each(|order| verdict.judge_order(order, shutdowns));
+        shutdowns.all.iter().for_each(|shutdown| verdict.judge_shutdown(shutdown));
+        verdict.broken.extend(shutdowns.unasked.iter().cloned());
+        verdict
+    }
+
+    /// Adds the counts of another soak.
+    pub fn add(&mut self, other: &Verdict) {
+        self.served += other.served;
+        self.refused += other.refused;
+        self.late += other.late;
+        self.crossed += other.crossed;
+        self.closed_idle += other.closed_idle;
+        self.orders += other.orders;
+        self.orders_crossed += other.orders_crossed;
+        self.shutdowns += other.shutdowns;
+        self.told_twice += other.told_twice;
+        self.broken.extend(other.broken.iter().cloned());
+    }
+
+    /// Checks the configuration that was read in the end against the acknowledged ones.
+    pub fn check_read_back(&mut self, read_back: Option<u32>) {
+        if read_back < self.acknowledged {
+            self.broken.push(format!(
+                "configuration {:08x} was acknowledged, and {read_back:08x?} is read back",
+                self.acknowledged.unwrap_or_default()
+            ));
+        }
+    }
+
+    fn judge_request(&mut self, request: &SentRequest, runs: &RunCounts, shutdowns: &Shutdowns) {
+        let ran = runs.get(request.attempt.as_str()).copied().unwrap_or_default();
+        let took = request.ended - request.sent;
+        let is_proxy = |shutdown: &&Shutdown| {
+            shutdown.process.program == Program::Proxy && shutdown.process.machine.http() == request.proxy
+        };
+        let told = told_before(shutdowns.all.iter().filter(is_proxy), request.ended);
+        let broken = match request.end {
+            _ if request.mutating && ran > 1 => Some("ran more than once"),
+            RequestEnd::Answered(status) if status.is_success() => {
+                self.served += 1;
+                None
+            }
+            RequestEnd::Answered(status) if promises_not_run(status) => {
+                self.refused += 1;
+                (ran > 0).then_some("ran, and was answered with the promise that it has not")
+            }
+            RequestEnd::Answered(StatusCode::GATEWAY_TIMEOUT) if took + DEADLINE_MARGIN >= TRY_WITHIN => {
+                self.late += 1;
+                None
+            }
+            RequestEnd::Answered(_) => Some("failed, though its worker answers"),
+            RequestEnd::Closed if ran > 0 => Some("ran, and its connection closed with no answer"),
+            RequestEnd::Closed if was_read(request.sent, request.ended, told) => {
+                Some("was read, and its connection closed with no answer")
+            }
+            RequestEnd::Closed => {
+                self.crossed += 1;
+                None
+            }
+            RequestEnd::Silent => Some("got no answer"),
+        };
+        if let Some(broken) = broken {
+            let kind = if request.mutating { "mutating" } else { "repeatable" };
+            self.broken.push(format!(
+                "a {kind} request {broken}: {:?} by {} after {took:?}, {}",
+                request.end,
+                request.proxy,
+                sent_after(request.sent, told)
+            ));
+        }
+    }
+
+    fn judge_order(&mut self, sent: &SentOrder, shutdowns: &Shutdowns) {
+        let is_registry = |shutdown: &&Shutdown| {
+            shutdown.process.program == Program::Registry && shutdown.process.machine.name == sent.machine
+        };
+        let told = told_before(shutdowns.all.iter().filter(is_registry), sent.ended);
+        let broken = match sent.end {
+            OrderEnd::Answered(status) if status.is_client_error() && status != StatusCode::CONFLICT => {
+                Some("was refused")
+            }
+            OrderEnd::Answered(status) => {
+                self.orders += 1;
+                if let (Order::Change(serial), StatusCode::OK) = (sent.order, status) {
+                    self.acknowledged = self.acknowledged.max(Some(serial));
+                }
+                None
+            }
+            OrderEnd::Closed if was_read(sent.sent, sent.ended, told) => {
+                Some("was read, and its connection closed with no answer")
+            }
+            OrderEnd::Closed => {
+                self.orders_crossed += 1;
+                None
+            }
+            OrderEnd::Silent => Some("got no answer"),
+        };
+        if let Some(broken) = broken {
+            let took = sent.ended - sent.sent;
+            self.broken.push(format!(
+                "{} {broken}: {:?} by {} after {took:?}, {}",
+                sent.order,
+                sent.end,
+                sent.machine,
+                sent_after(sent.sent, told)
+            ));
+        }
+    }
+
+    fn judge_shutdown(&mut self, shutdown: &Shutdown) {
+        self.shutdowns += 1;
+        self.told_twice += u64::from(shutdown.told_twice);
+        if shutdown.killed {
+            self.broken.push(format!("{} had not ended when its time was up", shutdown.process));
+        }
+    }
+}
+
+/// When a process was last told to end, up to a point in time.
+fn told_before<'a>(shutdowns: impl Iterator<Item = &'a Shutdown>, at: Instant) -> Option<Instant> {
+    shutdowns.map(|shutdown| shutdown.told).filter(|told| *told <= at).max()
+}
+
+/// Whether a message must have been read: it was sent long enough before the close, or before the signal that led to it.
+fn was_read(sent: Instant, closed: Instant, told: Option<Instant>) -> bool {
+    let before_signal = told.is_some_and(|told| sent + READ_BEFORE_SIGNAL <= told);
+    before_signal || sent + READ_WITHIN <= closed
+}
+
+fn sent_after(sent: Instant, told: Option<Instant>) -> String {
+    match told {
+        Some(told) if told <= sent => format!("sent {:?} after SIGTERM", sent - told),
+        Some(told) => format!("sent {:?} before SIGTERM", told - sent),
+        None => "with no signal".to_owned(),
+    }
+}
--- a/crates/playground/src/surroundings.rs
+++ b/crates/playground/src/surroundings.rs
@@ -14,12 +14,19 @@
 
 /// Workers at the start.
 pub const WORKERS: u8 = 6;
-/// Requests that a worker runs at once.
-const CAPACITY: usize = 8;
 /// Requests that may wait at a worker.
 const QUEUE: usize = 32;
-/// How long a request takes.
-const WORK: Duration = Duration::from_millis(5);
+/// What workers bear, unless a system has others.
+const LOAD: WorkerLoad = WorkerLoad { work: Duration::from_millis(5), capacity: 8 };
+
+/// What a worker bears.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerLoad {
+    /// How long a request takes.
+    pub work: Duration,
+    /// Requests that it runs at once.
+    pub capacity: usize,
+}
 
 /// A worker and how the list names it.
 pub struct Hosted {
@@ -37,6 +44,7 @@
     pub list: Rc<WorkerListServer<Tokio>>,
     /// Workers that run, by when they started.
     pub workers: RefCell<Vec<Hosted>>,
+    load: WorkerLoad,
 }
 
 impl Surroundings {
@@ -45,11 +53,19 @@
     /// # Errors
     /// An address is in use.
     pub async fn start(layout: &Layout) -> Result<Rc<Surroundings>, String> {
+        Surroundings::start_with(layout, LOAD).await
+    }
+
+    /// Starts the list and workers that bear this.
+    ///
+    /// # Errors
+    /// An address is in use.
+    pub async fn start_with(layout: &Layout, load: WorkerLoad) -> Result<Rc<Surroundings>, String> {
         let list = WorkerListServer::new(Tokio, LIST_CALLS_PER_S);
         let listener = listen(layout.worker_list()).await?;
         Tokio.spawn(list.clone().run(listener));
         let (log, workers) = Default::default();
-        let surroundings = Rc::new(Surroundings { log, list, workers });
+        let surroundings = Rc::new(Surroundings { log, list, workers, load });
         for number in 0..WORKERS {
             let service = if number % 4 < 2 { CATALOG } else { ORDERS };
             let zone = layout.places[usize::from(number) % layout.places.len()].zone;
@@ -68,9 +84,9 @@
         let spec = ServiceWorkerSpec {
             id: id.to_owned(),
             service: service.to_owned(),
-            capacity: CAPACITY,
+            capacity: self.load.capacity,
             queue: QUEUE,
-            work: WORK,
+            work: self.load.work,
         };
         let worker = ServiceWorker::new(Tokio, spec, self.log.clone());
         Tokio.spawn(worker.clone().run(listener));
@@ -79,7 +95,7 @@
             service: service.to_owned(),
             addr,
             zone: zone.to_owned(),
-            capacity: CAPACITY,
+            capacity: self.load.capacity,
             draining: false,
         };
         self.workers.borrow_mut().push(Hosted { worker, listed });
--- a/src/main.rs
+++ b/src/main.rs
@@ -44,6 +44,9 @@
     System(hingestage_playground::Args),
     /// Lets trials of a tenant expire on systems of real processes, with faults, and checks what clients saw.
     Expire(hingestage_playground::expiry::Args),
+    /// Ends and restarts processes of whole systems under clients that keep their connections, and checks that nothing
+    /// that was taken is lost.
+    Soak(hingestage_playground::soak::Args),
     /// Checks an operator file. Errors name the field and its place.
     Check {
         /// The file.
@@ -93,6 +96,9 @@
         Some(Command::Expire(args)) => {
             block_on(hingestage_playground::expiry::run(args)).map_err(Failed::Running)
         }
+        Some(Command::Soak(args)) => {
+            block_on(hingestage_playground::soak::run(args)).map_err(Failed::Running)
+        }
         Some(Command::System(args)) => block_on(hingestage_playground::run(args)).map_err(Failed::Running),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Srv(args)) => srv::run(args),
