Registries and stores answer the calls that they have read before they end

Operators saw connections closed with no answer to an order that a registry had read, and other processes lost calls, whenever a registry, a store or a proxy got SIGTERM: registries ended at once, stores once their vote was handed over, both with calls in progress, and a proxy's inner server with it.

A server now knows its open connections and tells them to end: no further request is read, those that were read are answered, long polls at once, and the process waits for that within its grace.

New test: 20 calls in progress at a stop are answered.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -14,7 +14,7 @@
     Summary,
 };
 use hingestage_rpc::status::StoreStatus;
-use hingestage_rpc::{serve as serve_calls, Client, Handler};
+use hingestage_rpc::{serve as serve_calls, Client, Handler, OpenConnections};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -38,6 +38,8 @@
 const IDLE_PERIOD: Duration = Duration::from_millis(400);
 /// Timeout for handing the vote over at shutdown.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout for answering the last calls at shutdown; changes take most of it.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(950);
 /// Microseconds in a millisecond.
 const MILLI: Micros = 1_000;
 
@@ -66,6 +68,8 @@
     /// Notified to poll the replica at once.
     poll_now: Notify,
     connections: RefCell<BTreeMap<CompactString, Rc<PeerConnections>>>,
+    /// Connections of the callers of this store.
+    callers: Rc<OpenConnections>,
 }
 
 /// Runs the store until the process is asked to terminate.
@@ -91,15 +95,18 @@
         exchange_now: Notify::new(),
         poll_now: Notify::new(),
         connections: RefCell::default(),
+        callers: Rc::default(),
     });
     let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("{addr}"))?;
-    spawn_local(serve_calls(listener, store.clone()));
+    spawn_local(serve_calls(listener, store.clone(), store.callers.clone()));
     spawn_local(discover_members(store.clone(), settings.clone()));
     spawn_local(store.clone().poll_periodically());
     store.start_peers();
     signals.terminate.recv().await;
     log::info!("told to end");
-    let _ = tokio::time::timeout(HANDOVER_TIMEOUT, store.hand_over_vote()).await;
+    let handover_time = settings.bounds.shutdown_time().saturating_sub(LAST_ANSWERS_TIMEOUT);
+    let _ = tokio::time::timeout(HANDOVER_TIMEOUT.min(handover_time), store.hand_over_vote()).await;
+    store.finish_calls().await;
     Ok(())
 }
 
@@ -305,6 +312,15 @@
         }
     }
 
+    /// Answers the calls that have been received.
+    async fn finish_calls(&self) {
+        self.callers.stop();
+        self.changed.notify_waiters();
+        if !self.callers.all_closed(LAST_ANSWERS_TIMEOUT).await {
+            log::warn!("ended with {} connections", self.callers.count());
+        }
+    }
+
     /// Hands the vote over to a standby store, if there is one.
     async fn hand_over_vote(self: &Rc<Self>) {
         self.replica.borrow_mut().begin_handover();
@@ -350,7 +366,7 @@
                 || updates.proxies.is_some()
                 || updates.trials.is_some()
                 || updates.summary.drains != have.drains;
-            if has_changes || self.now() >= until {
+            if has_changes || self.now() >= until || self.callers.is_stopping() {
                 return StoreAnswer::Watched(Box::new(updates));
             }
             let _ = self.wait_until(changed, until).await;
--- a/crates/control-tool/tests/tool.rs
+++ b/crates/control-tool/tests/tool.rs
@@ -176,23 +176,23 @@
             proxies: vec![proxy_status("edge-1", "north-1", "north", proxy.1)],
         };
         let other = RegistryStatus { member: members[1].clone(), fence: None, ..status.clone() };
-        spawn_local(serve(first.0, Rc::new(Registry(status))));
+        spawn_local(serve(first.0, Rc::new(Registry(status)), Rc::default()));
         if fault != Fault::NoSecondRegistry {
-            spawn_local(serve(second.0, Rc::new(Registry(other))));
+            spawn_local(serve(second.0, Rc::new(Registry(other)), Rc::default()));
         }
         let stores =
             vec![store_member("core-1", "north-1", store_1.1), store_member("core-2", "north-1", store_2.1)];
         let store = store_status("core-1", store_1.1, stores.clone());
         let recovering = fault == Fault::RecoveringStore;
         let other = StoreStatus { recovering, ..store_status("core-2", store_2.1, stores) };
-        spawn_local(serve(store_1.0, Rc::new(Store(store))));
-        spawn_local(serve(store_2.0, Rc::new(Store(other))));
+        spawn_local(serve(store_1.0, Rc::new(Store(store)), Rc::default()));
+        spawn_local(serve(store_2.0, Rc::new(Store(other)), Rc::default()));
         let mut state = proxy_state(proxy_status("edge-1", "north-1", "north", proxy.1));
         if fault == Fault::ExpiredKeys {
             state.keys = KeyLease::Expired;
         }
         if fault != Fault::NoProxy {
-            spawn_local(serve(proxy.0, Rc::new(Proxy(state, explanation()))));
+            spawn_local(serve(proxy.0, Rc::new(Proxy(state, explanation())), Rc::default()));
         }
         system
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,6 +14,9 @@
 /// The environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "HINGESTAGE_SETTINGS";
 
+/// Safety margin subtracted from the time between SIGTERM and SIGKILL.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize, Validate)]
 pub struct Settings {
@@ -183,6 +186,13 @@
     pub ttl_max: Duration,
 }
 
+impl Bounds {
+    /// How long a process may take to end after SIGTERM.
+    pub fn shutdown_time(&self) -> Duration {
+        self.grace.saturating_sub(GRACE_MARGIN)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -197,7 +197,8 @@
         loop {
             let changed = self.relay.updated.notified();
             let updates = self.view.borrow().followed().catalog().updates_for(self.now(), &have);
-            if !updates.is_empty() || tokio::time::timeout_at(until, changed).await.is_err() {
+            let is_last = !updates.is_empty() || self.call_connections.is_stopping();
+            if is_last || tokio::time::timeout_at(until, changed).await.is_err() {
                 return updates;
             }
         }
@@ -220,7 +221,8 @@
             }
             let is_active = self.view.borrow().config_version() >= Some(version);
             let is_home = self.relay.home(self.now(), CONFIG_KEY) == Home::Local;
-            if is_active || !is_home || tokio::time::timeout_at(until, changed).await.is_err() {
+            let is_last = is_active || !is_home || self.call_connections.is_stopping();
+            if is_last || tokio::time::timeout_at(until, changed).await.is_err() {
                 return None;
             }
         }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -14,7 +14,7 @@
 use hingestage_dataplane::collect::{CollectSettings, Collector};
 use hingestage_dataplane::connections::{ConnectionSettings, Connections};
 use hingestage_dataplane::shutdown::{Shutdown, ShutdownReport};
-use hingestage_node::settings::InternalPort;
+use hingestage_node::settings::{Bounds, InternalPort};
 use hingestage_node::{incarnation, Settings, Signals};
 use hingestage_platform::Platform;
 use hingestage_platform::Tokio;
@@ -24,9 +24,9 @@
 use hingestage_rpc::messages::{
     ConfigDocument, ConfigTransfer, ConfigVersion, ProcessId, ProxyStatus, RegistryAddress,
 };
-use hingestage_rpc::serve as serve_calls;
 use hingestage_rpc::status::OutcomeCount;
 use hingestage_rpc::workers::ServiceUpdate;
+use hingestage_rpc::{serve as serve_calls, OpenConnections};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,8 +72,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of a response whose reader makes no progress.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Safety margin subtracted from the time between SIGTERM and SIGKILL.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Timeout for answering the last calls of operators and of other proxies.
+const LAST_CALLS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for the first request of the connections accepted last, before idle connections are closed.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
 /// Time for the responses to requests that are abandoned at the end of a shutdown.
@@ -126,6 +126,8 @@
     pub(crate) borrowing: TokenBorrowing,
     pub(crate) deferred: DeferredRequests,
     pub(crate) trial_counts: TrialCounts,
+    /// Connections of operators and of other proxies.
+    pub(crate) call_connections: Rc<OpenConnections>,
     /// The active configuration as received; deltas apply to it.
     document: RefCell<Option<ConfigDocument>>,
     id: ProcessId,
@@ -153,7 +155,7 @@
     peers::start(&proxy).await?;
     let inner = settings.internal_addr(InternalPort::Proxy);
     let calls = TcpListener::bind(inner).await.wrap_err_with(|| format!("{inner}"))?;
-    spawn_local(serve_calls(calls, proxy.clone()));
+    spawn_local(serve_calls(calls, proxy.clone(), proxy.call_connections.clone()));
     spawn_local(control::run(proxy.clone()));
     spawn_local(relay::run(proxy.clone()));
     spawn_local(proxy.clone().refresh_on_time());
@@ -164,16 +166,17 @@
     }
     log::info!("told to end: {} connections", connections.open_count());
     proxy.stopping.set(true);
-    let report = connections.stop(listener, shutdown(proxy.platform.now(), settings.bounds.grace)).await;
+    let report = connections.stop(listener, shutdown(proxy.platform.now(), &settings.bounds)).await;
     log_end(report);
+    proxy.finish_calls().await;
     Ok(())
 }
 
-/// The points in time of a shutdown that is followed by SIGKILL after `grace`. Requests begin in its first half; those
+/// The points in time of a shutdown that is followed by SIGKILL. Requests begin in the first half of the time until then; those
 /// whose time ends before the process may begin later.
-fn shutdown(now: Instant, grace: Duration) -> Shutdown {
-    let half = grace / 2;
-    let deadline = grace.saturating_sub(GRACE_MARGIN);
+fn shutdown(now: Instant, bounds: &Bounds) -> Shutdown {
+    let half = bounds.grace / 2;
+    let deadline = bounds.shutdown_time();
     Shutdown {
         accept_until: now + half.saturating_sub(FIRST_REQUEST_TIME),
         close_idle_at: now + half,
@@ -261,6 +264,7 @@
             borrowing: TokenBorrowing::default(),
             deferred: DeferredRequests::default(),
             trial_counts: TrialCounts::default(),
+            call_connections: Rc::default(),
             document: RefCell::default(),
             id: ProcessId { node: settings.node.as_str().into(), incarnation },
             http,
@@ -271,6 +275,13 @@
         }
     }
 
+    /// Answers the calls of operators and of other proxies that have been received.
+    async fn finish_calls(&self) {
+        self.call_connections.stop();
+        self.relay.notify_followers();
+        self.call_connections.all_closed(LAST_CALLS_TIMEOUT).await;
+    }
+
     /// Microseconds since the start of the process.
     pub(crate) fn now(&self) -> Micros {
         self.started.elapsed().as_micros() as Micros
--- a/crates/proxy/tests/operator_calls.rs
+++ b/crates/proxy/tests/operator_calls.rs
@@ -106,7 +106,7 @@
             TcpListener::bind(settings.internal_addr(InternalPort::Registry)).await.expect("a port");
         // Connections to the worker are refused.
         let worker = SocketAddr::new(settings.ip, 9);
-        spawn_local(serve(registry, Rc::new(Registry { fresh, worker })));
+        spawn_local(serve(registry, Rc::new(Registry { fresh, worker }), Rc::default()));
         let proxy = TestProxy {
             http: settings.listen.http.expect("an address"),
             calls: Client::new(settings.internal_addr(InternalPort::Proxy)),
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -156,12 +156,12 @@
         });
         let seed = settings[0].internal_addr_at(seed.parse().expect("an address"), InternalPort::Registry);
         let listener = TcpListener::bind(seed).await.expect("a port");
-        spawn_local(serve(listener, registry.clone()));
+        spawn_local(serve(listener, registry.clone(), Rc::default()));
         let (running, silent) = settings.split_at(usize::from(running));
         for settings in silent {
             let listener =
                 TcpListener::bind(settings.internal_addr(InternalPort::Proxy)).await.expect("a port");
-            spawn_local(serve(listener, Rc::new(Silent)));
+            spawn_local(serve(listener, Rc::new(Silent), Rc::default()));
         }
         let start = |settings: &Rc<Settings>| {
             let settings = settings.clone();
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -40,17 +40,24 @@
 
 pub(crate) type HttpResponse = Response<Full<Bytes>>;
 
-/// Accepts connections forever.
+/// Accepts connections until the registry is told to end.
 pub(crate) async fn serve(listener: TcpListener, registry: Rc<Registry>) {
     let open = Rc::new(Cell::new(0usize));
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            () = registry.connections.stopped() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) if open.get() < CONNECTIONS_MAX => {
                 open.set(open.get() + 1);
                 let (open, registry) = (open.clone(), registry.clone());
+                let connection = registry.connections.open();
                 spawn_local(async move {
                     serve_connection(stream, registry).await;
                     open.set(open.get() - 1);
+                    drop(connection);
                 });
             }
             Ok((_, from)) => log::warn!("{from}: too many connections"),
@@ -62,8 +69,10 @@
     }
 }
 
+/// Serves a connection. When the registry is told to end, the request that has been read is answered first.
 async fn serve_connection(stream: TcpStream, registry: Rc<Registry>) {
     let _ = stream.set_nodelay(true);
+    let connections = registry.connections.clone();
     let service = service_fn(move |request| {
         let registry = registry.clone();
         async move { Ok::<_, Infallible>(registry.route(request).await) }
@@ -72,7 +81,14 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
     // A protocol error only ends this connection.
+    tokio::select! {
+        biased;
+        ended = connection.as_mut() => return drop(ended),
+        () = connections.stopped() => {}
+    }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -16,7 +16,7 @@
     RegistryMember, RegistryRequest, StoreAnswer, StoreRequest, Watched, ZoneDrains,
 };
 use hingestage_rpc::workers::{ServiceIndex, WorkerRecord, WorkersVersion};
-use hingestage_rpc::{serve as serve_calls, Client, Handler};
+use hingestage_rpc::{serve as serve_calls, Client, Handler, OpenConnections};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -65,6 +65,8 @@
     changed: Notify,
     admissions: RefCell<Admissions>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
+    /// Connections of clients, operators and other processes.
+    pub(crate) connections: Rc<OpenConnections>,
 }
 
 /// Runs the registry until it is terminated.
@@ -87,11 +89,12 @@
         changed: Notify::new(),
         admissions: RefCell::new(Admissions::new(settings.bootstrap, AdmissionSettings::default())),
         peers: RefCell::default(),
+        connections: Rc::default(),
         file: SettingsFile::new(settings.clone()),
         settings: settings.clone(),
     });
     let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("{addr}"))?;
-    spawn_local(serve_calls(listener, registry.clone()));
+    spawn_local(serve_calls(listener, registry.clone(), registry.connections.clone()));
     for (name, at) in [("admin", settings.listen.admin), ("dir", settings.listen.dir)] {
         let at = at.ok_or_else(|| eyre!("settings: `listen.{name}` is missing"))?;
         let listener = TcpListener::bind(at).await.wrap_err_with(|| format!("listen.{name}: {at}"))?;
@@ -105,11 +108,21 @@
     registry.set_first_terms()?;
     spawn_local(registry.clone().remove_expired());
     signals.terminate.recv().await;
-    log::info!("told to end");
+    registry.finish(settings.bounds.shutdown_time()).await;
     Ok(())
 }
 
 impl Registry {
+    /// Answers what has been received, then closes all connections.
+    async fn finish(&self, within: Duration) {
+        log::info!("told to end: {} connections", self.connections.count());
+        self.connections.stop();
+        self.changed.notify_waiters();
+        if !self.connections.all_closed(within).await {
+            log::warn!("ended with {} connections", self.connections.count());
+        }
+    }
+
     pub(crate) fn now(&self) -> Micros {
         self.started.elapsed().as_micros() as Micros
     }
@@ -315,7 +328,7 @@
                 || have.directory != theirs.directory
                 || self.committed.borrow().trials.has_updates_for(theirs.trials);
             let now = self.now();
-            if has_news || now >= until {
+            if has_news || now >= until || self.connections.is_stopping() {
                 return RegistryAnswer::Watched(Box::new(self.watched(now, have, &theirs, &name, &zone)));
             }
             let _ = tokio::time::timeout(Duration::from_micros(until - now), changed).await;
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -2,15 +2,19 @@
 
 use crate::client::set_socket_options;
 use crate::frame::{self, Frame, FrameError};
+use crate::open_connections::OpenConnections;
 use bytes::Bytes;
 use serde::{de::DeserializeOwned, Serialize};
-use std::cell::Cell;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::BufReader;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
 
 /// Maximum number of open connections.
@@ -35,22 +39,25 @@
     ) -> impl Future<Output = Self::Answer> + 'static;
 }
 
-/// Accepts connections and serves their calls; never returns.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>) {
-    let open = Rc::new(Cell::new(0));
+/// Accepts connections and serves their calls until `connections` are told to end.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>, connections: Rc<OpenConnections>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) if open.get() < CONNECTIONS_MAX => {
-                open.set(open.get() + 1);
-                let (open, handler) = (open.clone(), handler.clone());
+        let accepted = tokio::select! {
+            biased;
+            () = connections.stopped() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, from)) if connections.count() < CONNECTIONS_MAX => {
+                let (open, handler, connections) = (connections.open(), handler.clone(), connections.clone());
                 spawn_local(async move {
                     if let Err(
                         error @ (FrameError::Version(_) | FrameError::TooLong(_) | FrameError::Message(_)),
-                    ) = serve_connection(stream, from, handler).await
+                    ) = serve_connection(stream, from, handler, &connections).await
                     {
                         log::warn!("{from}: {error}");
                     }
-                    open.set(open.get() - 1);
+                    drop(open);
                 });
             }
             Ok((_, from)) => log::warn!("{from}: too many connections"),
@@ -66,12 +73,13 @@
     stream: TcpStream,
     from: SocketAddr,
     handler: Rc<H>,
+    connections: &OpenConnections,
 ) -> Result<(), FrameError> {
     set_socket_options(&stream);
     let (read, mut write) = stream.into_split();
-    let mut read = tokio::io::BufReader::new(read);
+    let mut read = BufReader::new(read);
     let (answers, mut to_write) = mpsc::channel::<Bytes>(CALLS_PER_CONNECTION_MAX);
-    let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(CALLS_PER_CONNECTION_MAX));
+    let permits = Arc::new(Semaphore::new(CALLS_PER_CONNECTION_MAX));
     let writer = spawn_local(async move {
         while let Some(frame) = to_write.recv().await {
             if frame::write(&mut write, &frame).await.is_err() {
@@ -80,9 +88,13 @@
         }
     });
     let result = loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { break Ok(()) };
-        let frame: Frame = match frame::read(&mut read).await {
-            Ok(frame) => frame,
+        let received = tokio::select! {
+            biased;
+            received = next_call(&mut read, &permits) => received,
+            () = connections.stopped() => break Ok(()),
+        };
+        let (permit, frame) = match received {
+            Ok(received) => received,
             Err(error) => break Err(error),
         };
         let request = match frame.decode() {
@@ -97,6 +109,23 @@
             drop(permit);
         });
     };
-    writer.abort();
+    match result {
+        Ok(()) => {
+            // The writer ends when all calls are answered.
+            drop(answers);
+            let _ = writer.await;
+        }
+        Err(_) => writer.abort(),
+    }
     result
 }
+
+/// Reads the next call once fewer than [`CALLS_PER_CONNECTION_MAX`] are in progress.
+async fn next_call(
+    read: &mut BufReader<OwnedReadHalf>,
+    permits: &Arc<Semaphore>,
+) -> Result<(OwnedSemaphorePermit, Frame), FrameError> {
+    let permit =
+        permits.clone().acquire_owned().await.map_err(|closed| FrameError::Io(io::Error::other(closed)))?;
+    Ok((permit, frame::read(read).await?))
+}
--- a/crates/rpc/tests/calls.rs
+++ b/crates/rpc/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Client and server over loopback sockets, with peers that send invalid frames, do not answer or restart.
 
 use hingestage_fixtures::{block_on as run, listener, PLENTY};
-use hingestage_rpc::{serve, CallError, Client, Handler, PROTOCOL_VERSION};
+use hingestage_rpc::{serve, CallError, Client, Handler, OpenConnections, PROTOCOL_VERSION};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,7 +41,7 @@
 
 async fn doubler() -> SocketAddr {
     let (listener, addr) = listener().await;
-    spawn_local(serve(listener, Rc::new(Doubler::default())));
+    spawn_local(serve(listener, Rc::new(Doubler::default()), Rc::default()));
     addr
 }
 
@@ -105,7 +105,7 @@
     run(async {
         let (listener, addr) = listener().await;
         let handler = Rc::new(Doubler::default());
-        spawn_local(serve(listener, handler.clone()));
+        spawn_local(serve(listener, handler.clone(), Rc::default()));
         let client = Rc::new(DoublerClient::new(addr));
         let odd: Vec<_> = (0..20u64)
             .map(|number| {
@@ -131,7 +131,7 @@
         let client = DoublerClient::new(addr);
         assert_eq!(client.call(&4, SHORT_TIMEOUT).await, Err(CallError::Timeout));
         let (silent, _) = listener.accept().await.expect("the first connection");
-        spawn_local(serve(listener, Rc::new(Doubler::default())));
+        spawn_local(serve(listener, Rc::new(Doubler::default()), Rc::default()));
         assert_eq!(client.call(&4, PLENTY).await, Ok(8));
         drop(silent);
     });
@@ -150,7 +150,7 @@
         let (answer, ()) = tokio::join!(client.call(&4, PLENTY), first_run);
         assert_eq!(answer, Ok(4));
         // The first connection closes while no call is pending.
-        spawn_local(serve(listener, Rc::new(Doubler::default())));
+        spawn_local(serve(listener, Rc::new(Doubler::default()), Rc::default()));
         assert_eq!(DoublerClient::new(addr).call(&4, PLENTY).await, Ok(8));
         assert_eq!(client.call(&6, PLENTY).await, Ok(12));
     });
@@ -168,3 +168,32 @@
         assert_eq!(client.call(&4, PLENTY).await, Err(CallError::Unreachable));
     });
 }
+
+#[test]
+fn calls_that_have_been_read_are_answered_after_a_stop() {
+    run(async {
+        let (listener, addr) = listener().await;
+        let handler = Rc::new(Doubler::default());
+        let connections: Rc<OpenConnections> = Rc::default();
+        spawn_local(serve(listener, handler.clone(), connections.clone()));
+        let client = Rc::new(DoublerClient::new(addr));
+        let odd: Vec<_> = (0..20u64)
+            .map(|number| {
+                let client = client.clone();
+                spawn_local(async move { (number, client.call(&(2 * number + 1), PLENTY).await) })
+            })
+            .collect();
+        while handler.waiting.get() < odd.len() {
+            tokio::task::yield_now().await;
+        }
+        connections.stop();
+        assert!(!connections.all_closed(SHORT_TIMEOUT).await, "closed with calls in progress");
+        handler.even.notify_waiters();
+        for call in odd {
+            let (number, answer) = call.await.expect("the call's task");
+            assert_eq!(answer, Ok(2 * (2 * number + 1)));
+        }
+        assert!(connections.all_closed(PLENTY).await);
+        assert_eq!(DoublerClient::new(addr).call(&4, PLENTY).await, Err(CallError::Unreachable));
+    });
+}
