Keepers of the policy answer the calls that they have read before they end

On SIGTERM a keeper stopped accepting and shut Raft down, and the end of the process cut off calls in progress: a caller of /propose saw its connection closed and could not tell what became of its proposal. Now connections end gracefully first, for as long as a write may take.

New test: a keeper that has read the head of a call gets SIGTERM, then the body.

--- a/crates/policy-store/src/service.rs
+++ b/crates/policy-store/src/service.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Semaphore};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
 /// Maximum concurrent connections; further ones wait to be accepted.
@@ -45,6 +45,10 @@
 /// Serves HTTP calls to a node.
 struct Server {
     node: Arc<Node>,
+    /// One for each connection that may be open.
+    permits: Arc<Semaphore>,
+    /// Whether connections close once the calls that were read are answered.
+    stopping: watch::Sender<bool>,
 }
 
 /// Runs a keeper until `stop` completes or its store fails.
@@ -68,30 +72,33 @@
     let raft_config = raft_settings(&config);
     let now = Arc::new(move || clock.micros(Tokio.now()));
     let node = Node::open(config, raft_config, store, network, now).await?;
-    let server = Arc::new(Server { node: node.clone() });
+    let server = Arc::new(Server {
+        node: node.clone(),
+        permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        stopping: watch::Sender::new(false),
+    });
     tracing::info!(number = node.config.number, at = %node.config.listen, "keeps");
-    let accepting = tokio::spawn(server.accept(listener));
+    let accepting = tokio::spawn(server.clone().accept(listener));
     let failed = node.clone().failed();
     let ended = tokio::select! {
         () = stop => Ok(()),
         what = failed => Err(what),
     };
     accepting.abort();
+    server.finish_calls().await;
     let _ = timeout(WRITE_TIMEOUT, node.raft.shutdown()).await;
     ended
 }
 
 impl Server {
     async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
-            let Ok(permit) = permits.clone().acquire_owned().await else { return };
+            let Ok(permit) = self.permits.clone().acquire_owned().await else { return };
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let server = self.clone();
-                    let permits = permits.clone();
                     tokio::spawn(async move {
-                        server.serve(stream, &permits).await;
+                        server.serve(stream).await;
                         drop(permit);
                     });
                 }
@@ -103,7 +110,13 @@
         }
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream, permits: &Semaphore) {
+    /// Waits until the calls that were read are answered.
+    async fn finish_calls(&self) {
+        self.stopping.send_replace(true);
+        let _ = timeout(WRITE_TIMEOUT, self.permits.acquire_many(MAX_CONNECTIONS as u32)).await;
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let (activity_tx, mut activity_rx) = mpsc::channel::<()>(1);
         let service = service_fn(|request: Request<Incoming>| {
@@ -112,7 +125,7 @@
             async move {
                 let mut answer = server.answer(request).await;
                 // Close the connection when others are waiting for a permit.
-                if permits.available_permits() == 0 {
+                if server.permits.available_permits() == 0 {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer)
@@ -120,14 +133,18 @@
         });
         let conn = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         let mut conn = std::pin::pin!(conn);
+        let mut stopping = self.stopping.subscribe();
         loop {
             // A protocol error or a timeout ends only this connection.
             tokio::select! {
                 ended = conn.as_mut() => return drop(ended),
                 Some(()) = activity_rx.recv() => {}
+                _ = stopping.wait_for(|stopping| *stopping) => break,
                 () = sleep(IDLE_TIMEOUT) => return,
             }
         }
+        conn.as_mut().graceful_shutdown();
+        let _ = timeout(WRITE_TIMEOUT, conn).await;
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -15,6 +15,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, SystemTime};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep, timeout, Instant};
 
 /// Longer than anything here takes on the slowest machine.
@@ -544,3 +545,21 @@
         one.await.unwrap();
     }
 }
+
+#[tokio::test]
+async fn a_call_that_a_keeper_is_reading_is_answered_before_it_ends() {
+    let mut set = Set::new("stopped", 1);
+    ask(&mut set.client(), "n1", None, None).await.unwrap();
+    let mut call = tokio::net::TcpStream::connect(set.at[&0]).await.unwrap();
+    let (head, body) = ("POST /propose HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n", "{}");
+    call.write_all(head.as_bytes()).await.unwrap();
+    // The head has been read once a later call is answered.
+    ask(&mut set.client(), "n1", None, None).await.unwrap();
+    set.signal(0, "-TERM");
+    sleep(PAUSE).await;
+    call.write_all(body.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    timeout(PATIENCE, call.read_to_string(&mut answer)).await.unwrap().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer:?}");
+    assert!(set.running.remove(&0).unwrap().wait().unwrap().success());
+}
