A gateway answers its operators' and peers' last calls before it ends

Counts for other gateways (POST /turns) wait for the counter, so their callers saw the connection close and had to take the count for unknown. The end now waits up to 0.1 s for the answers to calls that were read.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -36,6 +36,26 @@
 /// Pause after a failed accept, such as when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Timeout for answering the last calls at the end of the process.
+const LAST_CALLS_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A call that has been read; it is answered, or its caller is gone, on drop.
+struct UnansweredCall<'a, P: Platform>(&'a Admin<P>);
+
+impl<'a, P: Platform> UnansweredCall<'a, P> {
+    fn new(admin: &'a Admin<P>) -> Self {
+        admin.unanswered.set(admin.unanswered.get() + 1);
+        UnansweredCall(admin)
+    }
+}
+
+impl<P: Platform> Drop for UnansweredCall<'_, P> {
+    fn drop(&mut self) {
+        self.0.unanswered.set(self.0.unanswered.get() - 1);
+        self.0.answered.notify_waiters();
+    }
+}
+
 /// The admin server of a gateway.
 pub struct Admin<P: Platform> {
     driver: Rc<Driver<P>>,
@@ -46,6 +66,10 @@
     /// Kept connections of other gateways, likewise.
     peers: RefCell<BTreeMap<u64, Rc<Notify>>>,
     next: Cell<u64>,
+    /// Calls that have been read and not answered.
+    unanswered: Cell<usize>,
+    /// Notified when a call has been answered.
+    answered: Notify,
     accept_errors: Cell<u64>,
     /// The SRV follower, if a name is followed.
     follower: RefCell<Option<Rc<Follower<P>>>>,
@@ -58,9 +82,19 @@
         server: Rc<Server<P>>,
         subsystems: Rc<GatewaySubsystems<P>>,
     ) -> Rc<Self> {
-        let (next, accept_errors) = (Cell::new(0), Cell::new(0));
         let (calls, peers, follower) = (RefCell::default(), RefCell::default(), RefCell::default());
-        Rc::new(Admin { driver, server, subsystems, calls, peers, next, accept_errors, follower })
+        Rc::new(Admin {
+            driver,
+            server,
+            subsystems,
+            calls,
+            peers,
+            next: Cell::new(0),
+            unanswered: Cell::new(0),
+            answered: Notify::new(),
+            accept_errors: Cell::new(0),
+            follower,
+        })
     }
 
     /// Adds the SRV follower to what is shown.
@@ -68,6 +102,20 @@
         *self.follower.borrow_mut() = Some(follower);
     }
 
+    /// Waits a short time for the answers to the calls that have been read.
+    pub async fn finish_calls(&self) {
+        let answered = async {
+            loop {
+                let answered = self.answered.notified();
+                if self.unanswered.get() == 0 {
+                    return;
+                }
+                answered.await;
+            }
+        };
+        let _ = self.driver.platform.timeout(LAST_CALLS_TIMEOUT, answered).await;
+    }
+
     /// Accepts connections forever.
     pub async fn serve(self: Rc<Self>, listener: P::Listener) {
         let platform = self.driver.platform.clone();
@@ -118,6 +166,7 @@
     ) {
         let service = service_fn(|request: Request<Incoming>| async move {
             let post = request.method() == Method::POST;
+            let _unanswered = UnansweredCall::new(self);
             let answer = match request.uri().path() {
                 "/turns" if post => {
                     self.keep_open(deadline, call);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -155,6 +155,9 @@
     if let Some(fleet) = subsystems.fleet.get() {
         fleet.flush_goodbyes().await;
     }
+    if let Some(admin) = admin {
+        admin.finish_calls().await;
+    }
     Ok(())
 }
 
