--- a/crates/playground/src/soak/mod.rs
+++ b/crates/playground/src/soak/mod.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use verdict::Verdict;
 
 /// How long a system may take to come up.
@@ -31,6 +31,8 @@
 const GRACE: Duration = Duration::from_secs(3);
 /// How long clients and operators may take to end.
 const END_WITHIN: Duration = Duration::from_secs(8);
+/// How late the soak itself may run. Where it is later, clients and workers are too, and the seed is void.
+const LATENESS_MAX: Duration = Duration::from_millis(100);
 /// Pause between two looks at what is waited for.
 const LOOK: Duration = Duration::from_millis(20);
 /// Kept connections of clients to each proxy.
@@ -43,7 +45,8 @@
 const SECOND: u8 = 3;
 
 /// Ends and restarts processes of whole systems in series that overlap, one system for each seed, while clients use their
-/// connections until the process is gone. Ends with 0 where every request and order that a process took was answered.
+/// connections until the process is gone. Ends with 0 where every request and order that a process took was answered. A
+/// seed in which the soak itself ran late is void.
 #[derive(clap::Args, Debug)]
 pub struct Args {
     /// How many seeds.
@@ -88,8 +91,11 @@
             }
         }
     }
-    say!("all: {sum}");
+    say!("{} seeds, {} void: {sum}", sum.judged_seeds + sum.void_seeds, sum.void_seeds);
     match broken.as_slice() {
+        [] if sum.judged_seeds == 0 => {
+            Err("void: the soak ran late in every seed; play fewer at once".to_owned())
+        }
         [] => Ok(()),
         broken => Err(broken.join("\n")),
     }
@@ -107,6 +113,8 @@
     stop: Cell<bool>,
     /// Clients and operators that have not ended.
     open: Cell<usize>,
+    /// The longest time by which the soak itself ran late.
+    lateness: Cell<Duration>,
 }
 
 impl Soak {
@@ -120,6 +128,15 @@
         });
     }
 
+    /// Watches how late the soak itself runs.
+    async fn watch_lateness(self: Rc<Self>) {
+        while !self.stop.get() {
+            let due = Instant::now() + LOOK;
+            sleep_until(due).await;
+            self.lateness.set(self.lateness.get().max(due.elapsed()));
+        }
+    }
+
     async fn stop_users(&self) -> Result<(), String> {
         self.stop.set(true);
         let until = Instant::now() + END_WITHIN;
@@ -153,9 +170,11 @@
         shutdowns: RefCell::default(),
         stop: Cell::new(false),
         open: Cell::new(0),
+        lateness: Cell::default(),
     });
     put_config(&soak.layout, Edition::First, START_WITHIN).await?;
     clients::wait_until_served(&soak, START_WITHIN).await?;
+    soak.spawn_user(soak.clone().watch_lateness());
     clients::start(&soak, CONNECTIONS_PER_PROXY);
     orders::start(&soak);
     shutdowns::play(&soak, SoakPlan::draw(&mut random, Duration::from_secs(seconds))).await;
@@ -167,6 +186,7 @@
 /// Ends all processes and judges.
 async fn end(soak: Rc<Soak>, read_back: Option<u32>, directory: &Path) -> Result<Verdict, String> {
     let soak = Rc::into_inner(soak).ok_or("a task of the soak did not end")?;
+    let lateness = soak.lateness.get();
     let mut processes = soak.processes.into_inner();
     let ended = processes.ended();
     let in_order = processes.stop().await;
@@ -183,6 +203,9 @@
     if !in_order {
         verdict.broken.push("a process had to be killed at the end".to_owned());
     }
+    if lateness > LATENESS_MAX {
+        verdict.make_void(lateness);
+    }
     if verdict.broken.is_empty() {
         let _ = std::fs::remove_dir_all(directory);
     } else {
--- a/crates/playground/src/soak/verdict.rs
+++ b/crates/playground/src/soak/verdict.rs
@@ -3,6 +3,7 @@
 use super::clients::{RequestEnd, RequestLog, SentRequest};
 use super::orders::{Order, OrderEnd, OrderLog, SentOrder};
 use super::shutdowns::{Shutdown, Shutdowns};
+use super::GRACE;
 use crate::clients::{promises_not_run, TRY_WITHIN};
 use crate::layout::Program;
 use hingestage_test_servers::service_worker::Run;
@@ -16,6 +17,8 @@
 const READ_WITHIN: Duration = Duration::from_millis(200);
 /// What was sent so long before SIGTERM has been read.
 const READ_BEFORE_SIGNAL: Duration = Duration::from_millis(50);
+/// How long before SIGKILL a process answers what is left.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
 /// How much earlier than a request's deadline its answer may say that time is up.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
 
@@ -35,12 +38,21 @@
     acknowledged: Option<u32>,
     shutdowns: u64,
     told_twice: u64,
+    /// Seeds that were judged.
+    pub judged_seeds: u64,
+    /// Seeds in which the soak itself ran late.
+    pub void_seeds: u64,
+    /// How late the soak itself ran, where that made the seed void.
+    late_by: Option<Duration>,
     /// Rules that were broken.
     pub broken: Vec<String>,
 }
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        if let Some(late_by) = self.late_by {
+            return write!(f, "void: the soak itself ran {late_by:?} late");
+        }
         write!(
             f,
             "{} requests served, {} refused, {} late, {} unread at a close, {} connections closed idle; {} orders \
@@ -65,7 +77,8 @@
 impl Verdict {
     /// Judges one soak.
     pub fn judge(requests: &RequestLog, runs: &[Run], orders: &OrderLog, shutdowns: &Shutdowns) -> Verdict {
-        let mut verdict = Verdict { closed_idle: requests.closed_idle, ..Verdict::default() };
+        let mut verdict =
+            Verdict { closed_idle: requests.closed_idle, judged_seeds: 1, ..Verdict::default() };
         let mut counts = RunCounts::new();
         runs.iter().for_each(|run| *counts.entry(run.attempt.as_str()).or_default() += 1);
         requests.requests.iter().for_each(|request| verdict.judge_request(request, &counts, shutdowns));
@@ -75,6 +88,11 @@
         verdict
     }
 
+    /// Drops all that was counted, as clients and workers ran late themselves.
+    pub fn make_void(&mut self, late_by: Duration) {
+        *self = Verdict { void_seeds: 1, late_by: Some(late_by), ..Verdict::default() };
+    }
+
     /// Adds the counts of another soak.
     pub fn add(&mut self, other: &Verdict) {
         self.served += other.served;
@@ -86,6 +104,8 @@
         self.orders_crossed += other.orders_crossed;
         self.shutdowns += other.shutdowns;
         self.told_twice += other.told_twice;
+        self.judged_seeds += other.judged_seeds;
+        self.void_seeds += other.void_seeds;
         self.broken.extend(other.broken.iter().cloned());
     }
 
@@ -116,7 +136,7 @@
                 self.refused += 1;
                 (ran > 0).then_some("ran, and was answered with the promise that it has not")
             }
-            RequestEnd::Answered(StatusCode::GATEWAY_TIMEOUT) if took + DEADLINE_MARGIN >= TRY_WITHIN => {
+            RequestEnd::Answered(status) if is_time_up(status, request, told) => {
                 self.late += 1;
                 None
             }
@@ -199,6 +219,14 @@
     before_signal || sent + READ_WITHIN <= closed
 }
 
+/// Whether an answer says that time is up, at the request's deadline or when the process answers for the last time.
+fn is_time_up(status: StatusCode, request: &SentRequest, told: Option<Instant>) -> bool {
+    let deadline = request.ended - request.sent + DEADLINE_MARGIN >= TRY_WITHIN;
+    let last = told.is_some_and(|told| request.ended + DEADLINE_MARGIN >= told + GRACE - LAST_ANSWERS);
+    let says_so = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT].contains(&status);
+    says_so && (deadline || last)
+}
+
 fn sent_after(sent: Instant, told: Option<Instant>) -> String {
     match told {
         Some(told) if told <= sent => format!("sent {:?} after SIGTERM", sent - told),
