Comments: reasons that the wording of the code dropped are back

Missing were the reasons behind constants of the decisions (table size, fresh totals, calls in flight, ejections, cold sharers, subsets), of the load shedder's windows, of the hedge and the size of relayed configurations, of the stall and keep-alive limits, and of the back-off after tokens are refused.

--- a/crates/dataplane/src/workers.rs
+++ b/crates/dataplane/src/workers.rs
@@ -27,19 +27,20 @@
 const IDLE_CONNECTIONS_MAX: usize = 32;
 /// Maximum size of a response head, bytes.
 const RESPONSE_HEAD_MAX_BYTES: usize = 16 * 1024;
-/// Maximum declared length of a response, bytes.
+/// Maximum declared length of a response, bytes. No valid response is longer.
 const RESPONSE_MAX_BYTES: u64 = 40 << 20;
 /// Bytes of a chunked response that are buffered before it is streamed. Until then a broken response can
 /// still be retried; more buffering would delay the first bytes of a long one.
 const CHUNKED_BUFFER_MAX_BYTES: usize = 8 * 1024;
-/// Maximum pause within a response before it counts as stalled.
+/// Maximum pause within a response before it counts as stalled. Workers are on the same network, and even a slow one
+/// keeps writing.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum idle time of a connection before reuse. A duplicate response follows the first one immediately; it
 /// must arrive before the next request is written, or it would be taken for its response.
 const REUSE_DELAY: Duration = Duration::from_millis(2);
 /// Maximum time for a connection to become ready again after a response.
 const READY_TIMEOUT: Duration = Duration::from_millis(250);
-/// Safety margin subtracted from a worker's announced keep-alive timeout.
+/// Safety margin subtracted from a worker's announced keep-alive timeout: a request on its way must not cross the close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time limits of an attempt.
--- a/crates/failover/src/shedder.rs
+++ b/crates/failover/src/shedder.rs
@@ -9,7 +9,7 @@
 
 use crate::{Micros, Refused};
 
-/// Length of a measurement window, µs.
+/// Length of a measurement window, µs: long against a request, short against the loss of a site.
 const WINDOW: Micros = 500_000;
 /// At or below this fraction of requests without a worker the level falls.
 const MAX_SHORTAGE: f64 = 0.02;
@@ -18,12 +18,12 @@
 /// Fall of the level in the first window without shortage, as a fraction of all work. It starts slowly, since the load
 /// that was too high will soon be too high again.
 const INITIAL_FALL: f64 = 0.02;
-/// Factor on the fall for each further window without shortage.
+/// Factor on the fall for each further window without shortage: the longer there is none, the faster the fall.
 const FALL_GROWTH: f64 = 1.5;
 /// Largest fall per window, as a fraction of all work.
 const MAX_FALL: f64 = 0.2;
 /// Consecutive windows with shortage before requests are refused while no site is lost: a fleet that has just started
-/// is short until it has learned the capacity of its workers.
+/// is short until it has learned the capacity of its workers, which it would never learn from requests it refuses.
 const MIN_SHORT_WINDOWS: u32 = 4;
 /// Windows with fewer requests are not judged.
 const MIN_REQUESTS: f64 = 5.0;
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -9,11 +9,11 @@
 mod requests;
 mod workers;
 
-/// Housekeeping period, µs.
+/// Housekeeping period, µs: short against any latency target, long against the resolution of the clock.
 const TICK: Micros = 10_000;
-/// Most customers in the table; bounds its memory.
+/// Most customers in the table: as many as 32 MB hold with room to spare.
 const CUSTOMERS_MAX: usize = 20_000;
-/// Quota windows without a request after which a customer may be dropped.
+/// Quota windows without a request after which a customer may be dropped: counts and penalty have lapsed.
 const IDLE_WINDOWS: f64 = 4.0;
 /// Window of plans without a rate, µs.
 const DEFAULT_WINDOW: f64 = 10e6;
@@ -21,12 +21,12 @@
 /// share of a window.
 const REPORT_SHARE: f64 = 0.1;
 const REPORT_DELAY: f64 = 0.25;
-/// Margin of error of the others' use, relative to the forecast and in largest requests.
+/// Error of the others' use, of the forecast and in largest requests; decisions within it need a fresh total.
 const FORECAST_ERROR: f64 = 2.0;
 const FORECAST_ERROR_REQUESTS: f64 = 0.5;
-/// Age up to which a total counts as fresh, µs.
+/// Age up to which a total counts as fresh, µs: about one call.
 const FRESH_TOTAL: Micros = 5_000;
-/// Most counter calls in flight.
+/// Most counter calls in flight: bounds what a silent counter can swallow at once.
 const CALLS_MAX: usize = 32;
 /// Time between counter calls, µs: initial for all gateways together, shortest, and longest unless twice the
 /// last good interval is longer.
@@ -57,7 +57,7 @@
 /// Shares of the latency target: longest wait for a worker, and age from which a second copy may be sent.
 const HOLD_SHARE: f64 = 0.12;
 const HEDGE_SHARE: f64 = 0.75;
-/// Retries earned by each first attempt, and the default of the largest retry budget.
+/// Retries earned by each first attempt, and default of the largest budget: retries must not pile up.
 const RETRY_EARNED: f64 = 0.15;
 const RETRY_BUDGET_MAX: f64 = 20.0;
 /// Share of the remaining retry budget that one customer may owe.
@@ -65,10 +65,10 @@
 /// Weights of a new sample in the mean latencies and in a worker's slowness.
 const LATENCY_WEIGHT: f64 = 0.05;
 const SLOWNESS_WEIGHT: f64 = 0.15;
-/// Shortest and longest avoidance of a worker for a class, µs; repeated failures double it up to three times.
+/// Bounds of a worker's avoidance for a class, µs: until chance leads there again, doubled up to three times.
 const EJECT_MIN: f64 = 1e6;
 const EJECT_MAX: f64 = 30e6;
-/// Consecutive failures in one class from which on the worker is avoided.
+/// Consecutive failures in one class that speak of the worker: single broken answers come from any.
 const FAILURES_MAX: u32 = 3;
 /// Strikes added by an ejection; each served attempt takes one back.
 const EJECT_STRIKES: u32 = 3;
@@ -95,10 +95,11 @@
 const CROSS_ZONE: f64 = 1.1;
 /// Share of a one-core worker's overload rate that a cold worker is sent.
 const COLD_RATE_SHARE: f64 = 1.0;
-/// Least number of gateways that share a cold worker, and mean number of cold workers of a gateway.
+/// Least number of gateways that share a cold worker, and mean number of cold workers of a gateway. Among
+/// more, no share comes to a whole send before the worker is warm; among fewer, a gateway may have none.
 const COLD_SHARERS_MIN: u32 = 12;
 const COLD_WORKERS_MEAN: u32 = 4;
-/// Mean number of workers in a gateway's subset.
+/// Mean number of workers in a gateway's subset: few, for kept connections; enough to spread and lose some.
 const SUBSET_SIZE: u32 = 12;
 /// Random picks of a worker before the whole fleet is scanned.
 const RANDOM_PICKS: usize = 8;
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -175,8 +175,8 @@
         }
     }
 
-    /// Dispatches held requests newest first, so that overload does not make every request late. Requests
-    /// held too long are refused.
+    /// Dispatches held requests newest first: in order of arrival, a long overload gives every place to the
+    /// class that may wait longest, and serves it late. Requests held too long are refused.
     pub(super) fn release_held(&mut self, actions: &mut Vec<Action>) {
         let mut waiting = VecDeque::new();
         while let Some(id) = self.held.pop_back() {
@@ -202,7 +202,7 @@
         a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
         let (worker, sent) = (a.worker, a.sent);
         let (class_ix, key, units, aim) = (r.class_ix, r.key.clone(), r.units, r.class.aim);
-        // Excludes the upload of the body and the streaming of the answer.
+        // Excludes the upload of the body and the streaming of the answer: neither is the worker's work.
         let latency = done.latency.min(self.now - sent) as f64;
         self.record(worker, class_ix, aim, outcome, latency);
         if let (Some(n), Outcome::Ok) = (done.true_units.filter(|n| n.is_finite()), outcome) {
@@ -301,7 +301,7 @@
             // Lost: no answer for several typical latencies, nor any other of this class from this worker.
             let health = self.workers.get(&a.worker).map(|w| (w.health[class_ix].answered_at, w.slowness));
             let (answered, slow) = health.unwrap_or((0, 1.0));
-            // At a lost site the wait is shorter.
+            // At a lost site the wait is no longer than a usual answer may take.
             let site_open = self.sites.admission(&a.zone.0).share > 0.0;
             let silent = if site_open { SILENT_LATENCIES } else { SILENT_LOST_SITE };
             let lost =
--- a/crates/policy/src/rules/workers.rs
+++ b/crates/policy/src/rules/workers.rs
@@ -160,7 +160,7 @@
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
             h.answered_at = now;
         }
-        // Rejected with nothing else of ours in flight: the worker drains or others fill it.
+        // Rejected with nothing else of ours in flight: it drains or others fill it; the list may tell it late.
         let rejected = outcome == Outcome::Full && w.inflight < 1.0;
         if rejected || (outcome == Outcome::ConnectFailed && h.consecutive_failures > 1) {
             (0..self.typical_latency.len()).for_each(|class| self.strike(id, class));
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -29,11 +29,12 @@
 const HOME_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of fetching a configuration, in addition to its transfer time.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Delay before the same configuration is fetched from another registry, in addition to its transfer time.
+/// Delay before the same configuration is fetched from another registry, in addition to its transfer time: the first
+/// registry may have died.
 const CONFIG_HEDGE_DELAY: Duration = Duration::from_millis(250);
 /// Fraction of the proxy's bandwidth assumed to be available to a transfer.
 const TRANSFER_BANDWIDTH_SHARE: f64 = 0.25;
-/// Maximum size of a configuration that proxies of a zone relay to each other, bytes.
+/// Maximum size of a configuration that proxies of a zone relay to each other, bytes: their links are narrow.
 const MAX_RELAYED_CONFIG_BYTES: u64 = 16 << 10;
 /// Bytes per megabit.
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -19,7 +19,8 @@
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 
-/// Interval at which counts are pushed. Only admission below the hard limit depends on totals.
+/// Interval at which counts are pushed. Only admission below the hard limit depends on totals; the hard limit rests on
+/// leased shares.
 pub const PUSH_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum number of tenants per datagram, so that it fits into one packet.
 const TENANTS_PER_DATAGRAM: usize = 20;
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -26,7 +26,7 @@
 const MAX_ATTEMPTS: usize = 8;
 /// Longest `retry-after` that clients honour, microseconds.
 const MAX_RETRY_AFTER: Micros = 1_000_000;
-/// Timeout for opening a connection to a worker.
+/// Timeout for opening a connection to a worker; one that is not established by then never is.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle time after which a worker closes a connection.
 const WORKER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/quota/src/borrowing.rs
+++ b/crates/quota/src/borrowing.rs
@@ -7,7 +7,8 @@
 /// Maximum number of pending borrow requests.
 const MAX_PENDING: usize = 64;
 /// Backoff after other gateways lacked tokens of a tenant, µs. Without it, client retries would cause a burst
-/// of datagrams for each refusal, and on slow links the answers would arrive too late to be used.
+/// of datagrams for each refusal, and on slow links the answers would arrive too late to be used: tokens
+/// would be lost, more requests refused, and more tokens asked for.
 const EXHAUSTED_BACKOFF: Micros = 200_000;
 /// Maximum number of tenants in backoff.
 const MAX_EXHAUSTED: usize = 10_000;
