--- a/crates/playground/src/soak/shutdowns.rs
+++ b/crates/playground/src/soak/shutdowns.rs
@@ -27,11 +27,11 @@
     /// The process.
     pub process: ProcessSpec,
     /// When it got SIGTERM.
-    pub told: Instant,
+    pub signalled_at: Instant,
     /// Whether it had to be killed.
     pub killed: bool,
     /// Whether it got a second SIGTERM.
-    pub told_twice: bool,
+    pub second_signal: bool,
 }
 
 /// Ends of processes, as they were seen.
@@ -185,24 +185,24 @@
     if !soak.processes.borrow_mut().begin_end(process) {
         return;
     }
-    let told = Instant::now();
-    let second = random.bool().then(|| told + GRACE.mul_f64(random.f64()));
-    let mut told_twice = false;
+    let signalled_at = Instant::now();
+    let second = random.bool().then(|| signalled_at + GRACE.mul_f64(random.f64()));
+    let mut second_signal = false;
     let killed = loop {
         if soak.processes.borrow_mut().has_ended(process) {
             break false;
         }
-        if Instant::now() >= told + GRACE + LATE {
+        if Instant::now() >= signalled_at + GRACE + LATE {
             soak.processes.borrow_mut().kill(process);
             break true;
         }
-        if second.is_some_and(|second| Instant::now() >= second) && !told_twice {
+        if second.is_some_and(|second| Instant::now() >= second) && !second_signal {
             soak.processes.borrow().signal(process, Signal::TERM);
-            told_twice = true;
+            second_signal = true;
         }
         sleep(LOOK).await;
     };
-    let shutdown = Shutdown { process: process.clone(), told, killed, told_twice };
+    let shutdown = Shutdown { process: process.clone(), signalled_at, killed, second_signal };
     soak.shutdowns.borrow_mut().all.push(shutdown);
     sleep(DOWN_MAX.mul_f64(random.f64())).await;
     if let Err(error) = soak.processes.borrow_mut().restart(process) {
--- a/crates/playground/src/soak/verdict.rs
+++ b/crates/playground/src/soak/verdict.rs
@@ -37,7 +37,7 @@
     orders_crossed: u64,
     acknowledged: Option<u32>,
     shutdowns: u64,
-    told_twice: u64,
+    second_signals: u64,
     /// Seeds that were judged.
     pub judged_seeds: u64,
     /// Seeds in which the soak itself ran late.
@@ -65,7 +65,7 @@
             self.orders,
             self.orders_crossed,
             self.shutdowns,
-            self.told_twice,
+            self.second_signals,
             self.broken.len()
         )
     }
@@ -103,7 +103,7 @@
         self.orders += other.orders;
         self.orders_crossed += other.orders_crossed;
         self.shutdowns += other.shutdowns;
-        self.told_twice += other.told_twice;
+        self.second_signals += other.second_signals;
         self.judged_seeds += other.judged_seeds;
         self.void_seeds += other.void_seeds;
         self.broken.extend(other.broken.iter().cloned());
@@ -125,7 +125,7 @@
         let is_proxy = |shutdown: &&Shutdown| {
             shutdown.process.program == Program::Proxy && shutdown.process.machine.http() == request.proxy
         };
-        let told = told_before(shutdowns.all.iter().filter(is_proxy), request.ended);
+        let signalled_at = last_signal_before(shutdowns.all.iter().filter(is_proxy), request.ended);
         let broken = match request.end {
             _ if request.mutating && ran > 1 => Some("ran more than once"),
             RequestEnd::Answered(status) if status.is_success() => {
@@ -136,13 +136,13 @@
                 self.refused += 1;
                 (ran > 0).then_some("ran, and was answered with the promise that it has not")
             }
-            RequestEnd::Answered(status) if is_time_up(status, request, told) => {
+            RequestEnd::Answered(status) if is_time_up(status, request, signalled_at) => {
                 self.late += 1;
                 None
             }
             RequestEnd::Answered(_) => Some("failed, though its worker answers"),
             RequestEnd::Closed if ran > 0 => Some("ran, and its connection closed with no answer"),
-            RequestEnd::Closed if was_read(request.sent, request.ended, told) => {
+            RequestEnd::Closed if was_read(request.sent, request.ended, signalled_at) => {
                 Some("was read, and its connection closed with no answer")
             }
             RequestEnd::Closed => {
@@ -157,7 +157,7 @@
                 "a {kind} request {broken}: {:?} by {} after {took:?}, {}",
                 request.end,
                 request.proxy,
-                sent_after(request.sent, told)
+                sent_after(request.sent, signalled_at)
             ));
         }
     }
@@ -166,7 +166,7 @@
         let is_registry = |shutdown: &&Shutdown| {
             shutdown.process.program == Program::Registry && shutdown.process.machine.name == sent.machine
         };
-        let told = told_before(shutdowns.all.iter().filter(is_registry), sent.ended);
+        let signalled_at = last_signal_before(shutdowns.all.iter().filter(is_registry), sent.ended);
         let broken = match sent.end {
             OrderEnd::Answered(status) if status.is_client_error() && status != StatusCode::CONFLICT => {
                 Some("was refused")
@@ -178,7 +178,7 @@
                 }
                 None
             }
-            OrderEnd::Closed if was_read(sent.sent, sent.ended, told) => {
+            OrderEnd::Closed if was_read(sent.sent, sent.ended, signalled_at) => {
                 Some("was read, and its connection closed with no answer")
             }
             OrderEnd::Closed => {
@@ -194,14 +194,14 @@
                 sent.order,
                 sent.end,
                 sent.machine,
-                sent_after(sent.sent, told)
+                sent_after(sent.sent, signalled_at)
             ));
         }
     }
 
     fn judge_shutdown(&mut self, shutdown: &Shutdown) {
         self.shutdowns += 1;
-        self.told_twice += u64::from(shutdown.told_twice);
+        self.second_signals += u64::from(shutdown.second_signal);
         if shutdown.killed {
             self.broken.push(format!("{} had not ended when its time was up", shutdown.process));
         }
@@ -209,28 +209,29 @@
 }
 
 /// When a process was last told to end, up to a point in time.
-fn told_before<'a>(shutdowns: impl Iterator<Item = &'a Shutdown>, at: Instant) -> Option<Instant> {
-    shutdowns.map(|shutdown| shutdown.told).filter(|told| *told <= at).max()
+fn last_signal_before<'a>(shutdowns: impl Iterator<Item = &'a Shutdown>, at: Instant) -> Option<Instant> {
+    shutdowns.map(|shutdown| shutdown.signalled_at).filter(|signalled_at| *signalled_at <= at).max()
 }
 
 /// Whether a message must have been read: it was sent long enough before the close, or before the signal that led to it.
-fn was_read(sent: Instant, closed: Instant, told: Option<Instant>) -> bool {
-    let before_signal = told.is_some_and(|told| sent + READ_BEFORE_SIGNAL <= told);
+fn was_read(sent: Instant, closed: Instant, signalled_at: Option<Instant>) -> bool {
+    let before_signal = signalled_at.is_some_and(|signalled_at| sent + READ_BEFORE_SIGNAL <= signalled_at);
     before_signal || sent + READ_WITHIN <= closed
 }
 
 /// Whether an answer says that time is up, at the request's deadline or when the process answers for the last time.
-fn is_time_up(status: StatusCode, request: &SentRequest, told: Option<Instant>) -> bool {
+fn is_time_up(status: StatusCode, request: &SentRequest, signalled_at: Option<Instant>) -> bool {
     let deadline = request.ended - request.sent + DEADLINE_MARGIN >= TRY_WITHIN;
-    let last = told.is_some_and(|told| request.ended + DEADLINE_MARGIN >= told + GRACE - LAST_ANSWERS);
+    let last = signalled_at
+        .is_some_and(|signalled_at| request.ended + DEADLINE_MARGIN >= signalled_at + GRACE - LAST_ANSWERS);
     let says_so = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT].contains(&status);
     says_so && (deadline || last)
 }
 
-fn sent_after(sent: Instant, told: Option<Instant>) -> String {
-    match told {
-        Some(told) if told <= sent => format!("sent {:?} after SIGTERM", sent - told),
-        Some(told) => format!("sent {:?} before SIGTERM", told - sent),
+fn sent_after(sent: Instant, signalled_at: Option<Instant>) -> String {
+    match signalled_at {
+        Some(signalled_at) if signalled_at <= sent => format!("sent {:?} after SIGTERM", sent - signalled_at),
+        Some(signalled_at) => format!("sent {:?} before SIGTERM", signalled_at - sent),
         None => "with no signal".to_owned(),
     }
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -111,12 +111,12 @@
     }
 
     /// What is wrong with how these requests ended at a gateway that got SIGTERM.
-    fn judge(&self, requests: &[Sent], told: Instant) -> Vec<String> {
+    fn judge(&self, requests: &[Sent], signalled_at: Instant) -> Vec<String> {
         let ran = self.worker.ran.lock().unwrap();
         let wrong = requests.iter().filter_map(|request| {
             let ran = ran.contains(&request.id);
             let took = request.ended - request.sent;
-            let is_last = request.ended >= told + LONGEST_DEADLINE;
+            let is_last = request.ended >= signalled_at + LONGEST_DEADLINE;
             let wrong = match request.status {
                 Some(200) => None,
                 Some(429) if ran => Some("ran, and was refused"),
@@ -128,7 +128,7 @@
                 None if took >= READ_WITHIN => Some("was read, and its connection closed with no answer"),
                 None => None,
             };
-            let after = request.sent.saturating_duration_since(told);
+            let after = request.sent.saturating_duration_since(signalled_at);
             wrong.map(|wrong| {
                 format!("{wrong}: {:?} after {took:?}, sent {after:?} after SIGTERM", request.status)
             })
@@ -213,7 +213,7 @@
     if random.bool() {
         gateway.signal("-HUP");
     }
-    let told = Instant::now();
+    let signalled_at = Instant::now();
     gateway.terminate();
     for signal in ["-TERM", "-HUP"] {
         if random.bool() {
@@ -222,13 +222,13 @@
         }
     }
     assert_eq!(gateway.exit_code(), Some(0));
-    let took = told.elapsed();
+    let took = signalled_at.elapsed();
     thread::sleep(AFTER_END);
     stop.store(true, Ordering::SeqCst);
     let requests: Vec<Sent> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
     drop(successor);
     assert!(requests.iter().any(|request| request.status == Some(200)), "seed {seed}: nothing was served");
-    let mut wrong = stage.judge(&requests, told);
+    let mut wrong = stage.judge(&requests, signalled_at);
     if took > GRACE {
         wrong.push(format!("ended {took:?} after SIGTERM"));
     }
