Registry: HTTP connections no longer count against the limit of inner calls

Each listener has its own count again, which also replaces the second counter that the HTTP server kept beside it.

--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use hingestage_configuration::Configuration;
 use hingestage_rpc::messages::{Change, ConfigDocument, Proposed, ReadState, StoreAnswer, StoreRequest};
+use hingestage_rpc::OpenConnections;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
@@ -11,7 +12,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,23 +41,20 @@
 pub(crate) type HttpResponse = Response<Full<Bytes>>;
 
 /// Accepts connections until the registry is told to end.
-pub(crate) async fn serve(listener: TcpListener, registry: Rc<Registry>) {
-    let open = Rc::new(Cell::new(0usize));
+pub(crate) async fn serve(listener: TcpListener, registry: Rc<Registry>, connections: Rc<OpenConnections>) {
     loop {
         let accepted = tokio::select! {
             biased;
-            () = registry.connections.stopped() => return,
+            () = connections.stopped() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) if open.get() < CONNECTIONS_MAX => {
-                open.set(open.get() + 1);
-                let (open, registry) = (open.clone(), registry.clone());
-                let connection = registry.connections.open();
+            Ok((stream, _)) if connections.count() < CONNECTIONS_MAX => {
+                let (open, registry, connections) =
+                    (connections.open(), registry.clone(), connections.clone());
                 spawn_local(async move {
-                    serve_connection(stream, registry).await;
-                    open.set(open.get() - 1);
-                    drop(connection);
+                    serve_connection(stream, registry, &connections).await;
+                    drop(open);
                 });
             }
             Ok((_, from)) => log::warn!("{from}: too many connections"),
@@ -70,9 +67,8 @@
 }
 
 /// Serves a connection. When the registry is told to end, the request that has been read is answered first.
-async fn serve_connection(stream: TcpStream, registry: Rc<Registry>) {
+async fn serve_connection(stream: TcpStream, registry: Rc<Registry>, connections: &OpenConnections) {
     let _ = stream.set_nodelay(true);
-    let connections = registry.connections.clone();
     let service = service_fn(move |request| {
         let registry = registry.clone();
         async move { Ok::<_, Infallible>(registry.route(request).await) }
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -65,8 +65,10 @@
     changed: Notify,
     admissions: RefCell<Admissions>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
-    /// Connections of clients, operators and other processes.
-    pub(crate) connections: Rc<OpenConnections>,
+    /// Connections of other processes.
+    calls: Rc<OpenConnections>,
+    /// Connections of operators and of clients, one entry for each HTTP listener.
+    http: [Rc<OpenConnections>; 2],
 }
 
 /// Runs the registry until it is terminated.
@@ -89,16 +91,18 @@
         changed: Notify::new(),
         admissions: RefCell::new(Admissions::new(settings.bootstrap, AdmissionSettings::default())),
         peers: RefCell::default(),
-        connections: Rc::default(),
+        calls: Rc::default(),
+        http: Default::default(),
         file: SettingsFile::new(settings.clone()),
         settings: settings.clone(),
     });
     let listener = TcpListener::bind(addr).await.wrap_err_with(|| format!("{addr}"))?;
-    spawn_local(serve_calls(listener, registry.clone(), registry.connections.clone()));
-    for (name, at) in [("admin", settings.listen.admin), ("dir", settings.listen.dir)] {
+    spawn_local(serve_calls(listener, registry.clone(), registry.calls.clone()));
+    let http = [("admin", settings.listen.admin), ("dir", settings.listen.dir)];
+    for ((name, at), connections) in http.into_iter().zip(&registry.http) {
         let at = at.ok_or_else(|| eyre!("settings: `listen.{name}` is missing"))?;
         let listener = TcpListener::bind(at).await.wrap_err_with(|| format!("listen.{name}: {at}"))?;
-        spawn_local(http::serve(listener, registry.clone()));
+        spawn_local(http::serve(listener, registry.clone(), connections.clone()));
     }
     spawn_local(registry.clone().follow_store());
     spawn_local(registry.clone().read_list());
@@ -115,11 +119,19 @@
 impl Registry {
     /// Answers what has been received, then closes all connections.
     async fn finish(&self, within: Duration) {
-        log::info!("told to end: {} connections", self.connections.count());
-        self.connections.stop();
+        let servers = || self.http.iter().chain([&self.calls]);
+        let open_count = || servers().map(|connections| connections.count()).sum::<usize>();
+        log::info!("told to end: {} connections", open_count());
+        servers().for_each(|connections| connections.stop());
         self.changed.notify_waiters();
-        if !self.connections.all_closed(within).await {
-            log::warn!("ended with {} connections", self.connections.count());
+        let all_closed = async {
+            for connections in servers() {
+                connections.all_closed(within).await;
+            }
+        };
+        let _ = tokio::time::timeout(within, all_closed).await;
+        if open_count() > 0 {
+            log::warn!("ended with {} connections", open_count());
         }
     }
 
@@ -328,7 +340,7 @@
                 || have.directory != theirs.directory
                 || self.committed.borrow().trials.has_updates_for(theirs.trials);
             let now = self.now();
-            if has_news || now >= until || self.connections.is_stopping() {
+            if has_news || now >= until || self.calls.is_stopping() {
                 return RegistryAnswer::Watched(Box::new(self.watched(now, have, &theirs, &name, &zone)));
             }
             let _ = tokio::time::timeout(Duration::from_micros(until - now), changed).await;
