Soak and expiry share their seeds; one type for how an exchange ended

The arguments and the loop over seeds stood in both, and the ends of requests and of orders were two equal types with the same mapping. Names of flags and what is printed are as before.

--- a/crates/playground/src/expiry/mod.rs
+++ b/crates/playground/src/expiry/mod.rs
@@ -8,6 +8,7 @@
 use crate::layout::{Layout, FOUR_PLACES};
 use crate::operator::{put_config, put_terms, Edition};
 use crate::processes::{find_programs, Processes};
+use crate::seeds::Seeds;
 use crate::surroundings::Surroundings;
 use fastrand::Rng;
 use faults::Fault;
@@ -16,7 +17,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
-use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep_until, Instant};
 use traffic::Traffic;
 
@@ -45,15 +45,8 @@
 /// doubled or lost and no answer came under an older step than others gave before.
 #[derive(clap::Args, Debug)]
 pub struct Args {
-    /// How many seeds.
-    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=256))]
-    seeds: u64,
-    /// The first seed.
-    #[arg(long, default_value_t = 0)]
-    from: u64,
-    /// Systems at a time, each of 14 processes.
-    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=16))]
-    at_once: u8,
+    #[command(flatten)]
+    seeds: Seeds,
 }
 
 /// Runs the command.
@@ -64,24 +57,17 @@
     let programs = find_programs()?;
     let mut sum = Verdict::default();
     let mut broken = Vec::new();
-    let mut left: Vec<u64> = (args.from..args.from + args.seeds).rev().collect();
-    while !left.is_empty() {
-        let some = left.split_off(left.len().saturating_sub(usize::from(args.at_once)));
-        let start =
-            |seed: u64| (seed, spawn_local(play(programs.clone(), network_of(seed - args.from), seed)));
-        let played: Vec<(u64, JoinHandle<Result<Verdict, String>>)> =
-            some.into_iter().rev().map(start).collect();
-        for (seed, played) in played {
-            match played.await.unwrap_or_else(|error| Err(error.to_string())) {
-                Ok(verdict) => {
-                    say!("seed {seed}: {verdict}");
-                    broken.extend(verdict.broken.first().map(|what| format!("seed {seed}: {what}")));
-                    sum.add(&verdict);
-                }
-                Err(message) => broken.push(format!("seed {seed}: {message}")),
-            }
+    let first = args.seeds.from;
+    let play = |seed: u64| play(programs.clone(), network_of(seed - first), seed);
+    let on_end = |seed: u64, played: Result<Verdict, String>| match played {
+        Ok(verdict) => {
+            say!("seed {seed}: {verdict}");
+            broken.extend(verdict.broken.first().map(|what| format!("seed {seed}: {what}")));
+            sum.add(&verdict);
         }
-    }
+        Err(message) => broken.push(format!("seed {seed}: {message}")),
+    };
+    args.seeds.play(play, on_end).await;
     say!("{sum}");
     say!("refused of what was asked, by proxy, while slowed: {}", sum.shares_text());
     match broken.as_slice() {
--- a/crates/playground/src/lib.rs
+++ b/crates/playground/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod operator;
 pub mod processes;
 mod run;
+mod seeds;
 pub mod soak;
 pub mod surroundings;
 mod table;
--- a/crates/playground/src/soak/clients.rs
+++ b/crates/playground/src/soak/clients.rs
@@ -1,10 +1,9 @@
 //! Clients that keep their connections to one proxy and use them until these close.
 
-use super::Soak;
+use super::{ExchangeEnd, Soak};
 use crate::clients::{attempt_id, is_served, Ask};
-use crate::http::{CallError, Connection};
+use crate::http::Connection;
 use crate::operator::{CATALOG_PREFIX, LASTING_KEYS, ORDERS_PREFIX};
-use hyper::StatusCode;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,17 +17,6 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(150);
 const LONG_PAUSE: Duration = Duration::from_millis(4_000);
 
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestEnd {
-    /// With a whole answer.
-    Answered(StatusCode),
-    /// With a closed connection and no whole answer.
-    Closed,
-    /// With no answer in time.
-    Silent,
-}
-
 /// A request that was sent.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
@@ -43,7 +31,7 @@
     /// When it ended.
     pub ended: Instant,
     /// How it ended.
-    pub end: RequestEnd,
+    pub end: ExchangeEnd,
 }
 
 /// Requests that were sent, as they ended.
@@ -97,19 +85,15 @@
             key: Some(LASTING_KEYS[number % LASTING_KEYS.len()]),
         };
         let (attempt, sent) = (attempt_id(), Instant::now());
-        let end = match connection.send(ask.request(&attempt), ANSWER_WITHIN).await {
-            Ok(reply) => RequestEnd::Answered(reply.status),
-            Err(CallError::Broken) => RequestEnd::Closed,
-            Err(CallError::Timeout) => RequestEnd::Silent,
-            Err(CallError::NotSent) => {
-                soak.requests.borrow_mut().closed_idle += 1;
-                return;
-            }
+        let exchange = connection.send(ask.request(&attempt), ANSWER_WITHIN).await;
+        let Some(end) = ExchangeEnd::of(exchange) else {
+            soak.requests.borrow_mut().closed_idle += 1;
+            return;
         };
         let (proxy, ended) = (connection.addr(), Instant::now());
         let request = SentRequest { attempt, proxy, mutating: ask.mutating, sent, ended, end };
         soak.requests.borrow_mut().requests.push(request);
-        if !matches!(end, RequestEnd::Answered(_)) {
+        if !matches!(end, ExchangeEnd::Answered(_)) {
             return;
         }
         pause(soak).await;
--- a/crates/playground/src/soak/mod.rs
+++ b/crates/playground/src/soak/mod.rs
@@ -7,13 +7,16 @@
 mod shutdowns;
 mod verdict;
 
+use crate::http::{CallError, Reply};
 use crate::layout::{Layout, FOUR_PLACES};
 use crate::operator::{put_config, Edition};
 use crate::processes::{find_programs, Processes};
+use crate::seeds::Seeds;
 use crate::surroundings::{Surroundings, WorkerLoad};
 use clients::RequestLog;
 use fastrand::Rng;
 use hingestage_print::say;
+use hyper::StatusCode;
 use orders::OrderLog;
 use shutdowns::{Shutdowns, SoakPlan};
 use std::cell::{Cell, RefCell};
@@ -21,7 +24,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::{spawn_local, JoinHandle};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 use verdict::Verdict;
 
@@ -49,15 +52,8 @@
 /// seed in which the soak itself ran late is void.
 #[derive(clap::Args, Debug)]
 pub struct Args {
-    /// How many seeds.
-    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=256))]
-    seeds: u64,
-    /// The first seed.
-    #[arg(long, default_value_t = 0)]
-    from: u64,
-    /// Systems at a time.
-    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=16))]
-    at_once: u8,
+    #[command(flatten)]
+    seeds: Seeds,
     /// Proxies of each system, beside the six processes of its core.
     #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u8).range(2..=80))]
     proxies: u8,
@@ -74,23 +70,16 @@
     let programs = find_programs()?;
     let mut sum = Verdict::default();
     let mut broken = Vec::new();
-    let seeds: Vec<u64> = (args.from..args.from + args.seeds).collect();
-    for some in seeds.chunks(usize::from(args.at_once)) {
-        let played: Vec<(u64, JoinHandle<Result<Verdict, String>>)> = some
-            .iter()
-            .map(|seed| (*seed, spawn_local(play(programs.clone(), args.proxies, args.seconds, *seed))))
-            .collect();
-        for (seed, played) in played {
-            match played.await.unwrap_or_else(|error| Err(error.to_string())) {
-                Ok(verdict) => {
-                    say!("seed {seed}: {verdict}");
-                    broken.extend(verdict.broken.iter().map(|what| format!("seed {seed}: {what}")));
-                    sum.add(&verdict);
-                }
-                Err(message) => broken.push(format!("seed {seed}: {message}")),
-            }
+    let play = |seed: u64| play(programs.clone(), args.proxies, args.seconds, seed);
+    let on_end = |seed: u64, played: Result<Verdict, String>| match played {
+        Ok(verdict) => {
+            say!("seed {seed}: {verdict}");
+            broken.extend(verdict.broken.iter().map(|what| format!("seed {seed}: {what}")));
+            sum.add(&verdict);
         }
-    }
+        Err(message) => broken.push(format!("seed {seed}: {message}")),
+    };
+    args.seeds.play(play, on_end).await;
     say!("{} seeds, {} void: {sum}", sum.judged_seeds + sum.void_seeds, sum.void_seeds);
     match broken.as_slice() {
         [] if sum.judged_seeds == 0 => {
@@ -101,6 +90,29 @@
     }
 }
 
+/// How a request or an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ExchangeEnd {
+    /// With a whole answer.
+    Answered(StatusCode),
+    /// With a closed connection and no whole answer.
+    Closed,
+    /// With no answer in time.
+    Silent,
+}
+
+impl ExchangeEnd {
+    /// The end of what was sent; `None` if it was not sent.
+    fn of(exchange: Result<Reply, CallError>) -> Option<ExchangeEnd> {
+        match exchange {
+            Ok(reply) => Some(ExchangeEnd::Answered(reply.status)),
+            Err(CallError::Broken) => Some(ExchangeEnd::Closed),
+            Err(CallError::Timeout) => Some(ExchangeEnd::Silent),
+            Err(CallError::NotSent) => None,
+        }
+    }
+}
+
 /// What goes on in a system while its processes are ended and restarted.
 struct Soak {
     layout: Layout,
--- a/crates/playground/src/soak/orders.rs
+++ b/crates/playground/src/soak/orders.rs
@@ -1,7 +1,7 @@
 //! Operators that send configurations and read them back on connections that they keep.
 
-use super::Soak;
-use crate::http::{call, CallError, Connection, Reply};
+use super::{ExchangeEnd, Soak};
+use crate::http::{call, Connection, Reply};
 use crate::layout::Machine;
 use crate::operator::{Edition, HOST_NAME};
 use bytes::Bytes;
@@ -46,17 +46,6 @@
     }
 }
 
-/// How an order ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderEnd {
-    /// With a whole answer.
-    Answered(StatusCode),
-    /// With a closed connection and no whole answer.
-    Closed,
-    /// With no answer in time.
-    Silent,
-}
-
 /// An order that was sent.
 #[derive(Clone, Debug)]
 pub struct SentOrder {
@@ -69,7 +58,7 @@
     /// When it ended.
     pub ended: Instant,
     /// How it ended.
-    pub end: OrderEnd,
+    pub end: ExchangeEnd,
 }
 
 /// Orders that were sent, as they ended.
@@ -122,15 +111,11 @@
     while !soak.stop.get() {
         let order = next(&mut soak.orders.borrow_mut());
         let sent = Instant::now();
-        let end = match connection.send(request(order, machine), ANSWER_WITHIN).await {
-            Ok(reply) => OrderEnd::Answered(reply.status),
-            Err(CallError::Broken) => OrderEnd::Closed,
-            Err(CallError::Timeout) => OrderEnd::Silent,
-            Err(CallError::NotSent) => return,
-        };
+        let exchange = connection.send(request(order, machine), ANSWER_WITHIN).await;
+        let Some(end) = ExchangeEnd::of(exchange) else { return };
         let machine = machine.name.clone();
         soak.orders.borrow_mut().orders.push(SentOrder { order, machine, sent, ended: Instant::now(), end });
-        if !matches!(end, OrderEnd::Answered(_)) {
+        if !matches!(end, ExchangeEnd::Answered(_)) {
             return;
         }
         sleep(PAUSE.mul_f64(fastrand::f64())).await;
--- a/crates/playground/src/soak/verdict.rs
+++ b/crates/playground/src/soak/verdict.rs
@@ -1,9 +1,9 @@
 //! The verdict on a soak, by what clients, operators and workers saw.
 
-use super::clients::{RequestEnd, RequestLog, SentRequest};
-use super::orders::{Order, OrderEnd, OrderLog, SentOrder};
+use super::clients::{RequestLog, SentRequest};
+use super::orders::{Order, OrderLog, SentOrder};
 use super::shutdowns::{Shutdown, Shutdowns};
-use super::GRACE;
+use super::{ExchangeEnd, GRACE};
 use crate::clients::{promises_not_run, TRY_WITHIN};
 use crate::layout::Program;
 use hingestage_test_servers::service_worker::Run;
@@ -128,28 +128,28 @@
         let signalled_at = last_signal_before(shutdowns.all.iter().filter(is_proxy), request.ended);
         let broken = match request.end {
             _ if request.mutating && ran > 1 => Some("ran more than once"),
-            RequestEnd::Answered(status) if status.is_success() => {
+            ExchangeEnd::Answered(status) if status.is_success() => {
                 self.served += 1;
                 None
             }
-            RequestEnd::Answered(status) if promises_not_run(status) => {
+            ExchangeEnd::Answered(status) if promises_not_run(status) => {
                 self.refused += 1;
                 (ran > 0).then_some("ran, and was answered with the promise that it has not")
             }
-            RequestEnd::Answered(status) if is_time_up(status, request, signalled_at) => {
+            ExchangeEnd::Answered(status) if is_time_up(status, request, signalled_at) => {
                 self.late += 1;
                 None
             }
-            RequestEnd::Answered(_) => Some("failed, though its worker answers"),
-            RequestEnd::Closed if ran > 0 => Some("ran, and its connection closed with no answer"),
-            RequestEnd::Closed if was_read(request.sent, request.ended, signalled_at) => {
+            ExchangeEnd::Answered(_) => Some("failed, though its worker answers"),
+            ExchangeEnd::Closed if ran > 0 => Some("ran, and its connection closed with no answer"),
+            ExchangeEnd::Closed if was_read(request.sent, request.ended, signalled_at) => {
                 Some("was read, and its connection closed with no answer")
             }
-            RequestEnd::Closed => {
+            ExchangeEnd::Closed => {
                 self.crossed += 1;
                 None
             }
-            RequestEnd::Silent => Some("got no answer"),
+            ExchangeEnd::Silent => Some("got no answer"),
         };
         if let Some(broken) = broken {
             let kind = if request.mutating { "mutating" } else { "repeatable" };
@@ -168,24 +168,24 @@
         };
         let signalled_at = last_signal_before(shutdowns.all.iter().filter(is_registry), sent.ended);
         let broken = match sent.end {
-            OrderEnd::Answered(status) if status.is_client_error() && status != StatusCode::CONFLICT => {
+            ExchangeEnd::Answered(status) if status.is_client_error() && status != StatusCode::CONFLICT => {
                 Some("was refused")
             }
-            OrderEnd::Answered(status) => {
+            ExchangeEnd::Answered(status) => {
                 self.orders += 1;
                 if let (Order::Change(serial), StatusCode::OK) = (sent.order, status) {
                     self.acknowledged = self.acknowledged.max(Some(serial));
                 }
                 None
             }
-            OrderEnd::Closed if was_read(sent.sent, sent.ended, signalled_at) => {
+            ExchangeEnd::Closed if was_read(sent.sent, sent.ended, signalled_at) => {
                 Some("was read, and its connection closed with no answer")
             }
-            OrderEnd::Closed => {
+            ExchangeEnd::Closed => {
                 self.orders_crossed += 1;
                 None
             }
-            OrderEnd::Silent => Some("got no answer"),
+            ExchangeEnd::Silent => Some("got no answer"),
         };
         if let Some(broken) = broken {
             let took = sent.ended - sent.sent;
