--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -18,9 +18,9 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::sync::{oneshot, Notify};
 
-/// Timeout for connecting.
+/// Timeout for connecting: a machine that is cut off never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Age of the oldest pending call at which the connection is considered dead.
+/// Age of the oldest pending call at which the connection is considered dead. Until then no call is answered.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time after which a ping is sent, well before the counter would close the connection.
 const PING_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/peer_connections.rs
+++ b/crates/gateway/src/peer_connections.rs
@@ -16,7 +16,7 @@
 const IDLE_MAX: usize = 2;
 /// Idle time after which a connection is closed. The server waits twice as long, so that it closes none in use.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Divisor of a request's timeout that gives the timeout for connecting.
+/// Divisor of a request's timeout that gives the timeout for connecting. A request that waits longer was never sent.
 const CONNECT_TIMEOUT_DIVISOR: u32 = 4;
 
 /// Why a request has no response.
