A process that was stopped sends no request on after its time

Cause: the time limits of an attempt (begin_within, timeout) were added to the clock at the start of the attempt, not at its decision; the time left of a request was counted before the decision read the clock; and the last look at the clock came before the request was handed to the task that writes it. A stop in any of these gaps gave the request that much more time.

Change: a request keeps its deadline as a point in time, limits of an attempt count from its decision, and the connection reads the clock right before the first write and fails it, with nothing written, when it is too late.

--- a/crates/dataplane/src/driver.rs
+++ b/crates/dataplane/src/driver.rs
@@ -59,6 +59,8 @@
 struct OpenRequest<P: Platform> {
     parts: Rc<RequestParts>,
     class: ClassId,
+    /// No attempt begins or lasts longer.
+    deadline: Instant,
     /// Channel for the answer; `None` once answered or after the client has disconnected.
     reply: Option<oneshot::Sender<Answer<P::Stream>>>,
     /// By attempt number; `None` once the attempt has ended.
@@ -193,19 +195,25 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
-            let now = self.micros();
-            self.decisions.borrow_mut().handle(now, event, &mut actions);
+            let now = self.platform.now();
+            self.decisions.borrow_mut().handle(self.clock.micros(now), event, &mut actions);
             for action in actions.drain(..) {
-                self.perform(action);
+                self.perform(action, now);
             }
         }
         self.handling.set(false);
     }
 
-    fn perform(self: &Rc<Self>, action: Action) {
+    /// Carries out an action that was decided at `now`. The time limits of an attempt count from there: the system may
+    /// have stopped the process since.
+    fn perform(self: &Rc<Self>, action: Action, now: Instant) {
         match action {
             Action::Send { request, worker, timeout, begin_within } => {
-                self.send(request, worker, timeout, begin_within)
+                let times = AttemptTimes {
+                    begin_by: now + Duration::from_micros(begin_within),
+                    deadline: now + Duration::from_micros(timeout),
+                };
+                self.send(request, worker, now, times)
             }
             Action::Cancel { request, attempt } => self.cancel(&request, attempt),
             Action::Refuse { request, retry_after } => {
@@ -260,17 +268,18 @@
         self.next_id.set(self.next_id.get() + 1);
         let id = RequestId(self.next_id.get().to_string());
         let (reply, answer) = oneshot::channel();
+        let deadline = incoming.deadline.checked_sub(ANSWER_MARGIN).unwrap_or(incoming.deadline);
         let open = OpenRequest {
             parts: Rc::new(incoming.parts),
             class: incoming.class,
+            deadline,
             reply: Some(reply),
             attempts: Vec::new(),
             timed_out: false,
         };
         self.inflight.set(self.inflight.get() + 1);
         self.open.borrow_mut().insert(id.clone(), open);
-        let left =
-            incoming.deadline.saturating_duration_since(self.platform.now()).saturating_sub(ANSWER_MARGIN);
+        let left = deadline.saturating_duration_since(self.platform.now());
         self.handle_event(Event::Request(Request {
             id: id.clone(),
             customer: incoming.customer,
@@ -304,12 +313,14 @@
         self.hooks.max_wait()
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, timeout: Micros, begin_within: Micros) {
+    fn send(self: &Rc<Self>, id: RequestId, worker: WorkerId, sent: Instant, times: AttemptTimes) {
         let mut requests = self.open.borrow_mut();
         let Some(open) = requests.get_mut(&id) else { return };
+        let AttemptTimes { begin_by, deadline } = times;
+        let times =
+            AttemptTimes { begin_by: begin_by.min(open.deadline), deadline: deadline.min(open.deadline) };
         let (parts, attempt) = (open.parts.clone(), open.attempts.len());
         let progress = Rc::new(AttemptProgress::default());
-        let sent = self.platform.now();
         let (driver, attempt_progress, request) = (self.clone(), progress.clone(), id.clone());
         self.track_upload(&id, &parts);
         // A worker owes no answer while its request is still being uploaded; only the end of such an attempt
@@ -318,10 +329,6 @@
             self.hooks.on_attempt_start(self.micros(), worker);
         }
         let task = self.platform.spawn(async move {
-            let times = AttemptTimes {
-                begin_by: sent + Duration::from_micros(begin_within),
-                deadline: sent + Duration::from_micros(timeout),
-            };
             let mut result = driver.workers.attempt(worker, &parts, times, &attempt_progress).await;
             driver.finish_attempt(&request, attempt, &mut result);
             driver.workers.release(worker, result).await;
--- a/crates/dataplane/src/tracked_connection.rs
+++ b/crates/dataplane/src/tracked_connection.rs
@@ -1,5 +1,5 @@
 //! A connection that counts its bytes, can be closed from outside, and refuses to write after
-//! unsolicited input.
+//! unsolicited input or too late.
 
 use hingestage_platform::{Stream, Task};
 use std::cell::{Cell, RefCell};
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
@@ -38,12 +39,15 @@
     read_notify: Notify,
     /// Whether unsolicited input must fail the next write.
     fail_on_input: Cell<bool>,
+    /// After this, the next write must fail.
+    write_by: Cell<Option<Instant>>,
+    now: Box<dyn Fn() -> Instant>,
     task: RefCell<Option<Box<dyn Task>>>,
 }
 
 impl<S: Stream> TrackedConnection<S> {
-    /// Wraps a connected stream.
-    pub fn new(stream: S, place: ConnectionSlot) -> Rc<Self> {
+    /// Wraps a connected stream. `now` reads the clock.
+    pub fn new(stream: S, place: ConnectionSlot, now: impl Fn() -> Instant + 'static) -> Rc<Self> {
         let stream = RefCell::new(Some((stream, place)));
         Rc::new(TrackedConnection {
             stream,
@@ -51,6 +55,8 @@
             read: Cell::new(0),
             read_notify: Notify::new(),
             fail_on_input: Cell::new(false),
+            write_by: Cell::new(None),
+            now: Box::new(now),
             task: RefCell::new(None),
         })
     }
@@ -84,6 +90,19 @@
         self.fail_on_input.set(true);
     }
 
+    /// Makes the next write fail after `until`, with nothing written. The clock is read right before the write, because
+    /// the system may stop the process at any time.
+    pub fn write_by(&self, until: Instant) {
+        self.write_by.set(Some(until));
+    }
+
+    fn check_in_time(&self) -> io::Result<()> {
+        match self.write_by.get() {
+            Some(until) if (self.now)() > until => Err(io::ErrorKind::TimedOut.into()),
+            _ => Ok(()),
+        }
+    }
+
     fn check_no_input(&self) -> io::Result<()> {
         let stream = self.stream.borrow();
         let (true, Some((stream, _))) = (self.fail_on_input.replace(false), stream.as_ref()) else {
@@ -113,8 +132,10 @@
 
     fn write(&self, poll: impl FnOnce(Pin<&mut S>) -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.check_no_input()?;
+        self.check_in_time()?;
         let polled = self.poll(poll);
         if let Poll::Ready(Ok(n)) = polled {
+            self.write_by.set(None);
             self.written.set(self.written.get() + n as u64);
         }
         polled
@@ -182,7 +203,8 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let (mut peer, _) = listener.accept().unwrap();
-        let handle = TrackedConnection::new(stream, ConnectionSlot::take(&Rc::default(), 1).unwrap());
+        let handle =
+            TrackedConnection::new(stream, ConnectionSlot::take(&Rc::default(), 1).unwrap(), Instant::now);
         let mut io = TrackedIo(handle.clone());
         let mut buffer = [0; 8];
         // Clears the runtime's read readiness.
--- a/crates/dataplane/src/workers.rs
+++ b/crates/dataplane/src/workers.rs
@@ -319,6 +319,7 @@
             }
             let Some(body) = parts.body.outgoing() else { return Outcome::NotSent.into() };
             progress.start(&conn.handle, conn.used, parts);
+            conn.handle.write_by(times.begin_by);
             let timeout = self.attempt_timeout(parts, times.deadline);
             let first_byte_at = Cell::new(None);
             let exchange = self.exchange(worker, &mut conn, parts, body, times.deadline, &first_byte_at);
@@ -338,6 +339,9 @@
             match ended {
                 // A pooled connection had been closed before anything was written: retry on another one.
                 Ok(Err(_)) if used && !may_be_received => continue,
+                Ok(Err(_)) if !may_be_received && self.platform.now() > times.begin_by => {
+                    return Outcome::NotSent.into()
+                }
                 _ if !may_be_received => return Outcome::ConnectFailed.into(),
                 Ok(Err(ExchangeError::Unusable(what))) => {
                     log_sparsely(
@@ -518,7 +522,8 @@
                 return Err(Outcome::ConnectFailed);
             }
         };
-        let handle = TrackedConnection::new(stream, place);
+        let clock = self.platform.clone();
+        let handle = TrackedConnection::new(stream, place, move || clock.now());
         let io = TokioIo::new(TrackedIo(handle.clone()));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_MAX_BYTES)
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -192,7 +192,8 @@
     let stream = platform.timeout(CONNECT_TIMEOUT, platform.connect(at)).await;
     let stream = stream.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
     let place = ConnectionSlot::take(&Rc::default(), 1).ok_or("no place")?;
-    let guard = CloseOnDrop(TrackedConnection::new(stream, place));
+    let clock = platform.clone();
+    let guard = CloseOnDrop(TrackedConnection::new(stream, place, move || clock.now()));
     let (mut sender, conn) = hyper::client::conn::http1::handshake(TokioIo::new(TrackedIo(guard.0.clone())))
         .await
         .map_err(|e| e.to_string())?;
