Rehearsals: what the harness itself read late is not held against gateways

What was seen: in one run of the whole check, three rehearsals failed (stalled, same-number, turns); stalled with "lost at 19.799 s: was sent on after its final answer", 0.28 s after it was asked, long after its last stop.

Cause: in the harness, not in the gateway. Clients, relays and workers are one process; where the machine does not run it for a few tenths of a second, it reads a refusal before it has accepted the connection of an attempt that was sent before that refusal, and timed the attempt by its reading. Trace with the harness stopped by SIGSTOP: held up from 6.84 to 7.26 s, answer read at 7.347 s, the attempt's first byte and its connection's end both read at 7.411 s.

Change: a pulse tells when the harness was held up; only what was read while it caught up is given that time, everything else is judged as before. The figures of being held up are printed.

--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,7 +1,7 @@
 //! Rehearsals: a fleet of real processes of the program among stand-ins on loopback, a load, and faults between
 //! them; recorded first and judged afterwards, from outside.
 //!
-//! `script`, `file`, `draw`, `front`, `shrink`, `sums` and `judge` are values without I/O; `links`, `process`,
+//! `script`, `file`, `draw`, `front`, `lateness`, `shrink`, `sums` and `judge` are values without I/O; `links`, `process`,
 //! `world` and `load` are the world; `run` plays.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod judge;
 mod keepers;
+pub mod lateness;
 mod links;
 mod load;
 mod page;
--- a/crates/rehearse/src/record.rs
+++ b/crates/rehearse/src/record.rs
@@ -40,6 +40,11 @@
     Fault(String),
     /// Figures that are read now and then.
     Sample(Sample),
+    /// The machine has not run the rehearsal itself in time, since then.
+    HeldUp {
+        /// When the rehearsal was last known to run.
+        since: Instant,
+    },
     /// What became of changes of the policy, as the keepers have it at the end.
     Policies(Policies),
 }
--- a/crates/rehearse/src/run.rs
+++ b/crates/rehearse/src/run.rs
@@ -145,6 +145,7 @@
     let load = Load::new(world.clone(), seed);
     world.begun.set(Tokio.now());
     load.run();
+    let watch = Tokio.spawn(world.clone().watch_lateness());
     let sampler = Tokio.spawn(world.clone().sample());
     for timed in script.faults.clone() {
         Tokio.spawn(world.clone().play(timed));
@@ -155,6 +156,7 @@
         Tokio.sleep(Duration::from_millis(20)).await;
     }
     sampler.abort();
+    watch.abort();
     world.end().await;
     let entries = world.record.take();
     Ok(judge(script, world.begun.get(), &entries, load.late()))
@@ -206,6 +208,13 @@
         sums.cpu_a_request(),
         sums.spent.keepers.as_secs_f64()
     );
+    let lateness = &verdict.lateness;
+    say!(
+        "  the rehearsal itself was held up {} times, {:.2} s in all, {:.2} s at most",
+        lateness.times,
+        lateness.total.as_secs_f64(),
+        lateness.longest.as_secs_f64()
+    );
     if let Some((changing, calm)) = sums.waits() {
         say!(
             "  the slowest hundredth waits {:.0} ms while a policy changes, {:.0} ms else; served {:.3} times as much",
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::front::Front;
 use crate::keepers::Keepers;
+use crate::lateness::{held_up, PULSE};
 use crate::links::{listen, Link};
 use crate::places::{self, Loss, NAMES};
 use crate::process::{Place, Process};
@@ -708,6 +709,15 @@
         crashed
     }
 
+    /// Checks that this process runs in time, for ever.
+    pub async fn watch_lateness(self: Rc<Self>) {
+        loop {
+            let due = Tokio.now() + PULSE;
+            Tokio.sleep_until(due).await;
+            held_up(due, Tokio.now()).into_iter().for_each(|event| self.record.note(event));
+        }
+    }
+
     /// Reads figures now and then, for ever.
     pub async fn sample(self: Rc<Self>) {
         let mut due = Tokio.now();
--- a/crates/rules/src/checker.rs
+++ b/crates/rules/src/checker.rs
@@ -153,6 +153,8 @@
     troubled: Nanos,
     /// When accounts and gateways were last asked by usual clients, in a lightly used world.
     asked: BTreeMap<(bool, u64), VecDeque<Nanos>>,
+    /// See [`Checker::read_up_to`].
+    read_delay: Nanos,
 }
 
 /// Time without a fault after which a lightly used world must serve each pull: longer than discovery's news,
@@ -181,6 +183,7 @@
             service,
             troubled: 0,
             asked: BTreeMap::new(),
+            read_delay: 0,
         }
     }
 
@@ -194,6 +197,12 @@
         self.broken.get_or_insert(Violation { rule, at, what });
     }
 
+    /// Tells that the first byte of an attempt may be read up to `delay` after it was written, because whoever reads it
+    /// was held up. Holds until it is told otherwise.
+    pub fn read_up_to(&mut self, delay: Nanos) {
+        self.read_delay = delay;
+    }
+
     /// Notes what a client is about to ask; whether that is inside its quota.
     pub fn ask(&mut self, now: Nanos, id: &str, asked: Asked) -> bool {
         let inside = self.service.ask(now, &asked);
@@ -451,7 +460,7 @@
         let (out, ran) =
             (request.attempts.iter().any(|a| !a.over), request.attempts.iter().any(|a| !a.never));
         let first = request.attempts.is_empty();
-        let after = request.over_at.filter(|over| began.0 > over + LONGER);
+        let after = request.over_at.filter(|over| began.0 > over + LONGER + self.read_delay);
         let over = self.ended.contains(&conn);
         let (never, answering, wrote) = (false, false, false);
         request.attempts.push(Attempt { conn, began: began.0, place, over, never, answering, wrote });
