Review: a replacement beside a lost disk, and answers without a length, as cases 4 and 6

Case 4: a core machine is replaced as planned work while another one loses its disk. The old one ends before the change of voters is over, and nothing acknowledged can be read or changed any more.

Case 6: after SIGTERM an answer without a length is broken off at its head and becomes a 502.

--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -193,7 +193,6 @@
 pub struct Run {
     pub id: String,
     pub worker: String,
-    pub service: String,
     pub zone: String,
     /// Seconds since the start.
     pub began: f64,
@@ -216,18 +215,9 @@
     pub record: Arc<Record>,
     pub runs: Mutex<Vec<Run>>,
     pub workers: Mutex<Vec<Worker>>,
-    /// The zone whose workers are silent: they write nothing any more, and their connections stay open.
-    pub dark: Mutex<Option<String>>,
 }
 
 impl Outside {
-    /// Waits without end if the worker's zone is dark.
-    fn stay_silent(&self, worker: &Worker) {
-        while self.dark.lock().unwrap().as_ref() == Some(&worker.zone) {
-            pause(20);
-        }
-    }
-
     pub fn run_of(&self, id: &str) -> Vec<Run> {
         self.runs.lock().unwrap().iter().filter(|run| run.id == id).cloned().collect()
     }
@@ -254,13 +244,13 @@
     }
 
     /// Serves one connection of a worker: one request at a time. `X-Work-Ms` is the time it works; with `X-Rest-Ms`
-    /// that time passes between a first part of the answer and the rest. `X-Body-Kb` is the least size of the body.
+    /// that time passes between a first part of the answer and the rest. With
+    /// `X-Unframed` the answer has no length and ends with the connection.
     fn serve_worker(&self, worker: &Worker, slots: &Slots, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         loop {
             let request = read_message(&mut reader)?;
-            self.stay_silent(worker);
             let id = request.header("x-hingestage-attempt-id").unwrap_or_default().to_owned();
             let target = request.header("x-hingestage-target-worker");
             if target.is_some_and(|target| target != worker.id) {
@@ -285,7 +275,6 @@
                 runs.push(Run {
                     id: id.clone(),
                     worker: worker.id.clone(),
-                    service: worker.service.clone(),
                     zone: worker.zone.clone(),
                     began: self.record.now(),
                     ended: None,
@@ -294,17 +283,18 @@
             };
             self.record.note(format!("worker {} ({}) runs {id} {}", worker.id, worker.zone, request.start));
             thread::sleep(millis(request.number("x-work-ms")));
-            let body = format!(
-                "answer to {id} by {} {}",
-                worker.id,
-                "x".repeat(200 + 1_024 * request.number("x-body-kb") as usize)
-            );
+            let body = format!("answer to {id} by {} {}", worker.id, "x".repeat(200));
+            let unframed = request.number("x-unframed") > 0;
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Hingestage-Attempt-Id: {id}\r\nX-Hingestage-Server-Seal: seal-{id}\r\n\
-                 X-Hingestage-Worker-Load: {},0,{}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
+                 X-Hingestage-Worker-Load: {},0,{}\r\nContent-Type: text/plain\r\n{}\r\n\r\n",
                 slots.taken(),
                 worker.capacity,
-                body.len()
+                if unframed {
+                    "Connection: close".to_owned()
+                } else {
+                    format!("Content-Length: {}", body.len())
+                }
             );
             let rest = request.number("x-rest-ms");
             let written = if rest == 0 {
@@ -315,7 +305,6 @@
                     self.record
                         .note(format!("worker {} has written a part of its answer to {id}", worker.id));
                     thread::sleep(millis(rest));
-                    self.stay_silent(worker);
                     stream.write_all(second.as_bytes())
                 })
             };
@@ -324,6 +313,9 @@
             self.record.note(format!("worker {} {text} {id}", worker.id));
             written?;
             self.runs.lock().unwrap()[number].ended = Some(self.record.now());
+            if unframed {
+                return Ok(());
+            }
         }
     }
 }
@@ -420,10 +412,6 @@
         SocketAddr::new(self.ip, ADMIN)
     }
 
-    pub fn directory(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, DIRECTORY)
-    }
-
     pub fn signal(&self, signal: i32) {
         self.processes.iter().for_each(|process| process.signal(signal));
     }
@@ -463,12 +451,8 @@
         let temporary =
             std::env::temp_dir().join(format!("hingestage-review-{}-{}", std::process::id(), nanos()));
         fs::create_dir_all(&temporary)?;
-        let outside = Arc::new(Outside {
-            record: record.clone(),
-            runs: Mutex::default(),
-            workers: Mutex::default(),
-            dark: Mutex::default(),
-        });
+        let outside =
+            Arc::new(Outside { record: record.clone(), runs: Mutex::default(), workers: Mutex::default() });
         let mut case = Case {
             record,
             outside,
@@ -610,10 +594,6 @@
         Ok(())
     }
 
-    pub fn log_of(&self, machine: &Machine, role: &str) -> String {
-        fs::read_to_string(self.folder.join(format!("{}-{role}.log", machine.name))).unwrap_or_default()
-    }
-
     /// Sends an order to one machine once. `None` if there is no answer.
     pub fn order_once(&self, to: &Machine, method: &str, path: &str, body: &str) -> Option<u16> {
         let headers = [("Content-Type", "application/json".to_owned())];
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,9 +1,8 @@
 //! Runs one case of the review: `case NAME FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 //! could not run.
 
+mod handover;
 mod kit;
-mod midway;
-mod replaced;
 mod silence;
 mod undone;
 
@@ -18,10 +17,10 @@
         return ExitCode::from(2);
     };
     let run: fn(&mut Case) -> Outcome<bool> = match name.as_str() {
-        "midway" => midway::run,
-        "replaced" => replaced::run,
+        "handover" => handover::run,
         "undone" => undone::run,
         "silent-search" => silence::search,
+        "unframed" => silence::unframed,
         "silent-answer" => silence::answer,
         _ => {
             eprintln!("no case {name}");
--- a/review/stand-ins-2/silence.rs
+++ b/review/stand-ins-2/silence.rs
@@ -15,8 +15,8 @@
     /// Requests before the SIGTERM, and how long a worker takes for one.
     usual: usize,
     usual_work: u64,
-    /// The requests that are open at the SIGTERM: the header that shapes them at the worker.
-    header: (&'static str, u64),
+    /// The requests that are open at the SIGTERM: the headers that shape them at the worker.
+    headers: &'static [(&'static str, u64)],
 }
 
 /// Repeatable requests of 30 ms, and some of 450 ms.
@@ -29,7 +29,7 @@
             tries: 1,
             usual: 120,
             usual_work: 30,
-            header: ("X-Work-Ms", 450),
+            headers: &[("X-Work-Ms", 450)],
         },
     )
 }
@@ -44,7 +44,23 @@
             tries: 2,
             usual: 20,
             usual_work: 30,
-            header: ("X-Rest-Ms", 450),
+            headers: &[("X-Rest-Ms", 450)],
+        },
+    )
+}
+
+/// Requests that may run once, whose worker sends an answer without a length: its end is that of the connection. It works
+/// 150 ms before the answer and 100 ms within it.
+pub fn unframed(case: &mut Case) -> Outcome<bool> {
+    run(
+        case,
+        &Shape {
+            kind: "mutating",
+            method: "POST",
+            tries: 2,
+            usual: 20,
+            usual_work: 30,
+            headers: &[("X-Work-Ms", 150), ("X-Rest-Ms", 100), ("X-Unframed", 1)],
         },
     )
 }
@@ -89,8 +105,8 @@
         pause(20);
     }
     pause(2_000);
-    let (header, value) = shape.header;
-    let shaped = [(header, value.to_string())];
+    let shaped: Vec<(&str, String)> =
+        shape.headers.iter().map(|(name, value)| (*name, value.to_string())).collect();
     let (terminated, answers) = thread::scope(|scope| {
         let (case, edge, shaped) = (&*case, &edge, &shaped);
         let open: Vec<_> = (0..REQUESTS)
