Keep a silent attempt unless another one can follow at once

An attempt that was silent for seven typical latencies was cancelled so that another could follow, and only then the decisions asked whether an attempt was left and a worker free. The same gap was open where no worker takes requests, where several attempts are lost at once for one retry in the budget, and where the body is streamed and gone.

may_repeat now holds the conditions of a repeat once, for failed and lost attempts, and an attempt is cancelled only if a worker would take its request with the place that this frees, one at a time.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -132,6 +132,14 @@
 }
 
 impl Limits {
+    /// The maximum number of attempts of a request of this class.
+    pub fn max_attempts_of(&self, class: &Class) -> usize {
+        match class.attempts {
+            0 => self.max_attempts,
+            attempts => attempts.min(self.max_attempts),
+        }
+    }
+
     /// The maximum retry budget, with `usual` as the default.
     pub fn max_retry_budget(&self, usual: f64) -> f64 {
         if self.max_retry_budget > 0.0 {
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -227,7 +227,7 @@
             }
             Event::Uploading { request, over } => {
                 self.requests.entry(request).and_modify(|r| {
-                    r.uploading = !over;
+                    (r.uploading, r.streamed_body) = (!over, true);
                     r.attempts.iter_mut().filter(|a| a.in_flight).for_each(|a| a.sent = now.max(a.sent));
                 });
             }
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -24,12 +24,10 @@
         };
         let units = if r.units.is_finite() { r.units.max(0.0) } else { 1.0 };
         let key = self.customer_entry(plan.0, r.customer, (r.gateways, r.first));
-        let (arrived, deadline) = (self.now, self.now + r.time_left);
-        let times = OpenRequest { arrived, deadline, ..OpenRequest::default() };
         let id = r.id.clone();
-        let (key_of, bits) = (key.clone(), fnv(id.0.as_bytes()));
-        let open = OpenRequest { key: key_of, bits, class, class_ix, units, ..times };
-        self.requests.insert(r.id.clone(), open);
+        let open = OpenRequest::new(&id, self.now, r.time_left);
+        let open = OpenRequest { key: key.clone(), class, class_ix, units, ..open };
+        self.requests.insert(id.clone(), open);
         self.timers.insert(self.next_timer, r.id.clone());
         actions.push(Action::SetTimer { token: TimerToken(self.next_timer), after: r.time_left - margin });
         self.next_timer += 1;
@@ -71,18 +69,9 @@
         self.dispatch_or_hold(id, actions);
     }
 
-    fn max_attempts(&self, r: &OpenRequest) -> usize {
-        let most = self.settings.limits.max_attempts;
-        if r.class.attempts > 0 {
-            r.class.attempts.min(most)
-        } else {
-            most
-        }
-    }
-
     /// Checks everything that a send must satisfy: deadline, effect, drain, warm-up and ceiling.
     pub(super) fn may_send(&self, r: &OpenRequest, w: &Worker) -> bool {
-        let tries_left = r.attempts.len() < self.max_attempts(r);
+        let tries_left = r.attempts.len() < self.settings.limits.max_attempts_of(&r.class);
         if r.closed || r.streaming || self.now >= r.deadline || !tries_left {
             return false;
         }
@@ -92,28 +81,15 @@
         {
             return false;
         }
-        if r.attempts.iter().any(|a| a.in_flight) && !self.settings.limits.second_copies {
+        if r.is_in_flight() && !self.settings.limits.second_copies {
             return false;
         }
-        let mut ran = r.attempts.iter().filter(|a| a.may_have_run).peekable();
-        let effect_ok = match (r.class.effect, ran.peek()) {
-            (_, None) | (Effect::Idempotent, _) => true,
-            (Effect::AtMostOnce, Some(_)) => false,
-            (Effect::Deduplicated, Some(_)) => {
-                self.now < r.begin_by()
-                    && ran.all(|a| match r.class.group {
-                        DedupGroup::All => true,
-                        DedupGroup::Zone => a.zone == w.info.zone,
-                        DedupGroup::Cell => a.zone == w.info.zone && a.cell == w.info.cell,
-                    })
-            }
-        };
         let p = self.plan(&r.key);
         let ceiling_ok = p.ceiling_rate <= 0.0
             || !r.attempts.is_empty()
             || r.granted
             || self.customers.get(&r.key).is_some_and(|c| c.ceiling_level >= r.units);
-        effect_ok && ceiling_ok
+        ceiling_ok && r.may_run_at(self.now, &w.info)
     }
 
     /// This gateway's even share of the fleet's in-flight limit.
@@ -127,14 +103,19 @@
         (self.send_tokens + gained).min(SEND_TOKENS_MAX)
     }
 
+    /// Whether another send stays within this gateway's share of the in-flight limit.
+    fn has_send_capacity(&self) -> bool {
+        let share = self.inflight_share();
+        self.in_flight < share.max(1.0) && (share >= 1.0 || self.current_send_tokens(share) >= 1.0)
+    }
+
     /// Sends a request to the best eligible worker. This is the only place that sends.
     pub(super) fn dispatch(&mut self, id: &RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(key) = self.requests.get(id).map(|r| r.key.clone()) else { return false };
-        let share = self.inflight_share();
-        let tokens = self.current_send_tokens(share);
-        if self.in_flight >= share.max(1.0) || (share < 1.0 && tokens < 1.0) {
+        if !self.has_send_capacity() {
             return false;
         }
+        let tokens = self.current_send_tokens(self.inflight_share());
         self.advance(&key);
         let Some(worker) = self.pick_worker(id) else {
             self.request_grant(id, actions);
@@ -154,14 +135,15 @@
         }
         (self.send_tokens, self.send_tokens_at) = ((tokens - 1.0).max(0.0), self.now);
         self.send_interval += ((self.now - self.sent_at) as f64 - self.send_interval) * LATENCY_WEIGHT;
-        (self.sent_at, self.in_flight) = (self.now, self.in_flight + 1.0);
-        w.inflight += 1.0;
+        self.sent_at = self.now;
         (w.credit, w.credit_at) = (credit - 1.0, self.now);
         self.last_probe = self.last_probe.max(self.sites.probe(&w.info.zone.0).unwrap_or(0));
         r.held = false;
         let timeout = r.deadline - self.now;
         let begin_within = r.begin_by().saturating_sub(self.now);
         r.attempts.push(Attempt::new(&w.info, self.now));
+        let attempt = r.attempts.len() - 1;
+        self.set_in_flight(id, attempt, true);
         actions.push(Action::Send { request: id.clone(), worker, timeout, begin_within });
         true
     }
@@ -198,10 +180,11 @@
         let (id, outcome) = (&done.request, done.outcome);
         let Some(r) = self.requests.get_mut(id) else { return };
         let Some(a) = r.attempts.get_mut(done.attempt).filter(|a| a.in_flight) else { return };
-        a.in_flight = false;
         a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
         let (worker, sent) = (a.worker, a.sent);
         let (class_ix, key, units, aim) = (r.class_ix, r.key.clone(), r.units, r.class.aim);
+        let replaced = std::mem::take(&mut r.replacing);
+        self.set_in_flight(id, done.attempt, false);
         // Excludes the upload of the body and the streaming of the answer: neither is the worker's work.
         let latency = done.latency.min(self.now - sent) as f64;
         self.record(worker, class_ix, aim, outcome, latency);
@@ -212,40 +195,39 @@
         let Some(r) = self.requests.get_mut(id) else { return };
         if done.closed || r.closed || (outcome == Outcome::Ok && !r.streaming) {
             self.finish(id, Ending::Answered, actions);
-        } else if !r.attempts.iter().any(|a| a.in_flight) {
-            self.retry_or_finish(id, outcome, actions);
+        } else if !r.is_in_flight() {
+            // An unreachable worker did no work, so the retry is free.
+            let costs = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
+            if replaced || self.may_repeat(id, costs) {
+                self.charge_retry(id, costs);
+                self.dispatch_or_hold(id, actions);
+            } else {
+                self.finish(id, Ending::Refused(0), actions);
+            }
         }
-        self.release_held(actions);
-    }
-
-    /// Retries if budget and time allow it, otherwise ends the request.
-    pub(super) fn retry_or_finish(&mut self, id: &RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(id) else { return };
-        let ran = r.attempts.iter().any(|a| a.may_have_run);
-        let barred = r.streaming || (ran && r.class.effect == Effect::AtMostOnce);
-        let may_retry = r.attempts.len() < self.max_attempts(r) && self.now < r.arrived + r.class.aim;
-        // An unreachable worker did no work, so the retry is free.
-        let costs = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
-        let key = r.key.clone();
-        if !barred && may_retry && self.may_retry(&key, costs) {
-            self.charge_retry(&key, costs);
-            self.dispatch_or_hold(id, actions);
-        } else {
-            self.finish(id, Ending::Refused(0), actions);
+        if replaced {
+            self.check_overdue(actions);
         }
+        self.release_held(actions);
     }
 
-    /// Whether the retry budget covers this customer. Its debt is limited to a part of the remaining budget
-    /// (dynamic thresholds), so that one failing customer can't exhaust it.
-    fn may_retry(&self, key: &Key, costs: f64) -> bool {
-        let owed = self.customers.get(key).map_or(0.0, |c| c.retry_debt);
-        self.retry_budget >= costs
-            && (costs == 0.0 || owed + costs <= (self.retry_budget * RETRY_DEBT_SHARE).max(1.0))
+    /// Whether effect, number of attempts, latency target and retry budget allow another attempt. A customer's
+    /// debt is limited to a part of the remaining budget (dynamic thresholds), so that one failing customer
+    /// can't exhaust it.
+    fn may_repeat(&self, id: &RequestId, costs: f64) -> bool {
+        let Some(r) = self.requests.get(id).filter(|r| r.is_repeatable()) else { return false };
+        let tries_left = r.attempts.len() < self.settings.limits.max_attempts_of(&r.class);
+        let in_time = self.now < r.arrived + r.class.aim;
+        let owed = self.customers.get(&r.key).map_or(0.0, |c| c.retry_debt);
+        let debt_max = (self.retry_budget * RETRY_DEBT_SHARE).max(1.0);
+        let affordable = self.retry_budget >= costs && (costs == 0.0 || owed + costs <= debt_max);
+        tries_left && in_time && affordable
     }
 
-    fn charge_retry(&mut self, key: &Key, costs: f64) {
+    fn charge_retry(&mut self, id: &RequestId, costs: f64) {
+        let Some(r) = self.requests.get(id) else { return };
         self.retry_budget -= costs;
-        self.customers.entry(key.clone()).and_modify(|c| c.retry_debt += costs);
+        self.customers.entry(r.key.clone()).and_modify(|c| c.retry_debt += costs);
     }
 
     /// Ends a request; the only place that does. A refusal means that a retry is harmless, so it becomes a
@@ -254,12 +236,7 @@
         let Some(r) = self.requests.get_mut(id) else { return };
         let was_open = !r.closed;
         r.closed = true;
-        let ran = r.attempts.iter().any(|a| a.may_have_run);
-        let harmless = match r.class.effect {
-            Effect::Idempotent => !ran || !self.settings.limits.refusals_promise,
-            Effect::Deduplicated => !ran || r.class.group == DedupGroup::All,
-            Effect::AtMostOnce => !ran,
-        };
+        let harmless = r.refusal_is_harmless(self.settings.limits.refusals_promise);
         let (charged, never_sent) = (r.charged, r.attempts.is_empty());
         let (key, units) = (r.key.clone(), r.units);
         if was_open {
@@ -276,7 +253,7 @@
                 }
             }
         }
-        if !r.attempts.iter().any(|a| a.in_flight) {
+        if !r.is_in_flight() {
             self.requests.remove(id);
         }
         if was_open && charged {
@@ -288,8 +265,7 @@
         }
     }
 
-    /// Sends second copies for requests whose attempt is lost or overdue; where copies are not allowed,
-    /// cancels the lost attempt first.
+    /// Finds attempts that are lost or overdue, and replaces them.
     pub(super) fn check_overdue(&mut self, actions: &mut Vec<Action>) {
         let ids: Vec<_> = self.requests.iter().filter(|(_, r)| !r.closed).map(|(id, _)| id.clone()).collect();
         for id in ids {
@@ -309,23 +285,45 @@
             let first = lost && !a.suspected_lost;
             a.suspected_lost |= lost;
             let worker = a.worker;
-            let barred = r.streaming || r.class.effect == Effect::AtMostOnce;
-            let late = self.now > r.arrived + r.class.aim;
-            let key = r.key.clone();
-            let overdue = age > HEDGE_SHARE * r.class.aim as f64;
+            let overdue = self.settings.limits.second_copies && age > HEDGE_SHARE * r.class.aim as f64;
             if first {
                 self.strike(worker, class_ix);
             }
-            if barred || late || !(lost || overdue) || !self.may_retry(&key, 1.0) {
-                continue;
+            if (lost || overdue) && self.may_repeat(&id, 1.0) {
+                self.replace_attempt(&id, n, actions);
             }
-            if self.settings.limits.second_copies {
-                if self.dispatch(&id, actions) {
-                    self.charge_retry(&key, 1.0);
-                }
-            } else if lost && self.settings.limits.cancel {
-                actions.push(Action::Cancel { request: id, attempt: n });
+        }
+    }
+
+    /// Sends a second copy of a request. Where copies are not allowed, cancels its attempt first, but only
+    /// if another one can follow: until then the worker may still answer.
+    fn replace_attempt(&mut self, id: &RequestId, attempt: usize, actions: &mut Vec<Action>) {
+        if self.settings.limits.second_copies {
+            if self.dispatch(id, actions) {
+                self.charge_retry(id, 1.0);
             }
+        } else if self.settings.limits.cancel && self.could_follow(id, attempt) {
+            self.requests.entry(id.clone()).and_modify(|r| r.replacing = true);
+            actions.push(Action::Cancel { request: id.clone(), attempt });
         }
     }
+
+    /// Whether a request could be sent at once if this attempt were over. One request at a time, as the next
+    /// may need the same place.
+    fn could_follow(&mut self, id: &RequestId, attempt: usize) -> bool {
+        let pending = self.requests.values().any(|r| r.replacing);
+        self.set_in_flight(id, attempt, false);
+        let could = !pending && self.has_send_capacity() && self.pick_worker(id).is_some();
+        self.set_in_flight(id, attempt, true);
+        could
+    }
+
+    /// Counts an attempt among those in flight, or no longer.
+    fn set_in_flight(&mut self, id: &RequestId, attempt: usize, in_flight: bool) {
+        let Some(a) = self.requests.get_mut(id).and_then(|r| r.attempts.get_mut(attempt)) else { return };
+        a.in_flight = in_flight;
+        let change = if in_flight { 1.0 } else { -1.0 };
+        self.in_flight = (self.in_flight + change).max(0.0);
+        self.workers.entry(a.worker).and_modify(|w| w.inflight = (w.inflight + change).max(0.0));
+    }
 }
--- a/crates/policy/src/rules/workers.rs
+++ b/crates/policy/src/rules/workers.rs
@@ -110,7 +110,6 @@
 
     /// Updates latencies, the in-flight limit and worker health after an attempt.
     pub(super) fn record(&mut self, id: WorkerId, class: usize, aim: Micros, outcome: Outcome, latency: f64) {
-        self.in_flight = (self.in_flight - 1.0).max(0.0);
         let (now, share) = (self.now, self.inflight_share());
         let Some(w) = self.workers.get(&id) else { return };
         let (cold, slow) = (self.warm_share(w, now), w.slowness_at(now));
@@ -118,7 +117,6 @@
         let used = self.in_flight + 1.0 >= share / 2.0;
         let typical = &mut self.typical_latency[class];
         let Some(w) = self.workers.get_mut(&id) else { return };
-        w.inflight = (w.inflight - 1.0).max(0.0);
         if matches!(outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Timeout) {
             return;
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -181,12 +181,22 @@
     pub streaming: bool,
     /// Whether the body is still being sent, so that no worker can have begun.
     pub uploading: bool,
+    /// Whether the body is streamed from the client, and so can't be sent twice.
+    pub streamed_body: bool,
+    /// Whether its attempt was cancelled so that another one follows.
+    pub replacing: bool,
 }
 
 /// Safety margin before the end of a key window, µs.
 const KEY_MARGIN: Micros = 50_000;
 
 impl OpenRequest {
+    /// A request that arrives now, with no attempt yet.
+    pub fn new(id: &RequestId, now: Micros, time_left: Micros) -> OpenRequest {
+        let (bits, deadline) = (fnv(id.0.as_bytes()), now + time_left);
+        OpenRequest { bits, arrived: now, deadline, ..OpenRequest::default() }
+    }
+
     /// Latest start of another attempt: a keyed request that may have run must start within its key window.
     pub fn begin_by(&self) -> Micros {
         let keyed = self.class.effect == Effect::Deduplicated;
@@ -195,6 +205,49 @@
         known.map_or(self.deadline, |known| known.min(self.deadline))
     }
 
+    /// Whether a worker may have run it.
+    fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|a| a.may_have_run)
+    }
+
+    /// Whether an attempt is in flight.
+    pub fn is_in_flight(&self) -> bool {
+        self.attempts.iter().any(|a| a.in_flight)
+    }
+
+    /// Whether some worker may be sent it again.
+    pub fn is_repeatable(&self) -> bool {
+        let once = self.streamed_body || self.class.effect == Effect::AtMostOnce;
+        !self.streaming && !(once && self.may_have_run())
+    }
+
+    /// Whether its effect allows an attempt at this worker.
+    pub fn may_run_at(&self, now: Micros, worker: &WorkerInfo) -> bool {
+        let same_group = |a: &Attempt| match self.class.group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => a.zone == worker.zone,
+            DedupGroup::Cell => a.zone == worker.zone && a.cell == worker.cell,
+        };
+        match self.class.effect {
+            Effect::Idempotent => true,
+            _ if !self.may_have_run() => true,
+            Effect::AtMostOnce => false,
+            Effect::Deduplicated => {
+                now < self.begin_by() && self.attempts.iter().filter(|a| a.may_have_run).all(same_group)
+            }
+        }
+    }
+
+    /// Whether its client may be told to send it again.
+    pub fn refusal_is_harmless(&self, refusals_promise: bool) -> bool {
+        !self.may_have_run()
+            || match self.class.effect {
+                Effect::Idempotent => !refusals_promise,
+                Effect::Deduplicated => self.class.group == DedupGroup::All,
+                Effect::AtMostOnce => false,
+            }
+    }
+
     /// Whether it may probe a lost site: it must be repeatable and not yet sent.
     pub fn may_probe(&self) -> bool {
         self.class.effect == Effect::Idempotent && self.attempts.is_empty()
--- a/crates/policy/tests/workers.rs
+++ b/crates/policy/tests/workers.rs
@@ -156,3 +156,99 @@
     s.advance(100 * MS);
     assert!(s.sent(&usual) >= 2, "its first failure is retried, after {again} sends of the other");
 }
+
+/// A repeatable class whose usual answers take 30 ms, served often enough to be known.
+fn known_latency(settings: Settings, workers: &[u64]) -> Harness {
+    let mut s = Harness::new(settings, workers);
+    for step in 0..100u64 {
+        s.request(&format!("c{step}"), 0, 0, 1.0);
+        s.advance(30 * MS);
+        s.finish_oldest(Outcome::Ok);
+    }
+    s.log.clear();
+    s
+}
+
+/// Settings in which an attempt must be cancelled before another one is sent.
+fn one_at_a_time() -> Settings {
+    let mut settings = settings();
+    settings.limits.second_copies = false;
+    settings.limits.refusals_promise = true;
+    settings
+}
+
+fn cancelled(s: &Harness) -> Vec<String> {
+    let cancelled = s.log.iter().filter_map(|action| match action {
+        Action::Cancel { request, .. } => Some(request.0.clone()),
+        _ => None,
+    });
+    cancelled.collect()
+}
+
+/// Guards against a 502 in place of a slow answer: a request's last attempt was cancelled for its silence, though
+/// nothing could follow it.
+#[test]
+fn silent_last_attempt_is_not_given_up() {
+    let mut settings = one_at_a_time();
+    settings.classes[0].attempts = 1;
+    let mut s = known_latency(settings, &[1, 2]);
+    let slow = s.request("slow", 0, 0, 1.0);
+    s.advance(450 * MS);
+    assert_eq!(cancelled(&s), [""; 0], "nothing can follow");
+    s.finish_oldest(Outcome::Ok);
+    assert_eq!(s.answer_of(&slow), Some(Answer::Served));
+}
+
+/// Guards against giving up an attempt while no worker could take the request.
+#[test]
+fn silent_attempt_is_kept_until_another_worker_can_take_its_request() {
+    let mut s = known_latency(one_at_a_time(), &[1, 2]);
+    let slow = s.request("slow", 0, 0, 1.0);
+    let other = if s.in_flight[0].worker == 1 { 2 } else { 1 };
+    let draining = |id| WorkerInfo { availability: Availability::Draining, ..worker(id) };
+    s.list(ListScope::Delta, vec![draining(1), draining(2)]);
+    s.advance(300 * MS);
+    assert_eq!(cancelled(&s), [""; 0], "no worker takes requests");
+    s.list(ListScope::Delta, vec![worker(other)]);
+    s.advance(20 * MS);
+    assert_eq!(cancelled(&s), [slow.as_str()]);
+    s.finish_oldest(Outcome::Cancelled);
+    assert_eq!((s.sent(&slow), s.in_flight[0].worker), (2, other));
+}
+
+/// Guards against giving up several attempts at once for the one retry that each of them saw in the budget.
+#[test]
+fn of_several_silent_attempts_each_that_is_given_up_is_sent_again() {
+    let mut settings = one_at_a_time();
+    settings.limits.max_retry_budget = 1.0;
+    let mut s = known_latency(settings, &[1, 2, 3]);
+    let ids: Vec<String> = (0..6).map(|n| s.request(&format!("slow{n}"), 0, 0, 1.0)).collect();
+    let mut given_up = 0;
+    for _ in 0..40 {
+        s.advance(10 * MS);
+        for id in std::mem::take(&mut s.log).iter().filter_map(|action| match action {
+            Action::Cancel { request, .. } => Some(request.0.clone()),
+            _ => None,
+        }) {
+            let place = s.in_flight.iter().position(|o| o.request == id).unwrap();
+            let (attempt, sent) = (s.in_flight.remove(place), s.sent(&id));
+            s.finish(attempt, Outcome::Cancelled);
+            assert_eq!(s.sent(&id), sent + 1, "{id} was given up and not sent again");
+            given_up += 1;
+        }
+    }
+    assert!(given_up > 0, "nothing was given up");
+    assert!(ids.iter().all(|id| s.answer_of(id).is_none()));
+}
+
+/// Guards against giving up a request whose body is streamed from the client and can't be sent twice.
+#[test]
+fn silent_attempt_with_a_streamed_body_is_not_given_up() {
+    let mut s = known_latency(one_at_a_time(), &[1, 2]);
+    let slow = RequestId(s.request("slow", 0, 0, 1.0));
+    for over in [false, true] {
+        s.event(Event::Uploading { request: slow.clone(), over });
+    }
+    s.advance(450 * MS);
+    assert_eq!(cancelled(&s), [""; 0], "its body is gone");
+}
