Let the decisions judge a stalled answer, as only they know if a retry follows

A stall is now an event of the decisions, also told when the answer goes on, and the attempt lives on. They replace it on the terms of a lost attempt: only if another one follows at once. A stalled attempt that is cancelled still counts as its worker's failure.

--- a/crates/dataplane/src/driver.rs
+++ b/crates/dataplane/src/driver.rs
@@ -320,7 +320,7 @@
         let times =
             AttemptTimes { begin_by: begin_by.min(open.deadline), deadline: deadline.min(open.deadline) };
         let (parts, attempt) = (open.parts.clone(), open.attempts.len());
-        let progress = Rc::new(AttemptProgress::default());
+        let progress = Rc::new(self.attempt_progress(&id, attempt));
         let (driver, attempt_progress, request) = (self.clone(), progress.clone(), id.clone());
         self.track_upload(&id, &parts);
         // A worker owes no answer while its request is still being uploaded; only the end of such an attempt
@@ -336,6 +336,15 @@
         open.attempts.push(Some(RunningAttempt { worker, progress, task, sent }));
     }
 
+    /// The progress of a new attempt. The decision logic learns when its response stalls, as only it knows whether
+    /// another attempt could follow.
+    fn attempt_progress(self: &Rc<Self>, id: &RequestId, attempt: usize) -> AttemptProgress<P::Stream> {
+        let (driver, id) = (self.clone(), id.clone());
+        AttemptProgress::new(move |stalled| {
+            driver.handle_event(Event::Stalled { request: id.clone(), attempt, stalled });
+        })
+    }
+
     /// Reports the start and the end of a streamed upload: the worker's timeout counts from the end.
     fn track_upload(self: &Rc<Self>, id: &RequestId, parts: &RequestParts) {
         let RequestBody::Streamed(body) = &parts.body else { return };
@@ -381,7 +390,7 @@
             Some((running, open.parts.clone()))
         });
         let Some((running, parts)) = slot else { return };
-        let outcome = if running.progress.abort() { Outcome::Cancelled } else { Outcome::NotSent };
+        let outcome = running.progress.cancel();
         running.task.abort();
         let took = self.platform.since(running.sent);
         self.hooks.on_attempt_end(self.micros(), running.worker, outcome, took);
--- a/crates/dataplane/src/workers.rs
+++ b/crates/dataplane/src/workers.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::convert::Infallible;
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -32,8 +33,8 @@
 /// Bytes of a chunked response that are buffered before it is streamed. Until then a broken response can
 /// still be retried; more buffering would delay the first bytes of a long one.
 const CHUNKED_BUFFER_MAX_BYTES: usize = 8 * 1024;
-/// Maximum pause within a response before it counts as stalled. Workers are on the same network, and even a slow one
-/// keeps writing.
+/// Pause within a response after which it counts as stalled. Workers are on the same network, and even a slow one
+/// mostly keeps writing.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum idle time of a connection before reuse. A duplicate response follows the first one immediately; it
 /// must arrive before the next request is written, or it would be taken for its response.
@@ -109,6 +110,10 @@
 /// Progress of an attempt, for cancelling it.
 pub struct AttemptProgress<S> {
     started: RefCell<Option<StartedRequest<S>>>,
+    /// Whether the response has begun and makes no progress.
+    stalled: Cell<bool>,
+    /// Called when `stalled` changes.
+    on_stall: Box<dyn Fn(bool)>,
 }
 
 /// A request being written to a connection.
@@ -129,7 +134,28 @@
 
 impl<S> Default for AttemptProgress<S> {
     fn default() -> Self {
-        AttemptProgress { started: RefCell::new(None) }
+        AttemptProgress::new(|_| {})
+    }
+}
+
+impl<S> AttemptProgress<S> {
+    /// The progress of an attempt that has not begun. `on_stall` is called when its response stalls, and when it
+    /// goes on.
+    pub fn new(on_stall: impl Fn(bool) + 'static) -> Self {
+        AttemptProgress {
+            started: RefCell::new(None),
+            stalled: Cell::new(false),
+            on_stall: Box::new(on_stall),
+        }
+    }
+
+    /// Records whether the response has stalled; returns whether that is new.
+    fn set_stalled(&self, stalled: bool) -> bool {
+        let changed = self.stalled.replace(stalled) != stalled;
+        if changed {
+            (self.on_stall)(stalled);
+        }
+        changed
     }
 }
 
@@ -152,6 +178,15 @@
         })
     }
 
+    /// Closes the attempt's connection and returns the attempt's outcome.
+    pub fn cancel(&self) -> Outcome {
+        match (self.abort(), self.stalled.get()) {
+            (false, _) => Outcome::NotSent,
+            (true, false) => Outcome::Cancelled,
+            (true, true) => Outcome::Unusable,
+        }
+    }
+
     /// Records that the request may be written from now on.
     fn start(&self, handle: &Rc<TrackedConnection<S>>, used: bool, parts: &Rc<RequestParts>) {
         let (handle, before, parts) = (handle.clone(), handle.bytes_written(), parts.clone());
@@ -322,7 +357,8 @@
             conn.handle.write_by(times.begin_by);
             let timeout = self.attempt_timeout(parts, times.deadline);
             let first_byte_at = Cell::new(None);
-            let exchange = self.exchange(worker, &mut conn, parts, body, times.deadline, &first_byte_at);
+            let request = self.build_request(worker, parts, body, times.deadline);
+            let exchange = self.exchange(worker, &mut conn, parts, request, progress, &first_byte_at);
             let ended = tokio::select! {
                 biased;
                 ended = exchange => Ok(ended),
@@ -344,11 +380,7 @@
                 }
                 _ if !may_be_received => return Outcome::ConnectFailed.into(),
                 Ok(Err(ExchangeError::Unusable(what))) => {
-                    log_sparsely(
-                        &self.platform,
-                        &self.problem_count,
-                        format_args!("worker {}: {what}", worker.0),
-                    );
+                    self.log_problem(worker, what);
                     return Outcome::Unusable.into();
                 }
                 Ok(_) => return Outcome::Reset.into(),
@@ -357,50 +389,51 @@
         }
     }
 
-    /// Writes a request and reads its response. A response that stalls is treated as broken, so that the
-    /// remaining time can be used for a retry.
+    /// Writes a request and reads its response. A response that stalls is reported and may still be completed.
     async fn exchange(
         &self,
         worker: WorkerId,
         conn: &mut Conn<P::Stream>,
         parts: &RequestParts,
-        body: OutgoingBody,
-        deadline: Instant,
+        mut request: Request<OutgoingBody>,
+        progress: &AttemptProgress<P::Stream>,
         first_byte_at: &Cell<Option<Instant>>,
     ) -> Result<ReceivedResponse, ExchangeError> {
-        let skipped = Arc::new(AtomicUsize::new(0));
-        let left = match &parts.body {
-            RequestBody::Buffered(_) => deadline.saturating_duration_since(self.platform.now()),
-            RequestBody::Streamed(body) => body.answer_timeout,
-        };
-        let request = self.build_request(worker, parts, body, left, skipped.clone());
+        let interim = count_interim_responses(&mut request);
         let (handle, mark) = (conn.handle.clone(), conn.handle.bytes_read());
+        let report = |stalled| {
+            if progress.set_stalled(stalled) && stalled {
+                self.log_problem(worker, "a response that stalls");
+            }
+        };
         tokio::select! {
             biased;
             answer = self.read_response(worker, parts, &mut conn.sender, request) => answer,
-            () = wait_for_stall(&self.platform, &handle, mark, &skipped, first_byte_at) => {
-                Err(ExchangeError::Unusable("a response that stalls"))
-            }
+            never = watch_progress(&self.platform, &handle, mark, &interim, first_byte_at, report) => match never {},
         }
     }
 
-    /// Builds the request to a worker. `skipped` counts interim responses (1xx) before the final one.
+    fn log_problem(&self, worker: WorkerId, problem: &str) {
+        log_sparsely(&self.platform, &self.problem_count, format_args!("worker {}: {problem}", worker.0));
+    }
+
+    /// Builds the request to a worker.
     fn build_request(
         &self,
         worker: WorkerId,
         parts: &RequestParts,
         body: OutgoingBody,
-        left: Duration,
-        skipped: Arc<AtomicUsize>,
+        deadline: Instant,
     ) -> Request<OutgoingBody> {
+        let left = match &parts.body {
+            RequestBody::Buffered(_) => deadline.saturating_duration_since(self.platform.now()),
+            RequestBody::Streamed(body) => body.answer_timeout,
+        };
         let mut request = Request::new(body);
         *request.method_mut() = parts.method.clone();
         *request.uri_mut() = parts.uri.clone();
         *request.headers_mut() = parts.headers.clone();
         self.protocol.write_head(parts, worker, left, request.headers_mut());
-        hyper::ext::on_informational(&mut request, move |_| {
-            skipped.fetch_add(1, Ordering::Relaxed);
-        });
         request
     }
 
@@ -637,28 +670,40 @@
     cause.is_some_and(|e| matches!(e.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData))
 }
 
-/// Completes when a response that has started, past `mark` bytes, makes no progress. Interim responses don't
-/// count as a start.
-async fn wait_for_stall<P: Platform>(
+/// Counts the interim responses (1xx) to a request.
+fn count_interim_responses(request: &mut Request<OutgoingBody>) -> Arc<AtomicUsize> {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    hyper::ext::on_informational(request, move |_| {
+        counted.fetch_add(1, Ordering::Relaxed);
+    });
+    count
+}
+
+/// Reports when a response that has started, past `mark` bytes, makes no progress, and when it goes on. Interim
+/// responses don't count as a start.
+async fn watch_progress<P: Platform>(
     platform: &P,
     handle: &TrackedConnection<P::Stream>,
     mut mark: u64,
-    skipped: &AtomicUsize,
+    interim: &AtomicUsize,
     first_byte_at: &Cell<Option<Instant>>,
-) {
-    let mut interim_seen = 0;
+    report: impl Fn(bool),
+) -> Infallible {
+    let (mut interim_seen, mut stalled) = (0, false);
     loop {
         handle.read_past(mark).await;
-        first_byte_at.set(Some(platform.now()));
-        let mut seen = 0;
-        while handle.bytes_read() > seen {
-            seen = handle.bytes_read();
-            platform.sleep(STALL_TIMEOUT).await;
+        if !stalled {
+            first_byte_at.set(Some(platform.now()));
         }
-        let interim = skipped.load(Ordering::Relaxed);
-        if interim == interim_seen {
-            return;
+        report(false);
+        while handle.bytes_read() > mark {
+            mark = handle.bytes_read();
+            platform.sleep(STALL_TIMEOUT).await;
         }
-        (interim_seen, mark) = (interim, handle.bytes_read());
+        let seen = interim.load(Ordering::Relaxed);
+        stalled = seen == interim_seen;
+        interim_seen = seen;
+        report(stalled);
     }
 }
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -357,6 +357,16 @@
         /// Whether the last byte was sent.
         over: bool,
     },
+    /// An attempt's answer has begun but makes no progress, or makes progress again. The worker may still
+    /// complete it.
+    Stalled {
+        /// Its request.
+        request: RequestId,
+        /// Index of the attempt.
+        attempt: usize,
+        /// Whether it makes no progress.
+        stalled: bool,
+    },
     /// An attempt's answer began to stream to the client, so no other attempt may answer.
     StreamStarted {
         /// Its request.
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -231,6 +231,9 @@
                     r.attempts.iter_mut().filter(|a| a.in_flight).for_each(|a| a.sent = now.max(a.sent));
                 });
             }
+            Event::Stalled { request, attempt, stalled } => {
+                self.requests.entry(request).and_modify(|r| r.set_stalled(attempt, stalled));
+            }
             Event::ClientGone(id) => self.finish(&id, Ending::Answered, actions),
             Event::Counter { name, outcome } => self.on_counter(name, outcome, actions),
             Event::Successor(true) => self.successor_since = self.successor_since.or(Some(self.now)),
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -265,7 +265,7 @@
         }
     }
 
-    /// Finds attempts that are lost or overdue, and replaces them.
+    /// Finds attempts that are lost, stalled or overdue, and replaces them.
     pub(super) fn check_overdue(&mut self, actions: &mut Vec<Action>) {
         let ids: Vec<_> = self.requests.iter().filter(|(_, r)| !r.closed).map(|(id, _)| id.clone()).collect();
         for id in ids {
@@ -284,12 +284,12 @@
                 age > silent * slow.clamp(1.0, 2.0) * self.typical_latency[class_ix] && answered <= a.sent;
             let first = lost && !a.suspected_lost;
             a.suspected_lost |= lost;
-            let worker = a.worker;
+            let (worker, stalled) = (a.worker, a.stalled);
             let overdue = self.settings.limits.second_copies && age > HEDGE_SHARE * r.class.aim as f64;
             if first {
                 self.strike(worker, class_ix);
             }
-            if (lost || overdue) && self.may_repeat(&id, 1.0) {
+            if (lost || stalled || overdue) && self.may_repeat(&id, 1.0) {
                 self.replace_attempt(&id, n, actions);
             }
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -148,6 +148,8 @@
     pub sent: Micros,
     pub in_flight: bool,
     pub suspected_lost: bool,
+    /// Whether its answer has begun and makes no progress.
+    pub stalled: bool,
     /// False once the outcome proves that it never ran.
     pub may_have_run: bool,
 }
@@ -156,7 +158,8 @@
     /// An attempt sent now; until its outcome is known it may have run.
     pub fn new(to: &WorkerInfo, sent: Micros) -> Attempt {
         let (worker, zone, cell) = (to.id, to.zone.clone(), to.cell);
-        Attempt { worker, zone, cell, sent, in_flight: true, suspected_lost: false, may_have_run: true }
+        let (suspected_lost, stalled) = (false, false);
+        Attempt { worker, zone, cell, sent, in_flight: true, suspected_lost, stalled, may_have_run: true }
     }
 }
 
@@ -248,6 +251,13 @@
             }
     }
 
+    /// Records whether an attempt's answer has stalled.
+    pub fn set_stalled(&mut self, attempt: usize, stalled: bool) {
+        if let Some(attempt) = self.attempts.get_mut(attempt) {
+            attempt.stalled = stalled;
+        }
+    }
+
     /// Whether it may probe a lost site: it must be repeatable and not yet sent.
     pub fn may_probe(&self) -> bool {
         self.class.effect == Effect::Idempotent && self.attempts.is_empty()
