Decide every order under a ballot of its own, also one that changes nothing

The second order left the decided state as it was, so it was acknowledged without a write; the lost order lay on the dead machine's disk under a higher ballot, and the next round completed it. Configurations sent again, names of proxies and steps of trials had the same short cut, before any round.

Now a round ends without a proposal only if no caller waits for it, and settled_outcome is gone. An order that is sent again costs two round trips and two writes, as any other.

Why it was missed: control-sim sent a configuration each second, which overtakes a lost order, and looked at zones at the end only; small-worlds had only documents that differ.

The runs of control-sim differ from here on, as orders that change nothing take a round.

--- a/crates/config-store/src/server.rs
+++ b/crates/config-store/src/server.rs
@@ -335,7 +335,7 @@
         if self.replica.borrow().is_recovering() {
             return StoreAnswer::Proposed(Proposed::Pending);
         }
-        let ticket = self.replica.borrow_mut().propose(self.now(), change, until);
+        let ticket = self.replica.borrow_mut().propose(change, until);
         let Some(ticket) = ticket else { return StoreAnswer::Proposed(Proposed::Pending) };
         self.poll();
         self.poll_now.notify_waiters();
--- a/crates/control-sim/src/core_node.rs
+++ b/crates/control-sim/src/core_node.rs
@@ -111,6 +111,8 @@
     admissions: Admissions,
     directory: Directory,
     proposals: Vec<PendingProposal>,
+    /// Outcomes that are known without a proposal, with [`Defect::AckWithoutProposal`].
+    unproposed: Vec<(u64, Proposed)>,
     reads: Vec<PendingRead>,
     ticks: u64,
     /// Whether the machine was permanently removed.
@@ -142,6 +144,7 @@
             admissions: Admissions::new(true, admission_settings(defect)),
             directory: Directory::new(DirectorySettings::default()),
             proposals: Vec::new(),
+            unproposed: Vec::new(),
             reads: Vec::new(),
             ticks: 0,
             retired: false,
@@ -190,6 +193,7 @@
         self.admissions = Admissions::new(false, admission_settings(self.defect));
         self.directory = Directory::new(DirectorySettings::default());
         self.proposals.clear();
+        self.unproposed.clear();
         self.reads.clear();
     }
 
@@ -250,15 +254,26 @@
             return Vec::new();
         }
         let clock = self.process.clock(now);
-        if let Some(ticket) = self.replica.propose(clock, change, clock + PROPOSE_TIMEOUT) {
+        if self.defect == Some(Defect::AckWithoutProposal) && self.holds(clock, &change) {
+            self.unproposed.push((number, Proposed::Durable));
+            return Vec::new();
+        }
+        if let Some(ticket) = self.replica.propose(change, clock + PROPOSE_TIMEOUT) {
             self.proposals.push(PendingProposal { number, ticket, until: now + PROPOSE_TIMEOUT });
         }
         self.poll(now)
     }
 
+    /// Whether a change leaves the decided state as it is, and a majority has confirmed that state.
+    fn holds(&self, clock: Micros, change: &Change) -> bool {
+        let mut state = self.replica.state().clone();
+        state.apply(change);
+        state == *self.replica.state() && self.replica.has_recent_majority(clock)
+    }
+
     /// Takes the outcomes of proposals by id, and withdraws those that timed out.
     pub fn take_outcomes(&mut self, now: Micros) -> Vec<(u64, Proposed)> {
-        let mut outcomes = Vec::new();
+        let mut outcomes = std::mem::take(&mut self.unproposed);
         for proposal in std::mem::take(&mut self.proposals) {
             match self.replica.take_outcome(proposal.ticket) {
                 Some(outcome) => outcomes.push((proposal.number, outcome)),
--- a/crates/control-sim/src/defect.rs
+++ b/crates/control-sim/src/defect.rs
@@ -18,6 +18,8 @@
     ReadWithoutContact,
     /// A configuration is acknowledged although its serial belongs to another document.
     OtherContentAcknowledged,
+    /// A store acknowledges a change that leaves its decided state as it is without proposing it.
+    AckWithoutProposal,
     /// All readers of the worker list use the same fence, so their versions collide.
     ReaderWithoutFence,
     /// A proxy keeps its share of common limits across a restart.
@@ -36,13 +38,14 @@
 
 impl Defect {
     /// All defects.
-    pub const ALL: [Defect; 13] = [
+    pub const ALL: [Defect; 14] = [
         Defect::AckBeforeSync,
         Defect::LeaseFromReceipt,
         Defect::WallClock,
         Defect::EmptyDiskVotes,
         Defect::ReadWithoutContact,
         Defect::OtherContentAcknowledged,
+        Defect::AckWithoutProposal,
         Defect::ReaderWithoutFence,
         Defect::ShareKeptAcrossRestart,
         Defect::NewProxyAdmittedAtOnce,
@@ -63,6 +66,11 @@
         )
     }
 
+    /// Whether the defect can only be detected when operators repeat orders.
+    pub fn requires_repeated_orders(self) -> bool {
+        self == Defect::AckWithoutProposal
+    }
+
     fn name(self) -> &'static str {
         match self {
             Defect::AckBeforeSync => "ack-before-sync",
@@ -71,6 +79,7 @@
             Defect::EmptyDiskVotes => "empty-disk-votes",
             Defect::ReadWithoutContact => "read-without-contact",
             Defect::OtherContentAcknowledged => "other-content-acknowledged",
+            Defect::AckWithoutProposal => "ack-without-proposal",
             Defect::ReaderWithoutFence => "duty-without-fence",
             Defect::ShareKeptAcrossRestart => "part-kept-over-restart",
             Defect::NewProxyAdmittedAtOnce => "newcomer-at-once",
--- a/crates/control-sim/src/invariants.rs
+++ b/crates/control-sim/src/invariants.rs
@@ -9,7 +9,7 @@
 use crate::{Micros, MILLI, SECOND};
 use compact_str::CompactString;
 use hingestage_discovery::Catalog;
-use hingestage_rpc::messages::ConfigVersion;
+use hingestage_rpc::messages::{Ballot, ConfigVersion};
 use hingestage_rpc::trials::TrialPosition;
 use hingestage_rpc::workers::WorkersVersion;
 use hingestage_trial::Terms;
@@ -40,11 +40,27 @@
     }
 }
 
-/// Drain changes of one zone, sent by an operator one after another.
+/// Drain orders of one zone. Each is sent after the one before has been answered or can't be any more.
 #[derive(Default)]
-struct DrainChanges {
-    acknowledged: bool,
-    sent_since: Vec<bool>,
+struct DrainOrders {
+    sent: Vec<bool>,
+    /// The last acknowledged order.
+    acknowledged: Option<usize>,
+    /// A ballot whose decision includes that order.
+    ballot: Ballot,
+}
+
+impl DrainOrders {
+    /// Whether the zone was last ordered to be drained, as far as that was acknowledged.
+    fn in_effect(&self) -> bool {
+        self.acknowledged.is_some_and(|order| self.sent[order])
+    }
+
+    /// Whether the last acknowledged order or a later one leads to this state.
+    fn explain(&self, drained: bool) -> bool {
+        let later = self.acknowledged.map_or(0, |order| order + 1);
+        drained == self.in_effect() || self.sent[later..].contains(&drained)
+    }
 }
 
 /// State observed so far, and the checks on it.
@@ -55,8 +71,7 @@
     highest_sent: u64,
     /// The committed version of each observed serial.
     committed: BTreeMap<u64, ConfigVersion>,
-    /// The last acknowledged drain change of each zone, and those sent after it.
-    drains: BTreeMap<&'static str, DrainChanges>,
+    drains: BTreeMap<&'static str, DrainOrders>,
     /// The workers in each version of a service's list.
     contents: BTreeMap<(CompactString, WorkersVersion), Vec<(CompactString, bool)>>,
     /// The configuration in force at each proxy, and the incarnation of its process.
@@ -107,14 +122,37 @@
         }
     }
 
-    /// Records that an operator sent a drain change.
-    pub fn drain_sent(&mut self, zone: &'static str, drained: bool) {
-        self.drains.entry(zone).or_default().sent_since.push(drained);
+    /// Records that an operator sent a drain order; returns the order's number in its zone.
+    pub fn drain_sent(&mut self, zone: &'static str, drained: bool) -> usize {
+        let orders = self.drains.entry(zone).or_default();
+        orders.sent.push(drained);
+        orders.sent.len() - 1
+    }
+
+    /// Records that a drain order was acknowledged by a store that has decided `ballot`.
+    pub fn drain_acknowledged(&mut self, zone: &'static str, order: usize, ballot: Ballot) {
+        let orders = self.drains.entry(zone).or_default();
+        if orders.acknowledged.is_none_or(|last| last < order) {
+            (orders.acknowledged, orders.ballot) = (Some(order), ballot);
+        }
     }
 
-    /// Records that a drain change was acknowledged.
-    pub fn drain_acknowledged(&mut self, zone: &'static str, drained: bool) {
-        self.drains.insert(zone, DrainChanges { acknowledged: drained, sent_since: Vec::new() });
+    /// Whether a zone was last ordered to be drained, as far as that was acknowledged.
+    pub fn is_drained(&self, zone: &str) -> bool {
+        self.drains.get(zone).is_some_and(DrainOrders::in_effect)
+    }
+
+    /// Checks that no decision undoes an acknowledged drain order in favour of an earlier one.
+    fn check_drains(&self, core: &CoreNode) -> Result<(), String> {
+        let (decided, state) = (core.replica.standing().decided, core.replica.state());
+        for (zone, orders) in self.drains.iter().filter(|(_, orders)| decided > orders.ballot) {
+            let drained = state.drains.get(*zone).is_some_and(|drain| drain.drained);
+            if !orders.explain(drained) {
+                let name = &core.member.name;
+                return Err(format!("{name} has zone {zone} drained {drained}, against the last order"));
+            }
+        }
+        Ok(())
     }
 
     pub fn acknowledgements(&self) -> usize {
@@ -142,6 +180,7 @@
             self.check_contents(&proxy.name, proxy.view.followed().catalog())?;
         }
         for core in cores.iter().filter(|core| core.process.up) {
+            self.check_drains(core)?;
             self.check_contents(&core.member.name, core.workers.catalog())?;
         }
         check_share_sum(now, &running)
@@ -256,7 +295,7 @@
         }
         for (zone, orders) in &self.drains {
             let drained = state.drains.get(*zone).is_some_and(|drain| drain.drained);
-            if drained != orders.acknowledged && !orders.sent_since.contains(&drained) {
+            if !orders.explain(drained) {
                 return Err(format!("{name} has zone {zone} drained {drained}, against the last order"));
             }
         }
--- a/crates/control-sim/src/main.rs
+++ b/crates/control-sim/src/main.rs
@@ -19,6 +19,8 @@
         optional --defect name: Defect
         /// Let operators set trial terms.
         optional --trials
+        /// Let operators repeat orders after lost ones.
+        optional --orders
         /// Print the events of the first seed and run no other.
         optional --history
         /// Number of threads; default all cores.
@@ -39,7 +41,7 @@
         }
     };
     let from = flags.from.unwrap_or_default();
-    let options = Options { defect: flags.defect, trials: flags.trials };
+    let options = Options { defect: flags.defect, trials: flags.trials, repeated_orders: flags.orders };
     if flags.history {
         return print_history(from, options);
     }
--- a/crates/control-sim/src/world.rs
+++ b/crates/control-sim/src/world.rs
@@ -1,7 +1,7 @@
 //! Event loop of a run on a virtual clock.
 
 use crate::core_node::{CoreNode, Layout, UNTRACKED_PROPOSAL};
-use crate::faults::{self, Direction, Fault, Size, FAULTS_UNTIL};
+use crate::faults::{self, Direction, Fault, Size, FAULTS_FROM, FAULTS_UNTIL};
 use crate::invariants::{InvariantChecker, Violation};
 use crate::message::{Envelope, NodeId};
 use crate::platform::Platform;
@@ -14,6 +14,7 @@
 use hingestage_rpc::trials::{TrialPosition, TrialRecord};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::ops::Range;
 
 const TICK: Micros = 100 * MILLI;
 const CHECK_PERIOD: Micros = 50 * MILLI;
@@ -34,6 +35,17 @@
 const RESEND_ONE_IN: u32 = 4;
 const READ_ONE_IN: u32 = 2;
 const DRAIN_ONE_IN: u32 = 4;
+/// Time between two configurations, and the same where operators repeat orders: a later change would overtake a lost one.
+const CHANGE_PAUSE: Range<Micros> = 900 * MILLI..2 * SECOND;
+const RARE_CHANGE_PAUSE: Range<Micros> = 4 * SECOND..9 * SECOND;
+/// Share of the drawn faults that happen beside lost orders.
+const FAULT_BESIDE_ORDERS_ONE_IN: u32 = 4;
+/// Time within which a core machine that handles a lost order loses power, and how long it is down.
+const LOST_ORDER_MAX: Micros = 150 * MILLI;
+const LOST_ORDER_DOWN: Range<Micros> = 1_500 * MILLI..3 * SECOND;
+/// Time from a lost order to the one that the operator decides for, and to the next lost order.
+const REPEAT_AFTER: Range<Micros> = SECOND..1_400 * MILLI;
+const LOST_ORDER_PAUSE: Range<Micros> = 3 * SECOND..6 * SECOND;
 /// Zones that operators drain.
 const DRAINED_ZONES: [&str; 2] = ["a", "b"];
 /// Core machines that can replace others.
@@ -66,6 +78,13 @@
         until: Micros,
     },
     Operator,
+    /// An operator changes a zone's order at a core machine that loses power.
+    LostOrder,
+    /// The operator decides for the order that holds, and sends it again.
+    RepeatOrder {
+        zone: &'static str,
+        drained: bool,
+    },
     Terms,
     Platform,
     Check,
@@ -108,7 +127,7 @@
 #[derive(Clone, Copy, Debug)]
 enum OperatorChange {
     Config(ConfigVersion),
-    Drain { zone: &'static str, drained: bool },
+    Drain { zone: &'static str, order: usize, drained: bool },
 }
 
 /// A power loss of all core machines.
@@ -152,6 +171,7 @@
     /// Requested changes by proposal id.
     operator_changes: BTreeMap<u64, OperatorChange>,
     last_document: Option<ConfigDocument>,
+    repeated_orders: bool,
     defect: Option<Defect>,
     events: u64,
     digest: u64,
@@ -168,6 +188,8 @@
     pub defect: Option<Defect>,
     /// Whether operators set trial terms.
     pub trials: bool,
+    /// Whether operators repeat drain orders after a lost one, and send few configurations.
+    pub repeated_orders: bool,
 }
 
 /// Runs the simulation of a seed.
@@ -240,6 +262,7 @@
             disk_lost: false,
             operator_changes: BTreeMap::new(),
             last_document: None,
+            repeated_orders: options.repeated_orders,
             defect,
             events: 0,
             digest: 0,
@@ -250,6 +273,9 @@
         if options.trials {
             world.push(3 * SECOND, Event::Terms);
         }
+        if options.repeated_orders {
+            world.push(FAULTS_FROM, Event::LostOrder);
+        }
         world
     }
 
@@ -266,7 +292,10 @@
             self.process_mut(node).wall_offset = WALL_OFFSET_INITIAL;
         }
         for (at, fault) in faults::draw(&mut self.random, &self.size) {
-            self.push(at, Event::Fault(fault));
+            let joins = matches!(fault, Fault::Join { .. });
+            if joins || !self.repeated_orders || self.random.u32(..FAULT_BESIDE_ORDERS_ONE_IN) == 0 {
+                self.push(at, Event::Fault(fault));
+            }
         }
         self.push(SECOND, Event::Operator);
         self.push(2 * SECOND, Event::Platform);
@@ -315,6 +344,8 @@
             Event::FinishShutdown { core, until } => self.finish_shutdown(core, until),
             Event::Fault(fault) => self.inject_fault(fault),
             Event::Operator => self.run_operator(),
+            Event::LostOrder => self.send_lost_order(),
+            Event::RepeatOrder { zone, drained } => self.send_drain(zone, drained),
             Event::Terms => self.set_terms(),
             Event::Platform => self.change_platform(),
             Event::Check => {
@@ -499,9 +530,10 @@
                 }
                 Ok(())
             }
-            (OperatorChange::Drain { zone, drained }, Proposed::Durable) => {
+            (OperatorChange::Drain { zone, order, drained }, Proposed::Durable) => {
                 (self.trace)(self.now, &format!("core-{core} acknowledges drain {zone} {drained}"));
-                self.invariants.drain_acknowledged(zone, drained);
+                let ballot = self.cores[core].replica.standing().decided;
+                self.invariants.drain_acknowledged(zone, order, ballot);
                 Ok(())
             }
             _ => Ok(()),
@@ -580,14 +612,10 @@
         if let Some(again) = self.last_document.clone().filter(|_| self.random.u32(..RESEND_ONE_IN) == 0) {
             self.send_document(again);
         }
-        if self.random.u32(..DRAIN_ONE_IN) == 0 {
+        if !self.repeated_orders && self.random.u32(..DRAIN_ONE_IN) == 0 {
             let zone = DRAINED_ZONES[self.random.usize(..DRAINED_ZONES.len())];
             let drained = self.random.bool();
-            self.invariants.drain_sent(zone, drained);
-            self.send_change(
-                OperatorChange::Drain { zone, drained },
-                Change::Drain { zone: zone.into(), drained },
-            );
+            self.send_drain(zone, drained);
         }
         if self.random.u32(..READ_ONE_IN) == 0 {
             if let Some(core) = self.reachable_core() {
@@ -595,12 +623,49 @@
                 self.send(sent);
             }
         }
-        let next = self.now + self.random.u64(900 * MILLI..2 * SECOND);
+        let rare = self.repeated_orders && self.now < FAULTS_HEALED_AT;
+        let pause = if rare { RARE_CHANGE_PAUSE } else { CHANGE_PAUSE };
+        let next = self.now + self.random.u64(pause);
         if next < CHANGES_END_AT {
             self.push(next, Event::Operator);
         }
     }
 
+    fn send_drain(&mut self, zone: &'static str, drained: bool) {
+        if let Some(core) = self.reachable_core() {
+            self.send_drain_to(core, zone, drained);
+        }
+    }
+
+    fn send_drain_to(&mut self, core: NodeId, zone: &'static str, drained: bool) {
+        let order = self.invariants.drain_sent(zone, drained);
+        let requested = OperatorChange::Drain { zone, order, drained };
+        self.send_change_to(core, requested, Change::Drain { zone: zone.into(), drained });
+    }
+
+    /// Sends an order to a core machine that loses power while it handles it. The operator then decides for the order that
+    /// was acknowledged before, and sends that one again.
+    fn send_lost_order(&mut self) {
+        let zone = DRAINED_ZONES[self.random.usize(..DRAINED_ZONES.len())];
+        let drained = self.invariants.is_drained(zone);
+        if let Some(core) = self.reachable_core() {
+            self.send_drain_to(core, zone, !drained);
+            let down = self.random.u64(LOST_ORDER_DOWN);
+            let at = self.now + self.random.u64(MILLI..LOST_ORDER_MAX);
+            self.push(at, Event::Fault(Fault::Power { nodes: vec![core], down }));
+            // Its messages on the way are lost with it, so that a proposal may stay on its own disk.
+            let others = (0..self.size.cores).filter(|other| *other != core).collect();
+            let (nodes, direction, lasts) = (vec![core], Direction::Outward, LOST_ORDER_MAX);
+            self.push(at, Event::Fault(Fault::Cut { nodes, others, direction, lasts }));
+        }
+        let at = self.now + self.random.u64(REPEAT_AFTER);
+        self.push(at, Event::RepeatOrder { zone, drained });
+        let next = self.now + self.random.u64(LOST_ORDER_PAUSE);
+        if next < FAULTS_UNTIL {
+            self.push(next, Event::LostOrder);
+        }
+    }
+
     /// Sends a document to a random core machine.
     fn send_document(&mut self, document: ConfigDocument) {
         self.invariants.sent(document.version);
@@ -610,14 +675,18 @@
 
     fn send_change(&mut self, requested: OperatorChange, change: Change) {
         if let Some(core) = self.reachable_core() {
-            let number = UNTRACKED_PROPOSAL + 1 + self.operator_changes.len() as u64;
-            self.operator_changes.insert(number, requested);
-            (self.trace)(self.now, &format!("core-{core} is asked for {requested:?}"));
-            let sent = self.cores[core].propose(self.now, number, change);
-            self.send(sent);
+            self.send_change_to(core, requested, change);
         }
     }
 
+    fn send_change_to(&mut self, core: NodeId, requested: OperatorChange, change: Change) {
+        let number = UNTRACKED_PROPOSAL + 1 + self.operator_changes.len() as u64;
+        self.operator_changes.insert(number, requested);
+        (self.trace)(self.now, &format!("core-{core} is asked for {requested:?}"));
+        let sent = self.cores[core].propose(self.now, number, change);
+        self.send(sent);
+    }
+
     /// Picks a random active core machine; none if it is down or paused.
     fn reachable_core(&mut self) -> Option<NodeId> {
         let active: Vec<NodeId> = (0..self.size.cores).filter(|core| self.cores[*core].is_active()).collect();
--- a/crates/control-sim/tests/seeds.rs
+++ b/crates/control-sim/tests/seeds.rs
@@ -6,12 +6,11 @@
 const SEEDS: u64 = 40;
 /// Number of seeds within which each defect is detected.
 const DETECTION_SEEDS: u64 = 60;
-/// First seed for `StepWithoutNotice`, which is rarely visible: a proxy has to be cut off from the first terms of a
-/// tenant until after their first step.
-const RARE_DEFECT_FIRST_SEED: u64 = 240;
 /// Runs without and with trial terms.
-const WITHOUT_TRIALS: Options = Options { defect: None, trials: false };
-const WITH_TRIALS: Options = Options { defect: None, trials: true };
+const WITHOUT_TRIALS: Options = Options { defect: None, trials: false, repeated_orders: false };
+const WITH_TRIALS: Options = Options { trials: true, ..WITHOUT_TRIALS };
+/// Runs in which operators repeat orders after lost ones.
+const WITH_REPEATED_ORDERS: Options = Options { repeated_orders: true, ..WITHOUT_TRIALS };
 
 #[test]
 fn invariants_hold_and_configurations_are_acknowledged_for_all_seeds() {
@@ -21,6 +20,14 @@
     }
 }
 
+/// Guards against an acknowledged order that an earlier, lost one undoes.
+#[test]
+fn repeated_orders_hold_for_all_seeds() {
+    for seed in 0..SEEDS {
+        run_seed(seed, WITH_REPEATED_ORDERS).unwrap_or_else(|violation| panic!("{violation}"));
+    }
+}
+
 #[test]
 fn runs_are_deterministic() {
     for seed in [1, 7] {
@@ -41,9 +48,12 @@
 #[test]
 fn each_planted_defect_is_detected() {
     for defect in Defect::ALL {
-        let options = Options { defect: Some(defect), trials: defect.requires_trials() };
-        let from = if defect == Defect::StepWithoutNotice { RARE_DEFECT_FIRST_SEED } else { 0 };
-        let found = (from..from + DETECTION_SEEDS).find_map(|seed| run_seed(seed, options).err());
+        let options = Options {
+            defect: Some(defect),
+            trials: defect.requires_trials(),
+            repeated_orders: defect.requires_repeated_orders(),
+        };
+        let found = (0..DETECTION_SEEDS).find_map(|seed| run_seed(seed, options).err());
         assert!(found.is_some(), "{defect} was not noticed within {DETECTION_SEEDS} seeds");
         let name = defect.to_string();
         assert_eq!(name.parse(), Ok(defect));
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -462,31 +462,16 @@
 
     /// Queues a change for a caller that waits until the deadline `until`, and returns its ticket; `None` if the
     /// queue is full.
-    pub fn propose(&mut self, now: Micros, change: Change, until: Micros) -> Option<u64> {
+    pub fn propose(&mut self, change: Change, until: Micros) -> Option<u64> {
         if self.pending.len() >= self.config.pending_changes_max {
             return None;
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        match self.settled_outcome(now, &change) {
-            Some(outcome) => self.resolve_changes(now, vec![(ticket, outcome)]),
-            None => self.pending.push(PendingChange { ticket, change, until }),
-        }
+        self.pending.push(PendingChange { ticket, change, until });
         Some(ticket)
     }
 
-    /// The outcome of a change that leaves the decided state as it is and that no later change can affect. `None`
-    /// without contact with a majority.
-    fn settled_outcome(&self, now: Micros, change: &Change) -> Option<Proposed> {
-        let is_final = matches!(change, Change::Config(_) | Change::Proxies(_) | Change::TrialSteps(_));
-        if !is_final || !self.has_recent_majority(now) {
-            return None;
-        }
-        let mut state = self.decided.state.clone();
-        let outcome = state.apply(change);
-        (state == self.decided.state).then_some(outcome)
-    }
-
     /// Takes the outcome of a change, once it is known.
     pub fn take_outcome(&mut self, ticket: u64) -> Option<Proposed> {
         self.outcomes.remove(&ticket).map(|(_, outcome)| outcome)
@@ -616,6 +601,10 @@
     }
 
     /// Builds the next state from the base state, the pending changes and a membership change, and proposes it.
+    ///
+    /// Invariant *acknowledged*: the outcome of a change is decided under a ballot of its own round, also if it leaves the
+    /// state as it is. A store outside the read quorum may hold an earlier proposal with a ballot above the base's, which
+    /// would be completed later.
     fn propose_next_state(&mut self, now: Micros, base: Base, disk: &mut impl Disk) -> Vec<OutgoingRequest> {
         let Some(round) = &mut self.round else { return Vec::new() };
         let known_decided = round.promises.values().any(|promise| promise.standing.decided >= base.ballot);
@@ -629,13 +618,12 @@
         } else if let Some(next) = self.next_membership(now, &state) {
             state.membership = next;
         }
-        if decided && state == base.state && base.ballot > Ballot::ZERO {
+        if outcomes.is_empty() && decided && state == base.state && base.ballot > Ballot::ZERO {
             self.round = None;
             if base.ballot > self.record().accepted {
                 self.acceptor.learn(base.ballot, base.state.clone(), disk);
             }
             self.install_decision(now, base.ballot, base.state);
-            self.resolve_changes(now, outcomes);
             return Vec::new();
         }
         self.send_proposal(now, ballot, base, state, outcomes, disk)
--- a/crates/replication/tests/agreement.rs
+++ b/crates/replication/tests/agreement.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::*;
-use hingestage_rpc::messages::{Proposed, Summary};
+use hingestage_rpc::digest;
+use hingestage_rpc::messages::{Change, Proposed, Summary};
+use hingestage_rpc::trials::{TrialPosition, TrialRecord};
 
 const DONE: Option<Proposed> = Some(Proposed::Durable);
 const SERIAL_TAKEN: Option<Proposed> = Some(Proposed::SerialTaken);
@@ -294,6 +296,50 @@
     assert!((0..3).all(|number| cluster.decided_config(number) == held));
 }
 
+fn trial_terms(version: u64) -> Change {
+    let terms = format!("terms {version}").into_bytes();
+    let position = TrialPosition { version, digest: digest(&terms), step: 0 };
+    Change::TrialTerms(TrialRecord { tenant: "tenant".into(), position, terms })
+}
+
+/// Leaves a change on the disk of replica 0 alone: it stops once it has accepted its own proposal, before another has.
+fn leave_unacknowledged(cluster: &mut Cluster, change: Change) {
+    cluster.submit(0, change).expect("the queue is not full");
+    let decided = cluster.nodes[0].replica.standing().decided;
+    while cluster.nodes[0].disk.record.accepted <= decided {
+        cluster.advance(2 * MILLI);
+    }
+    cluster.partition(&[0]);
+    cluster.stop(0);
+    cluster.advance(S);
+    cluster.heal();
+}
+
+/// Guards against an acknowledgement without a write: an order that left the state as it was didn't overtake an earlier
+/// one that nobody had acknowledged, and was undone once the store with that one came back.
+#[test]
+fn order_that_changes_nothing_overtakes_an_earlier_unacknowledged_one() {
+    let names = |names: &[&str]| Change::Proxies(names.iter().map(|name| ((*name).into(), true)).collect());
+    let cases = [
+        (drain("b", true), drain("b", false)),
+        (config(5, "kept"), config(7, "never acknowledged")),
+        (names(&["p-1"]), names(&["p-1", "p-2"])),
+        (trial_terms(1), trial_terms(2)),
+    ];
+    for (order, earlier) in cases {
+        let mut cluster = Cluster::new(&["a", "b", "c"]);
+        assert_eq!(cluster.propose(1, order.clone()), DONE);
+        leave_unacknowledged(&mut cluster, earlier);
+        assert_eq!(cluster.propose(1, order.clone()), DONE, "{order:?} again");
+        let acknowledged = cluster.state(1).summary();
+        cluster.start(0);
+        cluster.advance(3 * S);
+        for number in 0..3 {
+            assert_eq!(cluster.state(number).summary(), acknowledged, "{order:?} at {number}");
+        }
+    }
+}
+
 #[test]
 fn full_disk_promises_and_accepts_nothing_and_does_not_block_others() {
     let mut cluster = Cluster::new(&["a", "b", "c"]);
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -257,7 +257,7 @@
     }
 
     pub fn submit(&mut self, number: usize, change: Change) -> Option<u64> {
-        self.nodes[number].replica.propose(self.now, change, self.now + CALL_TIMEOUT)
+        self.nodes[number].replica.propose(change, self.now + CALL_TIMEOUT)
     }
 
     pub fn await_outcome(&mut self, number: usize, ticket: u64) -> Option<Proposed> {
--- a/crates/small-worlds/src/agreement.rs
+++ b/crates/small-worlds/src/agreement.rs
@@ -1,12 +1,13 @@
-//! Agreement in a small world: three replicas, two orders under one serial, and whatever may happen to their messages,
-//! processes and disks in any order.
+//! Agreement in a small world: three replicas, two orders under one serial or one that repeats what holds after a lost one,
+//! and whatever may happen to their messages, processes and disks in any order.
 
 use crate::search::SmallWorld;
 use hingestage_replication::{
     Disk, Micros, OutgoingRequest, Record, Replica, ReplicaConfig, State, VoterPolicy,
 };
 use hingestage_rpc::messages::{
-    Ballot, Change, ConfigDocument, ConfigVersion, Membership, PeerAnswer, PeerRequest, Proposed, StoreMember,
+    Ballot, Change, ConfigDocument, ConfigVersion, Membership, PeerAnswer, PeerRequest, Proposed,
+    StoreMember, ZoneDrain,
 };
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
@@ -18,6 +19,8 @@
 const OPERATORS: usize = 2;
 /// The serial that both operators use.
 const SERIAL: u64 = 7;
+/// The zone that is drained where an order was lost.
+const ZONE: &str = "z1";
 /// A jump of time: past the rest after a promise, and not past a round.
 const JUMP: Micros = 400_000;
 /// Callers wait for longer than anything here takes.
@@ -45,6 +48,16 @@
     AcceptedNotOnDisk,
     /// A replica that lost its disk is taken for the one before.
     LostDiskVotes,
+    /// An order that changes nothing is acknowledged without a proposal.
+    AckWithoutProposal,
+}
+
+/// An order of an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    Document(ConfigVersion),
+    /// Drains [`ZONE`].
+    Drain,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -110,9 +123,11 @@
     now: Micros,
     nodes: Vec<Node>,
     wires: Vec<Wire>,
-    /// Orders that are under way: replica, ticket, version.
-    orders: Vec<(usize, u64, ConfigVersion)>,
+    /// Orders that are under way: replica, ticket, order.
+    orders: Vec<(usize, u64, Order)>,
     acknowledged: Option<ConfigVersion>,
+    /// The ballot decided at the replica that acknowledged the drain.
+    drain_acknowledged: Option<Ballot>,
     troubles: Troubles,
     defect: Option<Defect>,
     disks: u64,
@@ -121,12 +136,39 @@
 impl World {
     /// Three replicas that have agreed on their membership; the first two of them have just been handed the orders.
     pub fn new(troubles: Troubles, defect: Option<Defect>) -> World {
+        let mut world = World::agreed(State::default(), troubles, defect);
+        (0..OPERATORS).for_each(|operator| world.propose_document(operator));
+        world
+    }
+
+    /// A zone is drained. An order that takes this back has come no further than the disk of the first replica, which
+    /// was started again. The second one has just been told to drain the zone.
+    ///
+    /// # Panics
+    /// The order is not on that disk.
+    pub fn after_lost_order(troubles: Troubles, defect: Option<Defect>) -> World {
+        let drains = [(ZONE.into(), ZoneDrain { order: 1, drained: true })].into();
+        let mut world = World::agreed(State { drains, ..State::default() }, troubles, defect);
+        world.submit(0, Change::Drain { zone: ZONE.into(), drained: false });
+        let decided = world.nodes[0].replica.standing().decided;
+        // A promise is asked of the second replica, and comes back.
+        world.deliver(0);
+        world.deliver(world.wires.len() - 1);
+        assert!(world.nodes[0].disk.record.accepted > decided, "the order is not on the disk");
+        world.wires.clear();
+        world.restart(0);
+        world.now += JUMP;
+        world.propose_drain(1);
+        world
+    }
+
+    /// Replicas that have agreed on a state and on their membership.
+    fn agreed(state: State, troubles: Troubles, defect: Option<Defect>) -> World {
         let members: Vec<StoreMember> = (0..REPLICAS + usize::from(troubles.newcomers))
             .map(|number| member(number, number as u64 + 1))
             .collect();
         let voters = members[..REPLICAS].to_vec();
-        let state =
-            State { membership: Membership { epoch: 1, voters, previous: Vec::new() }, ..State::default() };
+        let state = State { membership: Membership { epoch: 1, voters, previous: Vec::new() }, ..state };
         let first = Ballot { round: 1, proposer: 1 };
         let record = Record { promised: first, accepted: first, state };
         let node = |member: &StoreMember| {
@@ -143,12 +185,12 @@
             wires: Vec::new(),
             orders: Vec::new(),
             acknowledged: None,
+            drain_acknowledged: None,
             troubles,
             defect,
             disks,
         };
         world.meet();
-        (0..OPERATORS).for_each(|operator| world.propose(operator));
         world
     }
 
@@ -176,13 +218,25 @@
         }
     }
 
-    fn propose(&mut self, operator: usize) {
+    fn propose_document(&mut self, operator: usize) {
         let document = ConfigDocument::new(SERIAL, vec![operator as u8]);
-        let version = document.version;
-        let node = &mut self.nodes[operator];
-        let ticket = node.replica.propose(self.now, Change::Config(document), self.now + PATIENCE);
-        self.orders.extend(ticket.map(|ticket| (operator, ticket, version)));
-        self.poll(operator);
+        let order = Order::Document(document.version);
+        let ticket = self.submit(operator, Change::Config(document));
+        self.orders.extend(ticket.map(|ticket| (operator, ticket, order)));
+    }
+
+    fn propose_drain(&mut self, operator: usize) {
+        if self.defect == Some(Defect::AckWithoutProposal) {
+            return self.acknowledge_drain(operator);
+        }
+        let ticket = self.submit(operator, Change::Drain { zone: ZONE.into(), drained: true });
+        self.orders.extend(ticket.map(|ticket| (operator, ticket, Order::Drain)));
+    }
+
+    fn submit(&mut self, number: usize, change: Change) -> Option<u64> {
+        let ticket = self.nodes[number].replica.propose(change, self.now + PATIENCE);
+        self.poll(number);
+        ticket
     }
 
     fn poll(&mut self, number: usize) {
@@ -235,19 +289,35 @@
     }
 
     fn note_outcomes(&mut self) -> Result<(), String> {
-        for (number, ticket, version) in std::mem::take(&mut self.orders) {
-            match self.nodes[number].replica.take_outcome(ticket) {
-                None => self.orders.push((number, ticket, version)),
-                Some(Proposed::Durable) => self.acknowledge(version)?,
-                Some(_) if self.acknowledged == Some(version) => {
+        for (number, ticket, order) in std::mem::take(&mut self.orders) {
+            match (self.nodes[number].replica.take_outcome(ticket), order) {
+                (None, _) => self.orders.push((number, ticket, order)),
+                (Some(Proposed::Durable), Order::Document(version)) => self.acknowledge(version)?,
+                (Some(Proposed::Durable), Order::Drain) => self.acknowledge_drain(number),
+                (Some(_), Order::Document(version)) if self.acknowledged == Some(version) => {
                     return Err(format!("{version:?} was acknowledged and is refused"));
                 }
-                Some(_) => {}
+                (Some(_), _) => {}
             }
         }
         Ok(())
     }
 
+    fn acknowledge_drain(&mut self, number: usize) {
+        self.drain_acknowledged = Some(self.nodes[number].replica.standing().decided);
+    }
+
+    /// No decision after the acknowledged drain takes it back.
+    fn check_drain(&self) -> Result<(), String> {
+        let Some(acknowledged) = self.drain_acknowledged else { return Ok(()) };
+        let later = self.nodes.iter().filter(|node| node.replica.standing().decided > acknowledged);
+        let undone = later.into_iter().find(|node| !node.replica.state().drains[ZONE].drained);
+        match undone {
+            Some(node) => Err(format!("the drain was acknowledged; {} takes it back", node.member.name)),
+            None => Ok(()),
+        }
+    }
+
     fn acknowledge(&mut self, version: ConfigVersion) -> Result<(), String> {
         match self.acknowledged.replace(version).filter(|other| *other != version) {
             Some(other) => Err(format!("{other:?} and {version:?} are acknowledged under one serial")),
@@ -301,11 +371,13 @@
             }
         }
         self.note_outcomes()?;
+        self.check_drain()?;
         self.check()
     }
 
     fn write(&self, to: &mut dyn Write) -> fmt::Result {
         write!(to, "{} {:?} {:?} {:?}", self.now, self.orders, self.acknowledged, self.troubles)?;
+        write!(to, " {:?}", self.drain_acknowledged)?;
         for node in &self.nodes {
             write!(to, "{} {:?}", node.life, node.replica)?;
             if self.defect.is_some() {
