Take an answer without a length as complete at the end of its connection

It was refused at its head because a truncation could not be told, but an end in order (FIN) and a reset differ.

Such a response is now read like a chunked one: buffered while short, else streamed; a reset breaks it, and its connection is never reused. Error responses without framing are read to their end too, not broken off.

--- a/crates/dataplane/src/workers.rs
+++ b/crates/dataplane/src/workers.rs
@@ -30,9 +30,9 @@
 const RESPONSE_HEAD_MAX_BYTES: usize = 16 * 1024;
 /// Maximum declared length of a response, bytes. No valid response is longer.
 const RESPONSE_MAX_BYTES: u64 = 40 << 20;
-/// Bytes of a chunked response that are buffered before it is streamed. Until then a broken response can
+/// Bytes of a response without a declared length that are buffered before it is streamed. Until then a broken response can
 /// still be retried; more buffering would delay the first bytes of a long one.
-const CHUNKED_BUFFER_MAX_BYTES: usize = 8 * 1024;
+const UNSIZED_BUFFER_MAX_BYTES: usize = 8 * 1024;
 /// Pause within a response after which it counts as stalled. Workers are on the same network, and even a slow one
 /// mostly keeps writing.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -367,7 +367,7 @@
             if let Ok(Ok(answer)) = ended {
                 return AttemptResult {
                     first_byte_at: first_byte_at.get(),
-                    ..self.attempt_result(worker, answer, conn)
+                    ..self.attempt_result(worker, parts, answer, conn)
                 };
             }
             let (used, may_be_received) = (conn.used, progress.abort());
@@ -453,20 +453,20 @@
         let (status, headers) = (head.status, head.headers);
         self.protocol.observe_headers(worker, &headers);
         let classification = self.protocol.classify(parts, status, &headers);
-        let body = receive_body(parts, status, &headers, classification.outcome, body).await?;
+        let body = receive_body(parts, status, body).await?;
         Ok(ReceivedResponse { classification, status, headers, body })
     }
 
-    /// The result of an answered attempt. A response without framing is not read further, and its connection
-    /// is not reused.
+    /// The result of an answered attempt. A connection whose end is the end of the response is not reused.
     fn attempt_result(
         &self,
         worker: WorkerId,
+        parts: &RequestParts,
         answer: ReceivedResponse,
         mut conn: Conn<P::Stream>,
     ) -> AttemptResult<P::Stream> {
         let ReceivedResponse { classification, status, headers, body } = answer;
-        conn.reusable = self.protocol.may_reuse(&headers);
+        conn.reusable = is_framed(parts, status, &headers) && self.protocol.may_reuse(&headers);
         if let Some(announced) = announced_idle_timeout(&headers) {
             conn.idle_limit = self.idle_timeout.min(announced.saturating_sub(KEEP_ALIVE_MARGIN));
         }
@@ -475,7 +475,6 @@
             ReceivedBody::Streamed(source) => {
                 (Some(WorkerResponseBody::Streamed(Box::new(PartialResponse { source, worker, conn }))), None)
             }
-            ReceivedBody::Unframed => (None, None),
         };
         let body = body.filter(|_| classification.outcome == Outcome::Ok);
         let served =
@@ -594,8 +593,6 @@
     Buffered(Bytes),
     /// Still being received.
     Streamed(BodySource),
-    /// Without framing; not read further.
-    Unframed,
 }
 
 enum ExchangeError {
@@ -617,12 +614,17 @@
     method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
-/// Reads the body of a response.
+/// Whether the end of a response is known without the end of its connection.
+fn is_framed(parts: &RequestParts, status: StatusCode, headers: &HeaderMap) -> bool {
+    has_no_body(&parts.method, status)
+        || [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| headers.contains_key(name))
+}
+
+/// Reads the body of a response. Without framing it ends with its connection: an end in order (FIN) completes it, a
+/// reset breaks it.
 async fn receive_body(
     parts: &RequestParts,
     status: StatusCode,
-    headers: &HeaderMap,
-    outcome: Outcome,
     body: Incoming,
 ) -> Result<ReceivedBody, ExchangeError> {
     if has_no_body(&parts.method, status) {
@@ -632,13 +634,7 @@
     if body.size_hint().lower() > RESPONSE_MAX_BYTES {
         return Err(ExchangeError::Unusable("a response above the maximum size"));
     }
-    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| headers.contains_key(name));
-    // Without framing the end of the connection ends the body, so truncation would go unnoticed.
-    match (framed, outcome) {
-        (true, _) => read_body(body).await,
-        (false, Outcome::Ok) => Err(ExchangeError::Unusable("a response without a length")),
-        (false, _) => Ok(ReceivedBody::Unframed),
-    }
+    read_body(body).await
 }
 
 /// Buffers a short body; returns a long one as a stream.
@@ -648,7 +644,7 @@
     if length.is_some_and(|length| length > BUFFERED_MAX as u64) {
         return Ok(ReceivedBody::Streamed(BodySource::new(Bytes::new(), body, length)));
     }
-    let held = if length.is_some() { BUFFERED_MAX } else { CHUNKED_BUFFER_MAX_BYTES };
+    let held = if length.is_some() { BUFFERED_MAX } else { UNSIZED_BUFFER_MAX_BYTES };
     let mut joined = ChunkBuffer::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| match is_framing_error(&e) {
