Soak: let workers pause within answers, leave out lengths, and take long at times

Half of their answers now pause for 0.45 s, have no length and end with their connection, do both, or take 0.5 s longer than others.

--- a/crates/playground/src/soak/mod.rs
+++ b/crates/playground/src/soak/mod.rs
@@ -16,6 +16,7 @@
 use clients::RequestLog;
 use fastrand::Rng;
 use hingestage_print::say;
+use hingestage_test_servers::service_worker::AnswerForm;
 use hyper::StatusCode;
 use orders::OrderLog;
 use shutdowns::{Shutdowns, SoakPlan};
@@ -44,6 +45,21 @@
 const WORKER_CAPACITY: usize = 64;
 /// How long workers work on a request; a seed has one of these.
 const WORK: [Duration; 3] = [Duration::from_millis(5), Duration::from_millis(60), Duration::from_millis(250)];
+/// Work of a slow request beyond that of others, and a pause within an answer: longer than any silence that leads to a
+/// retry where one may follow.
+const EXTRA_WORK: Duration = Duration::from_millis(500);
+const PAUSE_IN_ANSWER: Duration = Duration::from_millis(450);
+/// The forms of answers: most are plain.
+const FORMS: [AnswerForm; 8] = [
+    AnswerForm::PLAIN,
+    AnswerForm { pause: PAUSE_IN_ANSWER, ..AnswerForm::PLAIN },
+    AnswerForm::PLAIN,
+    AnswerForm { has_length: false, ..AnswerForm::PLAIN },
+    AnswerForm::PLAIN,
+    AnswerForm { extra_work: EXTRA_WORK, ..AnswerForm::PLAIN },
+    AnswerForm::PLAIN,
+    AnswerForm { pause: PAUSE_IN_ANSWER, has_length: false, ..AnswerForm::PLAIN },
+];
 /// The loopback networks are `127.3.x.0`.
 const SECOND: u8 = 3;
 
@@ -170,7 +186,8 @@
     let mut layout = Layout::of(SECOND, network, &FOUR_PLACES, proxies);
     layout.grace = GRACE;
     let directory = std::env::temp_dir().join(format!("hingestage-soak-{}-{network}", std::process::id()));
-    let load = WorkerLoad { work: WORK[random.usize(..WORK.len())], capacity: WORKER_CAPACITY };
+    let work = WORK[random.usize(..WORK.len())];
+    let load = WorkerLoad { work, capacity: WORKER_CAPACITY, forms: &FORMS };
     let surroundings = Surroundings::start_with(&layout, load).await?;
     let processes = Processes::start(programs, directory.clone(), &layout)?;
     let soak = Rc::new(Soak {
--- a/crates/playground/src/surroundings.rs
+++ b/crates/playground/src/surroundings.rs
@@ -4,7 +4,7 @@
 use crate::operator::{CATALOG, ORDERS};
 use hingestage_platform::{Platform, Tokio};
 use hingestage_test_servers::service_worker::{
-    ServiceWorker, ServiceWorkerMode, ServiceWorkerSpec, SharedRunLog,
+    AnswerForm, ServiceWorker, ServiceWorkerMode, ServiceWorkerSpec, SharedRunLog,
 };
 use hingestage_test_servers::worker_list::{ListedWorker, WorkerListServer};
 use std::cell::RefCell;
@@ -17,15 +17,17 @@
 /// Requests that may wait at a worker.
 const QUEUE: usize = 32;
 /// What workers bear, unless a system has others.
-const LOAD: WorkerLoad = WorkerLoad { work: Duration::from_millis(5), capacity: 8 };
+const LOAD: WorkerLoad = WorkerLoad { work: Duration::from_millis(5), capacity: 8, forms: &[] };
 
-/// What a worker bears.
+/// What a worker bears, and how it answers.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerLoad {
     /// How long a request takes.
     pub work: Duration,
     /// Requests that it runs at once.
     pub capacity: usize,
+    /// The forms that its answers take in turn; plain ones if there are none.
+    pub forms: &'static [AnswerForm],
 }
 
 /// A worker and how the list names it.
@@ -87,6 +89,7 @@
             capacity: self.load.capacity,
             queue: QUEUE,
             work: self.load.work,
+            forms: self.load.forms.to_vec(),
         };
         let worker = ServiceWorker::new(Tokio, spec, self.log.clone());
         Tokio.spawn(worker.clone().run(listener));
--- a/crates/test-servers/src/service_worker.rs
+++ b/crates/test-servers/src/service_worker.rs
@@ -32,6 +32,25 @@
     pub queue: usize,
     /// How long a request takes.
     pub work: Duration,
+    /// The forms that its answers take in turn; plain ones if there are none.
+    pub forms: Vec<AnswerForm>,
+}
+
+/// A form of a successful answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerForm {
+    /// Work beyond that of other requests.
+    pub extra_work: Duration,
+    /// Pause in the middle of the body.
+    pub pause: Duration,
+    /// Whether it has a length. Otherwise it ends with its connection.
+    pub has_length: bool,
+}
+
+impl AnswerForm {
+    /// An answer with a length, written at once.
+    pub const PLAIN: AnswerForm =
+        AnswerForm { extra_work: Duration::ZERO, pause: Duration::ZERO, has_length: true };
 }
 
 /// How a worker behaves.
@@ -90,11 +109,12 @@
     status: &'static str,
     headers: String,
     body: &'a str,
+    form: AnswerForm,
 }
 
 impl Answer<'_> {
     fn not_run(status: &'static str) -> Answer<'static> {
-        Answer { status, headers: "X-Hingestage-Not-Run: 1\r\n".into(), body: "" }
+        Answer { status, headers: "X-Hingestage-Not-Run: 1\r\n".into(), body: "", form: AnswerForm::PLAIN }
     }
 }
 
@@ -160,7 +180,8 @@
         let message = reader.message().await?;
         if message.path() == HEALTH_PATH {
             let headers = format!("X-Hingestage-Worker-Id: {}\r\n", self.spec.id);
-            return self.write(reader, &message, Answer { status: "200 OK", headers, body: "" }).await;
+            let answer = Answer { status: "200 OK", headers, body: "", form: AnswerForm::PLAIN };
+            return self.write(reader, &message, answer).await;
         }
         if let Some(refusal) = self.refusal(&message) {
             return self.write(reader, &message, refusal).await;
@@ -170,15 +191,22 @@
         self.waiting.set(self.waiting.get() - 1);
         let _slot = slot.map_err(|_| End::Closed)?;
         self.note_run(&message);
-        self.platform.sleep(self.spec.work).await;
+        let form = self.next_form();
+        self.platform.sleep(self.spec.work + form.extra_work).await;
         if self.mode.get() == ServiceWorkerMode::ResetsAfterRun {
             reader.stream.reset_on_drop();
             return Err(End::Broken);
         }
-        self.answers.set(self.answers.get() + 1);
         let headers = format!("X-Hingestage-Server-Seal: {}.{}\r\n", self.spec.id, self.answers.get());
         let body = format!("{} of {}\n", message.path(), self.spec.service);
-        self.write(reader, &message, Answer { status: "200 OK", headers, body: &body }).await
+        self.write(reader, &message, Answer { status: "200 OK", headers, body: &body, form }).await
+    }
+
+    /// The form of the next answer; counts that answer.
+    fn next_form(&self) -> AnswerForm {
+        let number = self.answers.replace(self.answers.get() + 1) as usize;
+        let forms = &self.spec.forms;
+        forms.get(number % forms.len().max(1)).copied().unwrap_or(AnswerForm::PLAIN)
     }
 
     /// Why a request is turned away.
@@ -212,12 +240,31 @@
         message: &Message,
         answer: Answer<'_>,
     ) -> Result<(), End> {
-        let Answer { status, headers, body } = answer;
+        let Answer { status, headers, body, form } = answer;
         let attempt = message.header(ATTEMPT_ID).unwrap_or_default();
-        let text = format!(
-            "HTTP/1.1 {status}\r\nX-Hingestage-Attempt-Id: {attempt}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let framing = match form.has_length {
+            true => format!("Content-Length: {}\r\n", body.len()),
+            false => "Connection: close\r\n".to_owned(),
+        };
+        let head =
+            format!("HTTP/1.1 {status}\r\nX-Hingestage-Attempt-Id: {attempt}\r\n{headers}{framing}\r\n");
+        let (first, rest) = match form.pause.is_zero() {
+            true => (body, ""),
+            false => body.split_at(body.len() / 2),
+        };
+        self.write_part(reader, &format!("{head}{first}")).await?;
+        if !rest.is_empty() {
+            self.platform.sleep(form.pause).await;
+            self.write_part(reader, rest).await?;
+        }
+        if form.has_length {
+            Ok(())
+        } else {
+            Err(End::Closed)
+        }
+    }
+
+    async fn write_part(&self, reader: &mut Reader<P::Stream>, text: &str) -> Result<(), End> {
         match reader.write(text.as_bytes()).await {
             true => Ok(()),
             false => Err(End::Broken),
