--- a/crates/dataplane/src/driver.rs
+++ b/crates/dataplane/src/driver.rs
@@ -1,12 +1,11 @@
 //! Drives the decision logic: feeds it events, carries out its actions and owns the open requests. Each
 //! request is answered once.
 
+use crate::attempt_progress::AttemptProgress;
 use crate::body::RequestBody;
 use crate::hooks::{DriverHooks, StartingRequest};
 use crate::protocol::{RequestParts, WorkerProtocol};
-use crate::workers::{
-    AttemptProgress, AttemptResult, AttemptTimes, WorkerResponse, WorkerResponseBody, Workers,
-};
+use crate::workers::{AttemptResult, AttemptTimes, WorkerResponse, WorkerResponseBody, Workers};
 use hingestage_lifecycle::{Gauges, Metrics, RequestResult, SrvMetrics};
 use hingestage_platform::{Clock, Platform, Stream, Task};
 use hingestage_policy::{
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -2,11 +2,12 @@
 //! platform's protocol.
 //!
 //! [`driver`] runs the decision logic and owns the open requests; [`hooks`] lets other subsystems take part.
-//! On the worker side, [`workers`] pools connections and makes attempts over a [`protocol`]. On the client
-//! side, [`connections`] accepts clients, [`collect`] reads request bodies and [`shutdown`] ends it all in order.
+//! On the worker side, [`workers`] pools connections and makes attempts over a [`protocol`];
+//! [`attempt_progress`] tells how far one has come. On the client side, [`connections`] accepts clients, [`collect`] reads request bodies and [`shutdown`] ends it all in order.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod attempt_progress;
 pub mod body;
 pub mod client;
 pub mod collect;
@@ -18,6 +19,7 @@
 pub mod response_body;
 pub mod shutdown;
 pub mod tracked_connection;
+mod worker_response;
 pub mod workers;
 
 use hingestage_platform::Platform;
--- a/crates/dataplane/src/workers.rs
+++ b/crates/dataplane/src/workers.rs
@@ -1,41 +1,30 @@
 //! Pooled connections to workers and the attempts made over them.
 
-use crate::body::{BodySource, ChunkBuffer, OutgoingBody, RequestBody, BUFFERED_MAX};
+use crate::attempt_progress::{count_interim_responses, watch_progress, AttemptProgress};
+use crate::body::{BodySource, OutgoingBody, RequestBody};
 use crate::log_sparsely;
-use crate::protocol::{Classification, RequestParts, WorkerProtocol};
+use crate::protocol::{RequestParts, WorkerProtocol};
 use crate::tracked_connection::{ConnectionSlot, TrackedConnection, TrackedIo};
+use crate::worker_response::{is_framed, receive_body, ExchangeError, ReceivedBody, ReceivedResponse};
 use bytes::Bytes;
 use hingestage_platform::{Elapsed, Platform, Stream};
 use hingestage_policy::{Outcome, WorkerId};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
-use std::convert::Infallible;
-use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Maximum number of idle connections per worker.
 const IDLE_CONNECTIONS_MAX: usize = 32;
 /// Maximum size of a response head, bytes.
 const RESPONSE_HEAD_MAX_BYTES: usize = 16 * 1024;
-/// Maximum declared length of a response, bytes. No valid response is longer.
-const RESPONSE_MAX_BYTES: u64 = 40 << 20;
-/// Bytes of a response without a declared length that are buffered before it is streamed. Until then a broken response can
-/// still be retried; more buffering would delay the first bytes of a long one.
-const UNSIZED_BUFFER_MAX_BYTES: usize = 8 * 1024;
-/// Pause within a response after which it counts as stalled. Workers are on the same network, and even a slow one
-/// mostly keeps writing.
-const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum idle time of a connection before reuse. A duplicate response follows the first one immediately; it
 /// must arrive before the next request is written, or it would be taken for its response.
 const REUSE_DELAY: Duration = Duration::from_millis(2);
@@ -107,96 +96,6 @@
     }
 }
 
-/// Progress of an attempt, for cancelling it.
-pub struct AttemptProgress<S> {
-    started: RefCell<Option<StartedRequest<S>>>,
-    /// Whether the response has begun and makes no progress.
-    stalled: Cell<bool>,
-    /// Called when `stalled` changes.
-    on_stall: Box<dyn Fn(bool)>,
-}
-
-/// A request being written to a connection.
-struct StartedRequest<S> {
-    handle: Rc<TrackedConnection<S>>,
-    before: u64,
-    parts: Rc<RequestParts>,
-}
-
-impl<S: Stream> StartedRequest<S> {
-    /// Whether the worker may have received the whole request: the body is sent, and at least part of a head
-    /// before it.
-    fn may_be_received(&self) -> bool {
-        self.parts.body.is_complete()
-            && self.handle.bytes_written() > self.before + self.parts.body.forwarded()
-    }
-}
-
-impl<S> Default for AttemptProgress<S> {
-    fn default() -> Self {
-        AttemptProgress::new(|_| {})
-    }
-}
-
-impl<S> AttemptProgress<S> {
-    /// The progress of an attempt that has not begun. `on_stall` is called when its response stalls, and when it
-    /// goes on.
-    pub fn new(on_stall: impl Fn(bool) + 'static) -> Self {
-        AttemptProgress {
-            started: RefCell::new(None),
-            stalled: Cell::new(false),
-            on_stall: Box::new(on_stall),
-        }
-    }
-
-    /// Records whether the response has stalled; returns whether that is new.
-    fn set_stalled(&self, stalled: bool) -> bool {
-        let changed = self.stalled.replace(stalled) != stalled;
-        if changed {
-            (self.on_stall)(stalled);
-        }
-        changed
-    }
-}
-
-impl<S: Stream> AttemptProgress<S> {
-    /// Whether the attempt still waits for a connection.
-    pub fn awaits_connection(&self) -> bool {
-        self.started.borrow().is_none()
-    }
-
-    /// Whether the worker may have received the whole request.
-    pub fn may_be_received(&self) -> bool {
-        self.started.borrow().as_ref().is_some_and(StartedRequest::may_be_received)
-    }
-
-    /// Closes the attempt's connection and returns whether the worker may have received the whole request.
-    pub fn abort(&self) -> bool {
-        self.started.borrow_mut().take().is_some_and(|started| {
-            started.handle.close();
-            started.may_be_received()
-        })
-    }
-
-    /// Closes the attempt's connection and returns the attempt's outcome.
-    pub fn cancel(&self) -> Outcome {
-        match (self.abort(), self.stalled.get()) {
-            (false, _) => Outcome::NotSent,
-            (true, false) => Outcome::Cancelled,
-            (true, true) => Outcome::Unusable,
-        }
-    }
-
-    /// Records that the request may be written from now on.
-    fn start(&self, handle: &Rc<TrackedConnection<S>>, used: bool, parts: &Rc<RequestParts>) {
-        let (handle, before, parts) = (handle.clone(), handle.bytes_written(), parts.clone());
-        if used {
-            handle.fail_on_pending_input();
-        }
-        *self.started.borrow_mut() = Some(StartedRequest { handle, before, parts });
-    }
-}
-
 /// A worker connection, idle or with a request in progress.
 struct Conn<S: Stream> {
     sender: SendRequest<OutgoingBody>,
@@ -581,26 +480,6 @@
     }
 }
 
-/// A response as read so far.
-struct ReceivedResponse {
-    classification: Classification,
-    status: StatusCode,
-    headers: HeaderMap,
-    body: ReceivedBody,
-}
-
-enum ReceivedBody {
-    Buffered(Bytes),
-    /// Still being received.
-    Streamed(BodySource),
-}
-
-enum ExchangeError {
-    Connection,
-    /// The response is unusable; the reason.
-    Unusable(&'static str),
-}
-
 /// The idle timeout announced by a worker: `Keep-Alive: timeout=5`, seconds.
 fn announced_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let values = headers.get_all("keep-alive").iter().filter_map(|value| value.to_str().ok());
@@ -608,98 +487,3 @@
     let (_, seconds) = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
-
-/// Whether a response never has a body (RFC 9110, 6.4.1).
-fn has_no_body(method: &Method, status: StatusCode) -> bool {
-    method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-}
-
-/// Whether the end of a response is known without the end of its connection.
-fn is_framed(parts: &RequestParts, status: StatusCode, headers: &HeaderMap) -> bool {
-    has_no_body(&parts.method, status)
-        || [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| headers.contains_key(name))
-}
-
-/// Reads the body of a response. Without framing it ends with its connection: an end in order (FIN) completes it, a
-/// reset breaks it.
-async fn receive_body(
-    parts: &RequestParts,
-    status: StatusCode,
-    body: Incoming,
-) -> Result<ReceivedBody, ExchangeError> {
-    if has_no_body(&parts.method, status) {
-        return Ok(ReceivedBody::Buffered(Bytes::new()));
-    }
-    // A declared length above the maximum is not worth waiting for.
-    if body.size_hint().lower() > RESPONSE_MAX_BYTES {
-        return Err(ExchangeError::Unusable("a response above the maximum size"));
-    }
-    read_body(body).await
-}
-
-/// Buffers a short body; returns a long one as a stream.
-async fn read_body(mut body: Incoming) -> Result<ReceivedBody, ExchangeError> {
-    let length = body.size_hint().exact();
-    // Stream at once, without delaying the first bytes.
-    if length.is_some_and(|length| length > BUFFERED_MAX as u64) {
-        return Ok(ReceivedBody::Streamed(BodySource::new(Bytes::new(), body, length)));
-    }
-    let held = if length.is_some() { BUFFERED_MAX } else { UNSIZED_BUFFER_MAX_BYTES };
-    let mut joined = ChunkBuffer::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| match is_framing_error(&e) {
-            true => ExchangeError::Unusable("a response that can't be parsed"),
-            false => ExchangeError::Connection,
-        })?;
-        let Ok(data) = frame.into_data() else { continue };
-        joined.push(data);
-        if joined.len() > held && !body.is_end_stream() {
-            return Ok(ReceivedBody::Streamed(BodySource::new(joined.into_bytes(), body, length)));
-        }
-    }
-    Ok(ReceivedBody::Buffered(joined.into_bytes()))
-}
-
-/// Whether the chunked framing was invalid, as opposed to a closed connection.
-fn is_framing_error(e: &(dyn Error + 'static)) -> bool {
-    let cause = e.source().and_then(|cause| cause.downcast_ref::<std::io::Error>());
-    cause.is_some_and(|e| matches!(e.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData))
-}
-
-/// Counts the interim responses (1xx) to a request.
-fn count_interim_responses(request: &mut Request<OutgoingBody>) -> Arc<AtomicUsize> {
-    let count = Arc::new(AtomicUsize::new(0));
-    let counted = count.clone();
-    hyper::ext::on_informational(request, move |_| {
-        counted.fetch_add(1, Ordering::Relaxed);
-    });
-    count
-}
-
-/// Reports when a response that has started, past `mark` bytes, makes no progress, and when it goes on. Interim
-/// responses don't count as a start.
-async fn watch_progress<P: Platform>(
-    platform: &P,
-    handle: &TrackedConnection<P::Stream>,
-    mut mark: u64,
-    interim: &AtomicUsize,
-    first_byte_at: &Cell<Option<Instant>>,
-    report: impl Fn(bool),
-) -> Infallible {
-    let (mut interim_seen, mut stalled) = (0, false);
-    loop {
-        handle.read_past(mark).await;
-        if !stalled {
-            first_byte_at.set(Some(platform.now()));
-        }
-        report(false);
-        while handle.bytes_read() > mark {
-            mark = handle.bytes_read();
-            platform.sleep(STALL_TIMEOUT).await;
-        }
-        let seen = interim.load(Ordering::Relaxed);
-        stalled = seen == interim_seen;
-        interim_seen = seen;
-        report(stalled);
-    }
-}
--- a/crates/dataplane/tests/slow_answers.rs
+++ b/crates/dataplane/tests/slow_answers.rs
@@ -29,11 +29,6 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(50);
 /// More than is buffered of an answer without a length.
 const LONG_LENGTH: usize = 20_000;
-const LONG_BYTES: [u8; LONG_LENGTH] = [b'x'; LONG_LENGTH];
-const LONG: &str = match std::str::from_utf8(&LONG_BYTES) {
-    Ok(text) => text,
-    Err(_) => "",
-};
 /// An answer of another worker is there long before a stalled one times out.
 const SOON: Duration = Duration::from_millis(900);
 const OK_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n";
@@ -42,6 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Write(&'static str),
+    /// Writes [`long`].
+    WriteLong,
     Pause(Duration),
     /// Keeps the connection open for the next request.
     Keep,
@@ -69,9 +66,9 @@
 const UNFRAMED_RESET: Script =
     &[Step::Write(UNFRAMED_HEAD), Step::Write("h"), Step::Pause(SHORT_PAUSE), Step::Reset];
 const UNFRAMED_LONG: Script =
-    &[Step::Write(UNFRAMED_HEAD), Step::Write(LONG), Step::Pause(SHORT_PAUSE), Step::Write("end")];
+    &[Step::Write(UNFRAMED_HEAD), Step::WriteLong, Step::Pause(SHORT_PAUSE), Step::Write("end")];
 const UNFRAMED_LONG_RESET: Script =
-    &[Step::Write(UNFRAMED_HEAD), Step::Write(LONG), Step::Pause(SHORT_PAUSE), Step::Reset];
+    &[Step::Write(UNFRAMED_HEAD), Step::WriteLong, Step::Pause(SHORT_PAUSE), Step::Reset];
 const ANSWERS: Script = &[Step::Write(OK_HEAD), Step::Write("hi"), Step::Keep];
 
 struct TestProtocol;
@@ -110,6 +107,7 @@
         for step in script {
             match step {
                 Step::Write(text) => drop(stream.write_all(text.as_bytes())),
+                Step::WriteLong => drop(stream.write_all(long().as_bytes())),
                 Step::Pause(pause) => std::thread::sleep(*pause),
                 Step::Keep | Step::Reset => {}
                 Step::Hang => drop(read_until(&mut stream, end)),
@@ -235,6 +233,10 @@
     }
 }
 
+fn long() -> String {
+    "x".repeat(LONG_LENGTH)
+}
+
 fn served(text: &str) -> Got {
     Got::Served(text.into())
 }
@@ -272,7 +274,7 @@
         assert_eq!(got, served("hi"), "{terms:?}");
     }
     let (got, _) = block_on(request(ONCE, &[UNFRAMED_LONG]));
-    assert_eq!(got, served(&format!("{LONG}end")));
+    assert_eq!(got, served(&format!("{}end", long())));
 }
 
 /// Guards against a part of an answer that is taken for the whole.
--- a/crates/dataplane/tests/workers.rs
+++ b/crates/dataplane/tests/workers.rs
@@ -1,11 +1,10 @@
 //! Worker connections on real sockets: response framing and connection reuse.
 
 use bytes::Bytes;
+use hingestage_dataplane::attempt_progress::AttemptProgress;
 use hingestage_dataplane::body::RequestBody;
 use hingestage_dataplane::protocol::{Classification, RequestParts, WorkerProtocol};
-use hingestage_dataplane::workers::{
-    AttemptProgress, AttemptTimes, WorkerResponse, WorkerResponseBody, Workers,
-};
+use hingestage_dataplane::workers::{AttemptTimes, WorkerResponse, WorkerResponseBody, Workers};
 use hingestage_platform::{Platform, Tokio};
 use hingestage_policy::{Outcome, WorkerId};
 use hyper::header::{HeaderMap, HeaderValue, HOST};
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -221,7 +221,8 @@
     /// Whether some worker may be sent it again.
     pub fn is_repeatable(&self) -> bool {
         let once = self.streamed_body || self.class.effect == Effect::AtMostOnce;
-        !self.streaming && !(once && self.may_have_run())
+        let barred = self.streaming || (once && self.may_have_run());
+        !barred
     }
 
     /// Whether its effect allows an attempt at this worker.
