Small worlds: answers that stall, and attempts given up only where another follows

An answer may now stall at any step, a request whose attempt is cancelled while time is left must be sent again in the same turn, and there is a world of two pulls without a quota, so that two may stall at once. The old behaviour planted (cancel on a stall) breaks it in each world of pushes.

--- a/crates/small-worlds/src/decisions.rs
+++ b/crates/small-worlds/src/decisions.rs
@@ -12,6 +12,8 @@
 const PATIENCE: Micros = 400 * MS;
 /// A jump of time: some go past a key's window, more of them past all deadlines.
 const JUMP: Micros = 130 * MS;
+/// So long before a client's time is up its answer is final.
+const ANSWER_MARGIN: Micros = 2 * MS;
 /// Workers remember keys for so long, and a request has so many attempts at most.
 const KEY_WINDOW: Micros = 200 * MS;
 const MAX_ATTEMPTS: usize = 3;
@@ -61,6 +63,15 @@
             all.push((format!("{name}, cold"), Kind { cold: true, ..plain.clone() }));
             all.push((format!("two of {name}"), Kind { requests: 2, quota: true, ..plain }));
         }
+        let plain = Kind {
+            effect: Effect::Idempotent,
+            group: DedupGroup::All,
+            requests: 2,
+            copies: false,
+            quota: false,
+            cold: false,
+        };
+        all.push(("pair of pulls".to_owned(), plain));
         all
     }
 
@@ -121,6 +132,8 @@
     Ask,
     /// The attempt of a request that went out as so many ends.
     Done(usize, usize, Outcome),
+    /// Its answer has begun and makes no progress.
+    Stalls(usize, usize),
     /// The client of a request leaves.
     Leaves(usize),
     /// The gateway is told of a worker.
@@ -151,6 +164,7 @@
     worker: u64,
     sent: Micros,
     out: bool,
+    stalled: bool,
     may_have_run: bool,
 }
 
@@ -160,6 +174,8 @@
     attempts: Vec<Attempt>,
     answered: bool,
     gone: bool,
+    /// Its attempt was cancelled while the answer is owed, and none has followed.
+    given_up: bool,
 }
 
 /// The decisions, and all round them that the rules ask about.
@@ -217,7 +233,10 @@
                 events.extend(self.act(action)?);
             }
         }
-        Ok(())
+        match self.requests.iter().position(|asked| asked.given_up) {
+            Some(n) => Err(format!("given up: request {n} was cancelled and nothing followed")),
+            None => Ok(()),
+        }
     }
 
     /// Does what the decisions want, as a gateway does, and holds it against the rules.
@@ -279,15 +298,18 @@
                 return Err(format!("cold: {} sent in a second", self.cold_sends.len()));
             }
         }
-        let attempt = Attempt { worker, sent: self.now, out: true, may_have_run: true };
+        let attempt = Attempt { worker, sent: self.now, out: true, stalled: false, may_have_run: true };
         self.requests[n].attempts.push(attempt);
+        self.requests[n].given_up = false;
         Ok(())
     }
 
     fn cancel(&mut self, n: usize, attempt: usize) -> Result<Option<Event>, String> {
-        let found = self.requests.get_mut(n).and_then(|r| r.attempts.get_mut(attempt));
-        let Some(found) = found.filter(|a| a.out) else { return Ok(None) };
+        let Some(asked) = self.requests.get_mut(n) else { return Ok(None) };
+        let Some(found) = asked.attempts.get_mut(attempt).filter(|a| a.out) else { return Ok(None) };
         found.out = false;
+        let time_left = self.now + ANSWER_MARGIN < asked.until;
+        asked.given_up = time_left && !asked.answered && !asked.gone;
         Ok(Some(self.done(n, attempt, Outcome::Cancelled)))
     }
 
@@ -410,8 +432,9 @@
             steps.push(Step::Ask);
         }
         for (n, asked) in self.requests.iter().enumerate() {
-            for (attempt, _) in asked.attempts.iter().enumerate().filter(|(_, a)| a.out) {
+            for (attempt, sent) in asked.attempts.iter().enumerate().filter(|(_, a)| a.out) {
                 steps.extend(OUTCOMES.map(|outcome| Step::Done(n, attempt, outcome)));
+                steps.extend((!sent.stalled).then_some(Step::Stalls(n, attempt)));
             }
             if !asked.answered && !asked.gone {
                 steps.push(Step::Leaves(n));
@@ -440,6 +463,11 @@
         match *step {
             Step::Ask => self.ask(),
             Step::Done(n, attempt, outcome) => self.finish(n, attempt, outcome),
+            Step::Stalls(n, attempt) => {
+                self.requests[n].attempts[attempt].stalled = true;
+                let request = RequestId(n.to_string());
+                self.event(Event::Stalled { request, attempt, stalled: true })
+            }
             Step::Leaves(n) => {
                 self.requests[n].gone = true;
                 self.event(Event::ClientGone(RequestId(n.to_string())))
--- a/crates/small-worlds/tests/decisions.rs
+++ b/crates/small-worlds/tests/decisions.rs
@@ -101,6 +101,17 @@
     });
 }
 
+#[test]
+fn a_stalled_answer_given_up_though_nothing_follows() {
+    let bend: Bend = |inner, now, event, out| {
+        if let Event::Stalled { request, attempt, .. } = &event {
+            out.push(Action::Cancel { request: request.clone(), attempt: *attempt });
+        }
+        inner.handle(now, event, out);
+    };
+    caught("push", "given up", as_is, bend);
+}
+
 #[test]
 fn word_of_drains_passed_over() {
     caught("p", "drains", as_is, |inner, now, event, out| {
