Decide in one place whether a request may be sent, and settle strikes before a cancel

Two gaps of "given up only if another attempt follows at once" are closed on the way, both found by reading. A stalled answer could be given up for the same worker, whose failure may strike it in between: the new test fails before ("no other worker can take it"). And a worker that had lost an attempt was struck only after another request had been given up for it: all strikes now come first (find_overdue). A scan of the open requests for each lost attempt is gone.

Tests of policy, mutants, small-worlds and dataplane pass; the new mutant "given up though nothing follows" is found by two.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -93,8 +93,6 @@
 const BASELINE_DRIFT: f64 = 1.0001;
 /// Factor of the expected wait at workers of other zones.
 const CROSS_ZONE: f64 = 1.1;
-/// Share of a one-core worker's overload rate that a cold worker is sent.
-const COLD_RATE_SHARE: f64 = 1.0;
 /// Least number of gateways that share a cold worker, and mean number of cold workers of a gateway. Among
 /// more, no share comes to a whole send before the worker is warm; among fewer, a gateway may have none.
 const COLD_SHARERS_MIN: u32 = 12;
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -26,8 +26,7 @@
         let key = self.customer_entry(plan.0, r.customer, (r.gateways, r.first));
         let id = r.id.clone();
         let open = OpenRequest::new(&id, self.now, r.time_left);
-        let open = OpenRequest { key: key.clone(), class, class_ix, units, ..open };
-        self.requests.insert(id.clone(), open);
+        self.requests.insert(id.clone(), OpenRequest { key: key.clone(), class, class_ix, units, ..open });
         self.timers.insert(self.next_timer, r.id.clone());
         actions.push(Action::SetTimer { token: TimerToken(self.next_timer), after: r.time_left - margin });
         self.next_timer += 1;
@@ -69,27 +68,30 @@
         self.dispatch_or_hold(id, actions);
     }
 
-    /// Checks everything that a send must satisfy: deadline, effect, drain, warm-up and ceiling.
-    pub(super) fn may_send(&self, r: &OpenRequest, w: &Worker) -> bool {
+    /// Whether a request may be sent to some worker: its time, its attempts and its effect allow it.
+    fn may_attempt(&self, r: &OpenRequest) -> bool {
+        let ended = r.closed || r.streaming || self.now >= r.deadline;
         let tries_left = r.attempts.len() < self.settings.limits.max_attempts_of(&r.class);
-        if r.closed || r.streaming || self.now >= r.deadline || !tries_left {
-            return false;
-        }
-        if w.info.availability != Availability::Ready
-            || (self.warm_share(w, self.now) < 1.0 && self.cold_credit(w) < 1.0)
-            || !self.site_admits(r, w)
-        {
-            return false;
-        }
-        if r.is_in_flight() && !self.settings.limits.second_copies {
+        let once = r.streamed_body || r.class.effect == Effect::AtMostOnce;
+        !ended && tries_left && !(once && r.may_have_run())
+    }
+
+    /// Checks everything that a send must satisfy: the request, its keys, drain, warm-up and ceiling.
+    pub(super) fn may_send(&self, r: &OpenRequest, w: &Worker) -> bool {
+        let warm = self.warm_share(w, self.now) >= 1.0 || self.cold_credit(w) >= 1.0;
+        let available = w.info.availability == Availability::Ready && warm && self.site_admits(r, w);
+        let alone = self.settings.limits.second_copies || !r.is_in_flight();
+        if !available || !alone || !self.may_attempt(r) {
             return false;
         }
+        let keyed = r.class.effect == Effect::Deduplicated;
+        let key_known = self.now < r.begin_by() && r.shares_keys_with(&w.info);
         let p = self.plan(&r.key);
         let ceiling_ok = p.ceiling_rate <= 0.0
             || !r.attempts.is_empty()
             || r.granted
             || self.customers.get(&r.key).is_some_and(|c| c.ceiling_level >= r.units);
-        ceiling_ok && r.may_run_at(self.now, &w.info)
+        ceiling_ok && (key_known || !keyed)
     }
 
     /// This gateway's even share of the fleet's in-flight limit.
@@ -211,17 +213,16 @@
         self.release_held(actions);
     }
 
-    /// Whether effect, number of attempts, latency target and retry budget allow another attempt. A customer's
-    /// debt is limited to a part of the remaining budget (dynamic thresholds), so that one failing customer
-    /// can't exhaust it.
+    /// Whether the request, its latency target and the retry budget allow another attempt. A customer's debt is
+    /// limited to a part of the remaining budget (dynamic thresholds), so that one failing customer can't
+    /// exhaust it.
     fn may_repeat(&self, id: &RequestId, costs: f64) -> bool {
-        let Some(r) = self.requests.get(id).filter(|r| r.is_repeatable()) else { return false };
-        let tries_left = r.attempts.len() < self.settings.limits.max_attempts_of(&r.class);
+        let Some(r) = self.requests.get(id) else { return false };
         let in_time = self.now < r.arrived + r.class.aim;
         let owed = self.customers.get(&r.key).map_or(0.0, |c| c.retry_debt);
         let debt_max = (self.retry_budget * RETRY_DEBT_SHARE).max(1.0);
         let affordable = self.retry_budget >= costs && (costs == 0.0 || owed + costs <= debt_max);
-        tries_left && in_time && affordable
+        in_time && affordable && self.may_attempt(r)
     }
 
     fn charge_retry(&mut self, id: &RequestId, costs: f64) {
@@ -234,9 +235,13 @@
     /// failure if an attempt may have taken effect.
     pub(super) fn finish(&mut self, id: &RequestId, ending: Ending, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(id) else { return };
-        let was_open = !r.closed;
-        r.closed = true;
-        let harmless = r.refusal_is_harmless(self.settings.limits.refusals_promise);
+        let was_open = !std::mem::replace(&mut r.closed, true);
+        let harmless = !r.may_have_run()
+            || match r.class.effect {
+                Effect::Idempotent => !self.settings.limits.refusals_promise,
+                Effect::Deduplicated => r.class.group == DedupGroup::All,
+                Effect::AtMostOnce => false,
+            };
         let (charged, never_sent) = (r.charged, r.attempts.is_empty());
         let (key, units) = (r.key.clone(), r.units);
         if was_open {
@@ -265,57 +270,61 @@
         }
     }
 
-    /// Finds attempts that are lost, stalled or overdue, and replaces them.
+    /// Replaces attempts that are lost, stalled or overdue. Where second copies are not allowed, an attempt is
+    /// cancelled first, but only if another one can follow: until then the worker may still answer. One at a
+    /// time, as the next may need the same place.
     pub(super) fn check_overdue(&mut self, actions: &mut Vec<Action>) {
-        let ids: Vec<_> = self.requests.iter().filter(|(_, r)| !r.closed).map(|(id, _)| id.clone()).collect();
-        for id in ids {
-            let Some(r) = self.requests.get_mut(&id).filter(|r| !r.uploading) else { continue };
-            let class_ix = r.class_ix;
+        let overdue = self.find_overdue();
+        let pending = self.requests.values().any(|r| r.replacing && !r.streaming);
+        let (copies, cancel) = (self.settings.limits.second_copies, self.settings.limits.cancel && !pending);
+        for (id, attempt) in overdue {
+            let repeatable = self.may_repeat(&id, 1.0);
+            if repeatable && copies && self.dispatch(&id, actions) {
+                self.charge_retry(&id, 1.0);
+            } else if repeatable && !copies && cancel && self.could_follow(&id, attempt) {
+                self.requests.entry(id.clone()).and_modify(|r| r.replacing = true);
+                return actions.push(Action::Cancel { request: id, attempt });
+            }
+        }
+    }
+
+    /// Finds the only attempts of their requests that are lost, stalled or overdue. Workers that lost one are
+    /// avoided from now on.
+    fn find_overdue(&mut self) -> Vec<(RequestId, usize)> {
+        let (mut found, mut lost_at) = (Vec::new(), Vec::new());
+        for (id, r) in self.requests.iter_mut().filter(|(_, r)| !(r.closed || r.uploading)) {
             let mut running = r.attempts.iter_mut().enumerate().filter(|(_, a)| a.in_flight);
             let (Some((n, a)), None) = (running.next(), running.next()) else { continue };
             let age = (self.now - a.sent) as f64;
             // Lost: no answer for several typical latencies, nor any other of this class from this worker.
-            let health = self.workers.get(&a.worker).map(|w| (w.health[class_ix].answered_at, w.slowness));
+            let health = self.workers.get(&a.worker).map(|w| (w.health[r.class_ix].answered_at, w.slowness));
             let (answered, slow) = health.unwrap_or((0, 1.0));
             // At a lost site the wait is no longer than a usual answer may take.
             let site_open = self.sites.admission(&a.zone.0).share > 0.0;
             let silent = if site_open { SILENT_LATENCIES } else { SILENT_LOST_SITE };
-            let lost =
-                age > silent * slow.clamp(1.0, 2.0) * self.typical_latency[class_ix] && answered <= a.sent;
-            let first = lost && !a.suspected_lost;
-            a.suspected_lost |= lost;
-            let (worker, stalled) = (a.worker, a.stalled);
-            let overdue = self.settings.limits.second_copies && age > HEDGE_SHARE * r.class.aim as f64;
-            if first {
-                self.strike(worker, class_ix);
-            }
-            if (lost || stalled || overdue) && self.may_repeat(&id, 1.0) {
-                self.replace_attempt(&id, n, actions);
+            let silence_max = silent * slow.clamp(1.0, 2.0) * self.typical_latency[r.class_ix];
+            let lost = age > silence_max && answered <= a.sent;
+            if lost && !std::mem::replace(&mut a.suspected_lost, true) {
+                lost_at.push((a.worker, r.class_ix));
             }
-        }
-    }
-
-    /// Sends a second copy of a request. Where copies are not allowed, cancels its attempt first, but only
-    /// if another one can follow: until then the worker may still answer.
-    fn replace_attempt(&mut self, id: &RequestId, attempt: usize, actions: &mut Vec<Action>) {
-        if self.settings.limits.second_copies {
-            if self.dispatch(id, actions) {
-                self.charge_retry(id, 1.0);
+            let overdue = self.settings.limits.second_copies && age > HEDGE_SHARE * r.class.aim as f64;
+            if lost || a.stalled || overdue {
+                found.push((id.clone(), n));
             }
-        } else if self.settings.limits.cancel && self.could_follow(id, attempt) {
-            self.requests.entry(id.clone()).and_modify(|r| r.replacing = true);
-            actions.push(Action::Cancel { request: id.clone(), attempt });
         }
+        lost_at.iter().for_each(|(worker, class_ix)| self.strike(*worker, *class_ix));
+        found
     }
 
-    /// Whether a request could be sent at once if this attempt were over. One request at a time, as the next
-    /// may need the same place.
+    /// Whether a request could be sent at once if this attempt were over. An answer that has begun is not given
+    /// up for the same worker.
     fn could_follow(&mut self, id: &RequestId, attempt: usize) -> bool {
-        let pending = self.requests.values().any(|r| r.replacing);
+        let begun = self.requests.get(id).map(|r| &r.attempts[attempt]).filter(|a| a.stalled);
+        let begun_at = begun.map(|a| a.worker);
         self.set_in_flight(id, attempt, false);
-        let could = !pending && self.has_send_capacity() && self.pick_worker(id).is_some();
+        let next = if self.has_send_capacity() { self.pick_worker(id) } else { None };
         self.set_in_flight(id, attempt, true);
-        could
+        next.is_some() && next != begun_at
     }
 
     /// Counts an attempt among those in flight, or no longer.
--- a/crates/policy/src/rules/workers.rs
+++ b/crates/policy/src/rules/workers.rs
@@ -104,23 +104,21 @@
         }
         let typical = self.typical_latency.iter().sum::<f64>() / self.typical_latency.len() as f64 / 1e6;
         let part = cold_multiple(self.view.as_ref(), self.now, w.info.hash, few) / f64::from(few);
-        let rate = COLD_RATE_SHARE * self.settings.rules.overload_multiple / typical * part;
+        let rate = self.settings.rules.overload_multiple / typical * part;
         (w.credit + rate * self.warm_share(w, self.now - span / 2) * secs(span)).min(1.0)
     }
 
     /// Updates latencies, the in-flight limit and worker health after an attempt.
     pub(super) fn record(&mut self, id: WorkerId, class: usize, aim: Micros, outcome: Outcome, latency: f64) {
+        if matches!(outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Timeout) {
+            return;
+        }
         let (now, share) = (self.now, self.inflight_share());
-        let Some(w) = self.workers.get(&id) else { return };
-        let (cold, slow) = (self.warm_share(w, now), w.slowness_at(now));
-        let samples = w.samples_at(now);
         let used = self.in_flight + 1.0 >= share / 2.0;
+        let cold = self.workers.get(&id).map_or(1.0, |w| self.warm_share(w, now));
         let typical = &mut self.typical_latency[class];
         let Some(w) = self.workers.get_mut(&id) else { return };
-        if matches!(outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Timeout) {
-            return;
-        }
-        (w.slowness, w.samples, w.sampled_at) = (slow, samples + 1.0, now);
+        (w.slowness, w.samples, w.sampled_at) = (w.slowness_at(now), w.samples_at(now) + 1.0, now);
         let mut slow_down = outcome == Outcome::Full;
         if outcome == Outcome::Ok {
             let h = &mut w.health[class];
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -209,7 +209,7 @@
     }
 
     /// Whether a worker may have run it.
-    fn may_have_run(&self) -> bool {
+    pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|a| a.may_have_run)
     }
 
@@ -218,38 +218,14 @@
         self.attempts.iter().any(|a| a.in_flight)
     }
 
-    /// Whether some worker may be sent it again.
-    pub fn is_repeatable(&self) -> bool {
-        let once = self.streamed_body || self.class.effect == Effect::AtMostOnce;
-        let barred = self.streaming || (once && self.may_have_run());
-        !barred
-    }
-
-    /// Whether its effect allows an attempt at this worker.
-    pub fn may_run_at(&self, now: Micros, worker: &WorkerInfo) -> bool {
+    /// Whether a worker knows the keys of all workers that may have run it.
+    pub fn shares_keys_with(&self, worker: &WorkerInfo) -> bool {
         let same_group = |a: &Attempt| match self.class.group {
             DedupGroup::All => true,
             DedupGroup::Zone => a.zone == worker.zone,
             DedupGroup::Cell => a.zone == worker.zone && a.cell == worker.cell,
         };
-        match self.class.effect {
-            Effect::Idempotent => true,
-            _ if !self.may_have_run() => true,
-            Effect::AtMostOnce => false,
-            Effect::Deduplicated => {
-                now < self.begin_by() && self.attempts.iter().filter(|a| a.may_have_run).all(same_group)
-            }
-        }
-    }
-
-    /// Whether its client may be told to send it again.
-    pub fn refusal_is_harmless(&self, refusals_promise: bool) -> bool {
-        !self.may_have_run()
-            || match self.class.effect {
-                Effect::Idempotent => !refusals_promise,
-                Effect::Deduplicated => self.class.group == DedupGroup::All,
-                Effect::AtMostOnce => false,
-            }
+        self.attempts.iter().filter(|a| a.may_have_run).all(same_group)
     }
 
     /// Records whether an attempt's answer has stalled.
--- a/crates/policy/tests/workers.rs
+++ b/crates/policy/tests/workers.rs
@@ -216,6 +216,22 @@
     assert_eq!((s.sent(&slow), s.in_flight[0].worker), (2, other));
 }
 
+/// Guards against giving up an answer that has begun, to ask the same worker for it again.
+#[test]
+fn stalled_answer_is_not_given_up_for_the_same_worker() {
+    let mut s = known_latency(one_at_a_time(), &[1]);
+    let slow = s.request("slow", 0, 0, 1.0);
+    s.advance(20 * MS);
+    s.event(Event::Stalled { request: RequestId(slow.clone()), attempt: 0, stalled: true });
+    s.advance(100 * MS);
+    assert_eq!(cancelled(&s), [""; 0], "no other worker can take it");
+    s.list(ListScope::Delta, vec![worker(2)]);
+    s.advance(20 * MS);
+    assert_eq!(cancelled(&s), [slow.as_str()]);
+    s.finish_oldest(Outcome::Unusable);
+    assert_eq!((s.sent(&slow), s.in_flight[0].worker), (2, 2));
+}
+
 /// Guards against giving up several attempts at once for the one retry that each of them saw in the budget.
 #[test]
 fn of_several_silent_attempts_each_that_is_given_up_is_sent_again() {
