Wait for a worker that is silent within a streamed answer while its request has time

It now ends so only once that time is over; a client that reads nothing for 20 s still ends its connection.

--- a/crates/dataplane/src/client.rs
+++ b/crates/dataplane/src/client.rs
@@ -19,7 +19,8 @@
     pub header_timeout: Duration,
     /// Maximum idle time between two requests.
     pub idle_timeout: Duration,
-    /// Maximum time without progress of a response, whichever side is stalled.
+    /// Maximum time without progress of a response: at any time where its client does not read, and after the
+    /// time of its request where its worker is silent.
     pub write_timeout: Duration,
 }
 
@@ -41,6 +42,8 @@
     served: Cell<bool>,
     /// Time of the connection, of the last response or of its last progress.
     last_activity: Cell<Instant>,
+    /// When the time of the current request is over.
+    answer_by: Cell<Instant>,
     /// Whether to close at once instead of gracefully.
     pub close_now: Cell<bool>,
     /// Whether a streamed response is in progress.
@@ -75,6 +78,7 @@
             handling: Cell::new(false),
             served,
             last_activity,
+            answer_by: Cell::new(now),
             close_now,
             streaming,
             discarding,
@@ -101,6 +105,7 @@
     pub fn begin_request(&self, now: Instant, deadline: Instant) -> Option<Instant> {
         let answer_time = self.shutdown.answer_time(now, deadline)?;
         self.busy.set(true);
+        self.answer_by.set(answer_time);
         Some(answer_time)
     }
 
@@ -150,10 +155,11 @@
         (!has_request).then_some(due)
     }
 
-    /// Whether a streamed response has made no progress within the write timeout.
+    /// Whether a streamed response has made no progress within the write timeout, and the time of its request is
+    /// over. Until then a silent worker may go on.
     pub fn is_stalled(&self, now: Instant) -> bool {
-        self.streaming.get()
-            && now.saturating_duration_since(self.last_activity.get()) > self.timeouts.write_timeout
+        let silence = now.saturating_duration_since(self.last_activity.get());
+        self.streaming.get() && silence > self.timeouts.write_timeout && now >= self.answer_by.get()
     }
 
     /// Discards the rest of an answered request in a task of its own. The connection is not idle meanwhile.
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`driver`] runs the decision logic and owns the open requests; [`hooks`] lets other subsystems take part.
 //! On the worker side, [`workers`] pools connections and makes attempts over a [`protocol`];
-//! [`attempt_progress`] tells how far one has come. On the client side, [`connections`] accepts clients, [`collect`] reads request bodies and [`shutdown`] ends it all in order.
+//! [`attempt_progress`] tells how far one has come. On the client side, [`connections`] accepts clients,
+//! [`collect`] reads request bodies and [`shutdown`] ends it all in order.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
