Don't count attempts that never reached a worker among the tries of a route

Callers of a repeatable route with two tries got 502 after 0.22 s where the first worker took 0.7 s and the next one refused connections: the first attempt was given up, and the second, which reached nobody, used up the last try. The overall limit of attempts stays.

The regression test fails before ("after ConnectFailed: (2, Some(Failed))").

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -75,7 +75,8 @@
     pub group: DedupGroup,
     /// How long repeats are dropped, from the first send that may have run.
     pub key_window: Micros,
-    /// Maximum attempts of a request, within [`Limits::max_attempts`]; 0 for that limit alone.
+    /// Maximum attempts of a request that may have reached a worker, within [`Limits::max_attempts`]; 0 for that
+    /// limit alone.
     pub attempts: usize,
 }
 
@@ -132,14 +133,6 @@
 }
 
 impl Limits {
-    /// The maximum number of attempts of a request of this class.
-    pub fn max_attempts_of(&self, class: &Class) -> usize {
-        match class.attempts {
-            0 => self.max_attempts,
-            attempts => attempts.min(self.max_attempts),
-        }
-    }
-
     /// The maximum retry budget, with `usual` as the default.
     pub fn max_retry_budget(&self, usual: f64) -> f64 {
         if self.max_retry_budget > 0.0 {
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -19,8 +19,7 @@
         let plan = r.plan.filter(|p| p.0 < self.settings.plans.len());
         let (Some(plan), true) = (plan, r.time_left > margin) else {
             // Unknown plans allow nothing, and no time is left otherwise.
-            actions.push(Action::Refuse { request: r.id, retry_after: 0 });
-            return;
+            return actions.push(Action::Refuse { request: r.id, retry_after: 0 });
         };
         let units = if r.units.is_finite() { r.units.max(0.0) } else { 1.0 };
         let key = self.customer_entry(plan.0, r.customer, (r.gateways, r.first));
@@ -71,7 +70,9 @@
     /// Whether a request may be sent to some worker: its time, its attempts and its effect allow it.
     fn may_attempt(&self, r: &OpenRequest) -> bool {
         let ended = r.closed || r.streaming || self.now >= r.deadline;
-        let tries_left = r.attempts.len() < self.settings.limits.max_attempts_of(&r.class);
+        let limit = self.settings.limits.max_attempts;
+        let tries = if r.class.attempts > 0 { r.class.attempts } else { limit };
+        let tries_left = r.attempts.len() < limit && r.workers_reached() < tries;
         let once = r.streamed_body || r.class.effect == Effect::AtMostOnce;
         !ended && tries_left && !(once && r.may_have_run())
     }
@@ -84,14 +85,13 @@
         if !available || !alone || !self.may_attempt(r) {
             return false;
         }
-        let keyed = r.class.effect == Effect::Deduplicated;
-        let key_known = self.now < r.begin_by() && r.shares_keys_with(&w.info);
+        let key_ok = self.now < r.begin_by() && r.shares_keys_with(&w.info);
         let p = self.plan(&r.key);
         let ceiling_ok = p.ceiling_rate <= 0.0
             || !r.attempts.is_empty()
             || r.granted
             || self.customers.get(&r.key).is_some_and(|c| c.ceiling_level >= r.units);
-        ceiling_ok && (key_known || !keyed)
+        ceiling_ok && key_ok
     }
 
     /// This gateway's even share of the fleet's in-flight limit.
@@ -182,7 +182,8 @@
         let (id, outcome) = (&done.request, done.outcome);
         let Some(r) = self.requests.get_mut(id) else { return };
         let Some(a) = r.attempts.get_mut(done.attempt).filter(|a| a.in_flight) else { return };
-        a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
+        a.may_have_reached = !matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
+        a.may_have_run = a.may_have_reached && outcome != Outcome::Full;
         let (worker, sent) = (a.worker, a.sent);
         let (class_ix, key, units, aim) = (r.class_ix, r.key.clone(), r.units, r.class.aim);
         let replaced = std::mem::take(&mut r.replacing);
--- a/crates/policy/src/rules/workers.rs
+++ b/crates/policy/src/rules/workers.rs
@@ -169,11 +169,10 @@
     /// costs at least one mean time between sends to that worker.
     pub(super) fn strike(&mut self, id: WorkerId, class_ix: usize) {
         let mean_interval = self.send_interval * self.subset.len().max(1) as f64;
-        let now = self.now;
         let Some(h) = self.workers.get_mut(&id).and_then(|w| w.health.get_mut(class_ix)) else { return };
-        if now >= h.avoid_until {
+        if self.now >= h.avoid_until {
             let span = EJECT_MIN.max(mean_interval) * f64::from(1u32 << (h.strikes / EJECT_STRIKES).min(3));
-            h.avoid_until = now + span.min(EJECT_MAX) as Micros;
+            h.avoid_until = self.now + span.min(EJECT_MAX) as Micros;
             h.strikes += EJECT_STRIKES;
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -150,6 +150,8 @@
     pub suspected_lost: bool,
     /// Whether its answer has begun and makes no progress.
     pub stalled: bool,
+    /// False once the outcome proves that its worker never got it.
+    pub may_have_reached: bool,
     /// False once the outcome proves that it never ran.
     pub may_have_run: bool,
 }
@@ -158,8 +160,19 @@
     /// An attempt sent now; until its outcome is known it may have run.
     pub fn new(to: &WorkerInfo, sent: Micros) -> Attempt {
         let (worker, zone, cell) = (to.id, to.zone.clone(), to.cell);
-        let (suspected_lost, stalled) = (false, false);
-        Attempt { worker, zone, cell, sent, in_flight: true, suspected_lost, stalled, may_have_run: true }
+        let (in_flight, suspected_lost, stalled) = (true, false, false);
+        let (may_have_reached, may_have_run) = (true, true);
+        Attempt {
+            worker,
+            zone,
+            cell,
+            sent,
+            in_flight,
+            suspected_lost,
+            stalled,
+            may_have_reached,
+            may_have_run,
+        }
     }
 }
 
@@ -218,9 +231,15 @@
         self.attempts.iter().any(|a| a.in_flight)
     }
 
-    /// Whether a worker knows the keys of all workers that may have run it.
+    /// Number of attempts that may have reached their worker.
+    pub fn workers_reached(&self) -> usize {
+        self.attempts.iter().filter(|a| a.may_have_reached).count()
+    }
+
+    /// Whether a worker knows the keys of all workers that may have run it, if it has a key.
     pub fn shares_keys_with(&self, worker: &WorkerInfo) -> bool {
         let same_group = |a: &Attempt| match self.class.group {
+            _ if self.class.effect != Effect::Deduplicated => true,
             DedupGroup::All => true,
             DedupGroup::Zone => a.zone == worker.zone,
             DedupGroup::Cell => a.zone == worker.zone && a.cell == worker.cell,
--- a/crates/policy/tests/workers.rs
+++ b/crates/policy/tests/workers.rs
@@ -216,6 +216,26 @@
     assert_eq!((s.sent(&slow), s.in_flight[0].worker), (2, other));
 }
 
+/// Guards against a 502 in place of a slow answer: its attempt was given up for a worker that could not be reached,
+/// which used up the last try of the route.
+#[test]
+fn attempt_that_reaches_no_worker_is_followed_by_another() {
+    let mut settings = one_at_a_time();
+    settings.classes[0].attempts = 2;
+    let mut s = known_latency(settings, &[1, 2, 3]);
+    let slow = s.request("slow", 0, 0, 1.0);
+    s.advance(300 * MS);
+    assert_eq!(cancelled(&s), [slow.as_str()]);
+    s.finish_oldest(Outcome::Cancelled);
+    for unreached in [Outcome::ConnectFailed, Outcome::NotSent] {
+        let sent = s.sent(&slow);
+        s.finish_oldest(unreached);
+        assert_eq!((s.sent(&slow), s.answer_of(&slow)), (sent + 1, None), "after {unreached:?}");
+    }
+    s.finish_oldest(Outcome::Error);
+    assert_eq!((s.sent(&slow), s.answer_of(&slow)), (4, Some(Answer::Failed)), "both tries are used up");
+}
+
 /// Guards against giving up an answer that has begun, to ask the same worker for it again.
 #[test]
 fn stalled_answer_is_not_given_up_for_the_same_worker() {
