Soak: lose orders with a store that dies, and answers that pause in the head or are long

One operator now evacuates a zone and takes this back; every other time it pauses the others, sends the opposite order to a store that dies as it has written its proposal, and the order that holds to another one, and checks that registries still show that one when the store is back. Answers also pause within their head, and some are long, with and without a length; a client that gets a part of an answer for the whole breaks a rule.

--- a/crates/playground/src/operator.rs
+++ b/crates/playground/src/operator.rs
@@ -123,6 +123,9 @@
     /// Proxies heard.
     #[serde(default)]
     pub proxies: usize,
+    /// Zones that are evacuated.
+    #[serde(default)]
+    pub drained: Vec<String>,
 }
 
 /// Sends a configuration to one registry after another until one acknowledges it.
--- a/crates/playground/src/processes.rs
+++ b/crates/playground/src/processes.rs
@@ -128,6 +128,17 @@
         self.running.iter().filter(|running| running.is(spec)).for_each(|running| running.signal(signal));
     }
 
+    /// The id of a process that runs.
+    pub fn pid(&self, spec: &ProcessSpec) -> Option<Pid> {
+        let running = self.running.iter().find(|running| running.is(spec))?;
+        i32::try_from(running.child.id()).ok().and_then(Pid::from_raw)
+    }
+
+    /// Where a process keeps its files.
+    pub fn data_dir(&self, spec: &ProcessSpec) -> Option<PathBuf> {
+        self.layout.data_dir(spec, &self.directory)
+    }
+
     /// How long ago a process that runs was started.
     pub fn age(&self, spec: &ProcessSpec) -> Option<Duration> {
         self.running.iter().find(|running| running.is(spec)).map(|running| running.started.elapsed())
--- a/crates/playground/src/soak/clients.rs
+++ b/crates/playground/src/soak/clients.rs
@@ -4,6 +4,7 @@
 use crate::clients::{attempt_id, is_served, Ask};
 use crate::http::Connection;
 use crate::operator::{CATALOG_PREFIX, LASTING_KEYS, ORDERS_PREFIX};
+use hingestage_test_servers::service_worker::is_whole;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,8 @@
     pub ended: Instant,
     /// How it ended.
     pub end: ExchangeEnd,
+    /// Whether a success had the whole body of the worker's answer.
+    pub whole: bool,
 }
 
 /// Requests that were sent, as they ended.
@@ -86,12 +89,13 @@
         };
         let (attempt, sent) = (attempt_id(), Instant::now());
         let exchange = connection.send(ask.request(&attempt), ANSWER_WITHIN).await;
+        let whole = exchange.as_ref().is_ok_and(|reply| is_whole(&reply.body));
         let Some(end) = ExchangeEnd::of(exchange) else {
             soak.requests.borrow_mut().closed_idle += 1;
             return;
         };
         let (proxy, ended) = (connection.addr(), Instant::now());
-        let request = SentRequest { attempt, proxy, mutating: ask.mutating, sent, ended, end };
+        let request = SentRequest { attempt, proxy, mutating: ask.mutating, sent, ended, end, whole };
         soak.requests.borrow_mut().requests.push(request);
         if !matches!(end, ExchangeEnd::Answered(_)) {
             return;
--- a/crates/playground/src/soak/mod.rs
+++ b/crates/playground/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod shutdowns;
 mod verdict;
+mod zone_orders;
 
 use crate::http::{CallError, Reply};
 use crate::layout::{Layout, FOUR_PLACES};
@@ -16,7 +17,7 @@
 use clients::RequestLog;
 use fastrand::Rng;
 use hingestage_print::say;
-use hingestage_test_servers::service_worker::AnswerForm;
+use hingestage_test_servers::service_worker::{AnswerForm, AnswerPart};
 use hyper::StatusCode;
 use orders::OrderLog;
 use shutdowns::{Shutdowns, SoakPlan};
@@ -25,9 +26,11 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Mutex;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 use verdict::Verdict;
+use zone_orders::ZoneOrderLog;
 
 /// How long a system may take to come up.
 const START_WITHIN: Duration = Duration::from_secs(30);
@@ -49,16 +52,25 @@
 /// retry where one may follow.
 const EXTRA_WORK: Duration = Duration::from_millis(500);
 const PAUSE_IN_ANSWER: Duration = Duration::from_millis(450);
-/// The forms of answers: most are plain.
-const FORMS: [AnswerForm; 8] = [
+/// Bytes of a long answer, which proxies pass on from its head.
+const LONG_ANSWER: usize = 100_000;
+/// An answer that pauses in the middle of its body.
+const PAUSING: AnswerForm = AnswerForm { pause: PAUSE_IN_ANSWER, ..AnswerForm::PLAIN };
+/// The forms of answers, in turn.
+const FORMS: [AnswerForm; 13] = [
     AnswerForm::PLAIN,
-    AnswerForm { pause: PAUSE_IN_ANSWER, ..AnswerForm::PLAIN },
+    PAUSING,
     AnswerForm::PLAIN,
     AnswerForm { has_length: false, ..AnswerForm::PLAIN },
+    AnswerForm { extra_bytes: LONG_ANSWER, ..PAUSING },
     AnswerForm::PLAIN,
     AnswerForm { extra_work: EXTRA_WORK, ..AnswerForm::PLAIN },
     AnswerForm::PLAIN,
-    AnswerForm { pause: PAUSE_IN_ANSWER, has_length: false, ..AnswerForm::PLAIN },
+    AnswerForm { has_length: false, ..PAUSING },
+    AnswerForm { pauses_in: AnswerPart::Head, ..PAUSING },
+    AnswerForm::PLAIN,
+    AnswerForm { extra_bytes: LONG_ANSWER, has_length: false, ..PAUSING },
+    AnswerForm::PLAIN,
 ];
 /// The loopback networks are `127.3.x.0`.
 const SECOND: u8 = 3;
@@ -137,6 +149,9 @@
     requests: RefCell<RequestLog>,
     orders: RefCell<OrderLog>,
     shutdowns: RefCell<Shutdowns>,
+    zone_orders: RefCell<ZoneOrderLog>,
+    /// Held while processes of a core machine end and start again, so that the others can serve.
+    core_change: Mutex<()>,
     /// Set when clients and operators are to end.
     stop: Cell<bool>,
     /// Clients and operators that have not ended.
@@ -197,6 +212,8 @@
         requests: RefCell::default(),
         orders: RefCell::default(),
         shutdowns: RefCell::default(),
+        zone_orders: RefCell::default(),
+        core_change: Mutex::default(),
         stop: Cell::new(false),
         open: Cell::new(0),
         lateness: Cell::default(),
@@ -206,6 +223,7 @@
     soak.spawn_user(soak.clone().watch_lateness());
     clients::start(&soak, CONNECTIONS_PER_PROXY);
     orders::start(&soak);
+    soak.spawn_user(zone_orders::run(soak.clone(), random.fork()));
     shutdowns::play(&soak, SoakPlan::draw(&mut random, Duration::from_secs(seconds))).await;
     soak.stop_users().await?;
     let read_back = orders::read_back(&soak).await;
@@ -228,6 +246,7 @@
         &soak.shutdowns.into_inner(),
     );
     verdict.check_read_back(read_back);
+    verdict.judge_zone_orders(&soak.zone_orders.into_inner());
     verdict.broken.extend(ended);
     if !in_order {
         verdict.broken.push("a process had to be killed at the end".to_owned());
--- a/crates/playground/src/soak/orders.rs
+++ b/crates/playground/src/soak/orders.rs
@@ -66,6 +66,8 @@
 pub struct OrderLog {
     /// All of them.
     pub orders: Vec<SentOrder>,
+    /// Whether operators only read for now. A change would overtake an order that is lost meanwhile.
+    pub changes_paused: bool,
     last_serial: u32,
 }
 
@@ -86,7 +88,7 @@
 }
 
 fn operator_order(log: &mut OrderLog) -> Order {
-    if fastrand::u8(..3) == 0 {
+    if log.changes_paused || fastrand::u8(..3) == 0 {
         Order::Read
     } else {
         Order::Change(log.next_serial())
--- a/crates/playground/src/soak/shutdowns.rs
+++ b/crates/playground/src/soak/shutdowns.rs
@@ -17,7 +17,7 @@
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(50);
 const LONGEST_INTERVAL: Duration = Duration::from_millis(600);
 /// How long a process stays down at the most.
-const DOWN_MAX: Duration = Duration::from_millis(800);
+pub(super) const DOWN_MAX: Duration = Duration::from_millis(800);
 /// The longest pause before a process is told to end.
 const PAUSE_MAX: Duration = Duration::from_secs(3);
 
@@ -150,6 +150,7 @@
         if Instant::now() >= until {
             return;
         }
+        let _change = soak.core_change.lock().await;
         let machine = soak.layout.cores[random.usize(..soak.layout.cores.len())].clone();
         let programs: &[Program] = match random.u8(..3) {
             0 => &[Program::Registry],
--- a/crates/playground/src/soak/verdict.rs
+++ b/crates/playground/src/soak/verdict.rs
@@ -3,6 +3,7 @@
 use super::clients::{RequestLog, SentRequest};
 use super::orders::{Order, OrderLog, SentOrder};
 use super::shutdowns::{Shutdown, Shutdowns};
+use super::zone_orders::ZoneOrderLog;
 use super::{ExchangeEnd, GRACE};
 use crate::clients::{promises_not_run, TRY_WITHIN};
 use crate::layout::Program;
@@ -36,6 +37,8 @@
     orders: u64,
     orders_crossed: u64,
     acknowledged: Option<u32>,
+    /// Orders for zones that were sent to a store that died.
+    lost_orders: u64,
     shutdowns: u64,
     second_signals: u64,
     /// Seeds that were judged.
@@ -56,7 +59,7 @@
         write!(
             f,
             "{} requests served, {} refused, {} late, {} unread at a close, {} connections closed idle; {} orders \
-             answered, {} unread; {} shutdowns, {} with a second signal; {} rules broken",
+             answered, {} unread, {} lost with a store; {} shutdowns, {} with a second signal; {} rules broken",
             self.served,
             self.refused,
             self.late,
@@ -64,6 +67,7 @@
             self.closed_idle,
             self.orders,
             self.orders_crossed,
+            self.lost_orders,
             self.shutdowns,
             self.second_signals,
             self.broken.len()
@@ -102,6 +106,7 @@
         self.closed_idle += other.closed_idle;
         self.orders += other.orders;
         self.orders_crossed += other.orders_crossed;
+        self.lost_orders += other.lost_orders;
         self.shutdowns += other.shutdowns;
         self.second_signals += other.second_signals;
         self.judged_seeds += other.judged_seeds;
@@ -119,6 +124,12 @@
         }
     }
 
+    /// Judges whether the last acknowledged order for a zone held, whatever was lost before it.
+    pub fn judge_zone_orders(&mut self, orders: &ZoneOrderLog) {
+        self.lost_orders += orders.lost;
+        self.broken.extend(orders.broken.iter().cloned());
+    }
+
     fn judge_request(&mut self, request: &SentRequest, runs: &RunCounts, shutdowns: &Shutdowns) {
         let ran = runs.get(request.attempt.as_str()).copied().unwrap_or_default();
         let took = request.ended - request.sent;
@@ -128,6 +139,9 @@
         let signalled_at = last_signal_before(shutdowns.all.iter().filter(is_proxy), request.ended);
         let broken = match request.end {
             _ if request.mutating && ran > 1 => Some("ran more than once"),
+            ExchangeEnd::Answered(status) if status.is_success() && !request.whole => {
+                Some("got a part of its worker's answer for the whole")
+            }
             ExchangeEnd::Answered(status) if status.is_success() => {
                 self.served += 1;
                 None
--- a/crates/test-servers/src/service_worker.rs
+++ b/crates/test-servers/src/service_worker.rs
@@ -16,6 +16,8 @@
 const ATTEMPT_ID: &str = "x-hingestage-attempt-id";
 /// Name of the tenant.
 const TENANT: &str = "x-hingestage-tenant";
+/// The end of each body, which stands nowhere else in it.
+const BODY_END: &str = "\n";
 /// A client's key, which is never to come here.
 const API_KEY: &str = "api-key";
 
@@ -41,16 +43,39 @@
 pub struct AnswerForm {
     /// Work beyond that of other requests.
     pub extra_work: Duration,
-    /// Pause in the middle of the body.
+    /// Pause within the answer.
     pub pause: Duration,
+    /// The part in whose middle it pauses.
+    pub pauses_in: AnswerPart,
+    /// Bytes of the body beyond those of a short one.
+    pub extra_bytes: usize,
     /// Whether it has a length. Otherwise it ends with its connection.
     pub has_length: bool,
 }
 
+/// A part of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerPart {
+    /// Status and headers.
+    Head,
+    /// The body.
+    Body,
+}
+
 impl AnswerForm {
     /// An answer with a length, written at once.
-    pub const PLAIN: AnswerForm =
-        AnswerForm { extra_work: Duration::ZERO, pause: Duration::ZERO, has_length: true };
+    pub const PLAIN: AnswerForm = AnswerForm {
+        extra_work: Duration::ZERO,
+        pause: Duration::ZERO,
+        pauses_in: AnswerPart::Body,
+        extra_bytes: 0,
+        has_length: true,
+    };
+}
+
+/// Whether a body is all of what a worker has answered.
+pub fn is_whole(body: &[u8]) -> bool {
+    body.ends_with(BODY_END.as_bytes())
 }
 
 /// How a worker behaves.
@@ -198,7 +223,8 @@
             return Err(End::Broken);
         }
         let headers = format!("X-Hingestage-Server-Seal: {}.{}\r\n", self.spec.id, self.answers.get());
-        let body = format!("{} of {}\n", message.path(), self.spec.service);
+        let extra = "x".repeat(form.extra_bytes);
+        let body = format!("{} of {} {extra}{BODY_END}", message.path(), self.spec.service);
         self.write(reader, &message, Answer { status: "200 OK", headers, body: &body, form }).await
     }
 
@@ -248,11 +274,14 @@
         };
         let head =
             format!("HTTP/1.1 {status}\r\nX-Hingestage-Attempt-Id: {attempt}\r\n{headers}{framing}\r\n");
-        let (first, rest) = match form.pause.is_zero() {
-            true => (body, ""),
-            false => body.split_at(body.len() / 2),
+        let pause_at = match form.pauses_in {
+            _ if form.pause.is_zero() => head.len() + body.len(),
+            AnswerPart::Head => head.len() / 2,
+            AnswerPart::Body => head.len() + body.len() / 2,
         };
-        self.write_part(reader, &format!("{head}{first}")).await?;
+        let text = head + body;
+        let (first, rest) = text.split_at(pause_at);
+        self.write_part(reader, first).await?;
         if !rest.is_empty() {
             self.platform.sleep(form.pause).await;
             self.write_part(reader, rest).await?;
