Send a copy of a silent request from a proxy, and give up no attempt at work

Whether a worker takes a request is known only once it has been sent, so no check before the cancel can help.

Proxies now send a copy to another worker and let the first one work; the first answer counts, and an answer that turns the request away or fails ends nothing while the other is at work. The decisions could do this before (second_copies). Copies of attempts that are only late have a switch of their own (hedge), off in proxies, so that they send no more than before. The copy takes the place of the lost attempt in the in-flight limit, as the attempt after a cancel did, and goes to no worker that has the request already; so does the attempt after a cancel, which makes could_follow needless. The decisions of the gateway in service are the same where its deployment allows copies.

Two new tests of policy (copy_...), the second of which fails without the place ("0 copies for 3 lost attempts").

--- a/crates/counter-aggregation/tests/common/mod.rs
+++ b/crates/counter-aggregation/tests/common/mod.rs
@@ -230,6 +230,7 @@
         limits: Limits {
             max_attempts: 2,
             second_copies: false,
+            hedge: false,
             cancel: false,
             max_retry_after: S,
             max_retry_budget: 0.0,
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -121,6 +121,8 @@
     pub max_attempts: usize,
     /// Whether two attempts of a request may be in flight at once.
     pub second_copies: bool,
+    /// Whether such a copy may be sent for an attempt that is late, but neither lost nor stalled.
+    pub hedge: bool,
     /// Whether an attempt may be cancelled.
     pub cancel: bool,
     /// Longest retry advice that clients follow.
@@ -133,6 +135,11 @@
 }
 
 impl Limits {
+    /// Whether a late attempt gets a second copy.
+    pub fn hedges(&self) -> bool {
+        self.second_copies && self.hedge
+    }
+
     /// The maximum retry budget, with `usual` as the default.
     pub fn max_retry_budget(&self, usual: f64) -> f64 {
         if self.max_retry_budget > 0.0 {
--- a/crates/policy/src/rules/requests.rs
+++ b/crates/policy/src/rules/requests.rs
@@ -81,17 +81,17 @@
     pub(super) fn may_send(&self, r: &OpenRequest, w: &Worker) -> bool {
         let warm = self.warm_share(w, self.now) >= 1.0 || self.cold_credit(w) >= 1.0;
         let available = w.info.availability == Availability::Ready && warm && self.site_admits(r, w);
-        let alone = self.settings.limits.second_copies || !r.is_in_flight();
-        if !available || !alone || !self.may_attempt(r) {
+        let copies = self.settings.limits.second_copies;
+        let excludes = |a: &Attempt| a.in_flight && (a.worker == w.info.id || (a.counted && !copies));
+        if !available || r.attempts.iter().any(excludes) || !self.may_attempt(r) {
             return false;
         }
-        let key_ok = self.now < r.begin_by() && r.shares_keys_with(&w.info);
         let p = self.plan(&r.key);
         let ceiling_ok = p.ceiling_rate <= 0.0
             || !r.attempts.is_empty()
             || r.granted
             || self.customers.get(&r.key).is_some_and(|c| c.ceiling_level >= r.units);
-        ceiling_ok && key_ok
+        ceiling_ok && self.now < r.begin_by() && r.shares_keys_with(&w.info)
     }
 
     /// This gateway's even share of the fleet's in-flight limit.
@@ -145,7 +145,7 @@
         let begin_within = r.begin_by().saturating_sub(self.now);
         r.attempts.push(Attempt::new(&w.info, self.now));
         let attempt = r.attempts.len() - 1;
-        self.set_in_flight(id, attempt, true);
+        self.set_counted(id, attempt, true);
         actions.push(Action::Send { request: id.clone(), worker, timeout, begin_within });
         true
     }
@@ -182,12 +182,13 @@
         let (id, outcome) = (&done.request, done.outcome);
         let Some(r) = self.requests.get_mut(id) else { return };
         let Some(a) = r.attempts.get_mut(done.attempt).filter(|a| a.in_flight) else { return };
+        a.in_flight = false;
         a.may_have_reached = !matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
         a.may_have_run = a.may_have_reached && outcome != Outcome::Full;
         let (worker, sent) = (a.worker, a.sent);
         let (class_ix, key, units, aim) = (r.class_ix, r.key.clone(), r.units, r.class.aim);
         let replaced = std::mem::take(&mut r.replacing);
-        self.set_in_flight(id, done.attempt, false);
+        self.set_counted(id, done.attempt, false);
         // Excludes the upload of the body and the streaming of the answer: neither is the worker's work.
         let latency = done.latency.min(self.now - sent) as f64;
         self.record(worker, class_ix, aim, outcome, latency);
@@ -271,18 +272,25 @@
         }
     }
 
-    /// Replaces attempts that are lost, stalled or overdue. Where second copies are not allowed, an attempt is
-    /// cancelled first, but only if another one can follow: until then the worker may still answer. One at a
-    /// time, as the next may need the same place.
+    /// Sends a copy of each request whose attempt is lost, stalled or late. Where copies are not allowed, its
+    /// attempt is cancelled first, but only if another one can follow: until then the worker may still answer.
+    /// One at a time, as the next may need the same place.
     pub(super) fn check_overdue(&mut self, actions: &mut Vec<Action>) {
         let overdue = self.find_overdue();
         let pending = self.requests.values().any(|r| r.replacing && !r.streaming);
         let (copies, cancel) = (self.settings.limits.second_copies, self.settings.limits.cancel && !pending);
         for (id, attempt) in overdue {
             let repeatable = self.may_repeat(&id, 1.0);
+            // The next attempt takes the place of a lost one; a late one is at work.
+            self.set_counted(&id, attempt, self.settings.limits.hedges());
             if repeatable && copies && self.dispatch(&id, actions) {
                 self.charge_retry(&id, 1.0);
-            } else if repeatable && !copies && cancel && self.could_follow(&id, attempt) {
+                continue;
+            }
+            let follows = repeatable && !copies && cancel && self.has_send_capacity();
+            let follows = follows && self.pick_worker(&id).is_some();
+            self.set_counted(&id, attempt, true);
+            if follows {
                 self.requests.entry(id.clone()).and_modify(|r| r.replacing = true);
                 return actions.push(Action::Cancel { request: id, attempt });
             }
@@ -308,7 +316,7 @@
             if lost && !std::mem::replace(&mut a.suspected_lost, true) {
                 lost_at.push((a.worker, r.class_ix));
             }
-            let overdue = self.settings.limits.second_copies && age > HEDGE_SHARE * r.class.aim as f64;
+            let overdue = self.settings.limits.hedges() && age > HEDGE_SHARE * r.class.aim as f64;
             if lost || a.stalled || overdue {
                 found.push((id.clone(), n));
             }
@@ -317,23 +325,13 @@
         found
     }
 
-    /// Whether a request could be sent at once if this attempt were over. An answer that has begun is not given
-    /// up for the same worker.
-    fn could_follow(&mut self, id: &RequestId, attempt: usize) -> bool {
-        let begun = self.requests.get(id).map(|r| &r.attempts[attempt]).filter(|a| a.stalled);
-        let begun_at = begun.map(|a| a.worker);
-        self.set_in_flight(id, attempt, false);
-        let next = if self.has_send_capacity() { self.pick_worker(id) } else { None };
-        self.set_in_flight(id, attempt, true);
-        next.is_some() && next != begun_at
-    }
-
     /// Counts an attempt among those in flight, or no longer.
-    fn set_in_flight(&mut self, id: &RequestId, attempt: usize, in_flight: bool) {
+    fn set_counted(&mut self, id: &RequestId, attempt: usize, counted: bool) {
         let Some(a) = self.requests.get_mut(id).and_then(|r| r.attempts.get_mut(attempt)) else { return };
-        a.in_flight = in_flight;
-        let change = if in_flight { 1.0 } else { -1.0 };
-        self.in_flight = (self.in_flight + change).max(0.0);
-        self.workers.entry(a.worker).and_modify(|w| w.inflight = (w.inflight + change).max(0.0));
+        if std::mem::replace(&mut a.counted, counted) != counted {
+            let change = if counted { 1.0 } else { -1.0 };
+            self.in_flight = (self.in_flight + change).max(0.0);
+            self.workers.entry(a.worker).and_modify(|w| w.inflight = (w.inflight + change).max(0.0));
+        }
     }
 }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -167,6 +167,7 @@
         limits: Limits {
             max_attempts: f.number("limits.maxAttempts")?,
             second_copies: f.flag("limits.mayDuplicate")?,
+            hedge: f.flag("limits.mayDuplicate")?,
             cancel: f.flag("limits.mayCancel")?,
             max_retry_after: if f.flag("limits.retryAfter")? { f.int("limits.maxRetryAfterUs")? } else { 0 },
             max_retry_budget: 0.0,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -147,6 +147,8 @@
     pub cell: u64,
     pub sent: Micros,
     pub in_flight: bool,
+    /// Whether it takes a place of the in-flight limit: a lost one leaves its place to the attempt that follows.
+    pub counted: bool,
     pub suspected_lost: bool,
     /// Whether its answer has begun and makes no progress.
     pub stalled: bool,
@@ -159,19 +161,17 @@
 impl Attempt {
     /// An attempt sent now; until its outcome is known it may have run.
     pub fn new(to: &WorkerInfo, sent: Micros) -> Attempt {
-        let (worker, zone, cell) = (to.id, to.zone.clone(), to.cell);
-        let (in_flight, suspected_lost, stalled) = (true, false, false);
-        let (may_have_reached, may_have_run) = (true, true);
         Attempt {
-            worker,
-            zone,
-            cell,
+            worker: to.id,
+            zone: to.zone.clone(),
+            cell: to.cell,
             sent,
-            in_flight,
-            suspected_lost,
-            stalled,
-            may_have_reached,
-            may_have_run,
+            in_flight: true,
+            counted: false,
+            suspected_lost: false,
+            stalled: false,
+            may_have_reached: true,
+            may_have_run: true,
         }
     }
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -32,6 +32,7 @@
         limits: Limits {
             max_attempts: 4,
             second_copies: true,
+            hedge: true,
             cancel: true,
             max_retry_after: S,
             max_retry_budget: 0.0,
--- a/crates/policy/tests/workers.rs
+++ b/crates/policy/tests/workers.rs
@@ -236,6 +236,40 @@
     assert_eq!((s.sent(&slow), s.answer_of(&slow)), (4, Some(Answer::Failed)), "both tries are used up");
 }
 
+/// Guards against lost attempts that fill all places until their time is up, so that nothing is sent in their place.
+#[test]
+fn copy_takes_the_place_of_a_lost_attempt() {
+    let mut settings = settings();
+    (settings.limits.hedge, settings.instances) = (false, 8);
+    let mut s = known_latency(settings, &[1, 2, 3, 4]);
+    let ids: Vec<String> = (0..12).map(|n| s.request(&format!("slow{n}"), 0, 0, 1.0)).collect();
+    let places = s.in_flight.len();
+    assert!((1..ids.len()).contains(&places), "{places} of {} were sent at once", ids.len());
+    s.advance(300 * MS);
+    let copies = ids.iter().filter(|id| s.sent(id) == 2).count();
+    assert!((1..=places).contains(&copies), "{copies} copies for {places} lost attempts");
+    assert_eq!(cancelled(&s), [""; 0]);
+}
+
+/// Guards against a copy for the worker that is at work on the request.
+#[test]
+fn copy_goes_to_another_worker_and_leaves_the_silent_one_at_work() {
+    let mut settings = settings();
+    settings.limits.hedge = false;
+    let mut s = known_latency(settings, &[1]);
+    let slow = s.request("slow", 0, 0, 1.0);
+    s.advance(300 * MS);
+    assert_eq!(s.sent(&slow), 1, "no other worker can take it");
+    s.list(ListScope::Delta, vec![worker(2)]);
+    s.advance(20 * MS);
+    assert_eq!((s.sent(&slow), s.in_flight[1].worker), (2, 2));
+    let copy = s.in_flight.remove(1);
+    s.finish(copy, Outcome::Full);
+    assert_eq!((cancelled(&s).len(), s.answer_of(&slow)), (0, None), "the first worker is at work");
+    s.finish_oldest(Outcome::Ok);
+    assert_eq!(s.answer_of(&slow), Some(Answer::Served));
+}
+
 /// Guards against giving up an answer that has begun, to ask the same worker for it again.
 #[test]
 fn stalled_answer_is_not_given_up_for_the_same_worker() {
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -200,7 +200,9 @@
             },
             limits: Limits {
                 max_attempts: MAX_ATTEMPTS,
-                second_copies: false,
+                // A worker that is at work may still answer where its copy fails.
+                second_copies: true,
+                hedge: false,
                 cancel: true,
                 max_retry_after: MAX_RETRY_AFTER,
                 max_retry_budget: self.max_saved_retries(),
--- a/crates/small-worlds/src/decisions.rs
+++ b/crates/small-worlds/src/decisions.rs
@@ -100,6 +100,7 @@
             limits: Limits {
                 max_attempts: MAX_ATTEMPTS,
                 second_copies: self.copies,
+                hedge: self.copies,
                 cancel: true,
                 max_retry_after: MS,
                 max_retry_budget: 0.0,
--- a/crates/small-worlds/tests/decisions.rs
+++ b/crates/small-worlds/tests/decisions.rs
@@ -138,6 +138,6 @@
         s.plans[0].ceiling_rate = 0.0;
     };
     caught("two of pull", "ceilings", none, WHOLE);
-    let copies: fn(&mut Settings) = |s| s.limits.second_copies = true;
+    let copies: fn(&mut Settings) = |s| (s.limits.second_copies, s.limits.hedge) = (true, true);
     caught("pull", "twice: two", copies, WHOLE);
 }
