Test that a stalled answer that goes on counts, whatever its copy does

The data plane had no test of a stalled answer beside a copy, which is how proxies treat one now. The copy fails at once or stalls itself: the answer that paused is served as soon as it is whole; the copy is served where the first one stalls for good.

--- a/crates/dataplane/tests/slow_answers.rs
+++ b/crates/dataplane/tests/slow_answers.rs
@@ -69,6 +69,9 @@
     &[Step::Write(UNFRAMED_HEAD), Step::WriteLong, Step::Pause(SHORT_PAUSE), Step::Write("end")];
 const UNFRAMED_LONG_RESET: Script =
     &[Step::Write(UNFRAMED_HEAD), Step::WriteLong, Step::Pause(SHORT_PAUSE), Step::Reset];
+/// A failure at once.
+const FAILS: Script =
+    &[Step::Write("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n"), Step::Keep];
 const ANSWERS: Script = &[Step::Write(OK_HEAD), Step::Write("hi"), Step::Keep];
 
 struct TestProtocol;
@@ -136,11 +139,14 @@
 struct Terms {
     effect: Effect,
     attempts: usize,
+    /// Whether a copy is sent to another worker in place of a cancellation.
+    copies: bool,
 }
 
-const ONCE: Terms = Terms { effect: Effect::AtMostOnce, attempts: 2 };
-const REPEATABLE: Terms = Terms { effect: Effect::Idempotent, attempts: 2 };
-const LAST_ATTEMPT: Terms = Terms { effect: Effect::Idempotent, attempts: 1 };
+const ONCE: Terms = Terms { effect: Effect::AtMostOnce, attempts: 2, copies: false };
+const REPEATABLE: Terms = Terms { effect: Effect::Idempotent, attempts: 2, copies: false };
+const COPIED: Terms = Terms { copies: true, ..REPEATABLE };
+const LAST_ATTEMPT: Terms = Terms { attempts: 1, ..REPEATABLE };
 
 fn settings(terms: Terms) -> DriverSettings {
     let class = Class {
@@ -150,7 +156,13 @@
         attempts: terms.attempts,
         ..Class::default()
     };
-    let limits = Limits { max_attempts: 8, cancel: true, refusals_promise: true, ..Limits::default() };
+    let limits = Limits {
+        max_attempts: 8,
+        second_copies: terms.copies,
+        cancel: true,
+        refusals_promise: true,
+        ..Limits::default()
+    };
     DriverSettings {
         policy: Settings {
             instances: 1,
@@ -259,6 +271,18 @@
     assert!(took < SOON, "answered after {took:?}");
 }
 
+/// Guards against a 502 in place of an answer that pauses: its attempt was given up for one that fails or stalls.
+#[test]
+fn a_stalled_answer_that_goes_on_counts_whatever_its_copy_does() {
+    for copy in [FAILS, STALLS] {
+        let (got, took) = block_on(request(COPIED, &[PAUSES, copy]));
+        assert_eq!(got, served("hi"), "{copy:?}");
+        assert!(took >= PAUSE && took < SOON, "{copy:?}: answered after {took:?}");
+    }
+    let (got, took) = block_on(request(COPIED, &[STALLS, ANSWERS]));
+    assert_eq!((got, took < SOON), (served("hi"), true), "by the copy after {took:?}");
+}
+
 #[test]
 fn a_stalled_answer_ends_with_the_time_of_its_request() {
     let (got, took) = block_on(request(ONCE, &[STALLS, ANSWERS]));
