Soak: look a store up before others are paused, and derive its process id in one place

Found by reading the change once more. Processes::pid repeated what Running::signal does, and spawn what Processes::data_dir does; each calls the one piece.

Checks as before.

--- a/crates/playground/src/processes.rs
+++ b/crates/playground/src/processes.rs
@@ -55,9 +55,12 @@
         self.spec.program == spec.program && self.spec.machine.name == spec.machine.name
     }
 
+    fn pid(&self) -> Option<Pid> {
+        i32::try_from(self.child.id()).ok().and_then(Pid::from_raw)
+    }
+
     fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let _ = pid.map(|pid| kill_process(pid, signal));
+        let _ = self.pid().map(|pid| kill_process(pid, signal));
     }
 }
 
@@ -99,7 +102,7 @@
     }
 
     fn spawn(&self, spec: &ProcessSpec, settings: &str) -> io::Result<Child> {
-        if let Some(data_dir) = self.layout.data_dir(spec, &self.directory) {
+        if let Some(data_dir) = self.data_dir(spec) {
             fs::create_dir_all(data_dir)?;
         }
         let name = format!("{}-{}", spec.machine.name, spec.program.file_name());
@@ -130,8 +133,7 @@
 
     /// The id of a process that runs.
     pub fn pid(&self, spec: &ProcessSpec) -> Option<Pid> {
-        let running = self.running.iter().find(|running| running.is(spec))?;
-        i32::try_from(running.child.id()).ok().and_then(Pid::from_raw)
+        self.running.iter().find(|running| running.is(spec)).and_then(Running::pid)
     }
 
     /// Where a process keeps its files.
--- a/crates/playground/src/soak/zone_orders.rs
+++ b/crates/playground/src/soak/zone_orders.rs
@@ -94,12 +94,12 @@
 /// that this one still holds once the store is back.
 async fn lose_order(soak: &Rc<Soak>, random: &mut Rng, number: usize, drained: bool) {
     let _change = soak.core_change.lock().await;
-    soak.orders.borrow_mut().changes_paused = true;
-    sleep(CHANGES_END_WITHIN).await;
     let core = soak.layout.cores[number].clone();
     let store = ProcessSpec { program: Program::ConfigStore, machine: core.clone() };
     let (pid, data_dir) = (soak.processes.borrow().pid(&store), soak.processes.borrow().data_dir(&store));
     let (Some(pid), Some(data_dir)) = (pid, data_dir) else { return };
+    soak.orders.borrow_mut().changes_paused = true;
+    sleep(CHANGES_END_WITHIN).await;
     let stopped = spawn_blocking(move || stop_at_proposal(&data_dir.join(RECORD_FILE), pid));
     let lost = spawn_local(async move { order(&core, !drained).await });
     let _ = stopped.await;
