Take out the contact lease of replicas, which only tests asked for any more

The tests of replication ask the same, with the same bound, of their cluster, and the planted defect of control-sim holds its own lease. No assertion changes.

Tests of replication, control-sim, config-store and the agreement worlds of small-worlds pass, the planted defects among them.

--- a/crates/control-sim/src/core_node.rs
+++ b/crates/control-sim/src/core_node.rs
@@ -32,6 +32,8 @@
 const STEP_TICKS: u64 = 3;
 /// Timeout for a change to become durable.
 const PROPOSE_TIMEOUT: Micros = 850 * MILLI;
+/// How long contact with a majority counts as recent, for [`Defect::AckWithoutProposal`].
+const CONTACT_LEASE: Micros = 2_500 * MILLI;
 /// Delay of a disk sync with [`Defect::AckBeforeSync`].
 const SYNC_DELAY: Micros = 40 * MILLI;
 /// Timeout of a request for workers.
@@ -268,7 +270,8 @@
     fn holds(&self, clock: Micros, change: &Change) -> bool {
         let mut state = self.replica.state().clone();
         state.apply(change);
-        state == *self.replica.state() && self.replica.has_recent_majority(clock)
+        let confirmed = self.replica.current_as_of(clock).is_some_and(|at| clock < at + CONTACT_LEASE);
+        confirmed && state == *self.replica.state()
     }
 
     /// Takes the outcomes of proposals by id, and withdraws those that timed out.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -26,8 +26,6 @@
 pub struct ReplicaConfig {
     /// A replica that has not answered for this long is considered unreachable.
     pub unreachable_after: Micros,
-    /// How long contact with a majority stays valid without asking it again.
-    pub contact_lease: Micros,
     /// Voters that accepted a proposal start a round to complete it after it was undecided for this long.
     pub completion_delay: Micros,
     /// Timeout of a round.
@@ -50,7 +48,6 @@
     fn default() -> Self {
         ReplicaConfig {
             unreachable_after: 2_000 * MILLI,
-            contact_lease: 2_500 * MILLI,
             completion_delay: 400 * MILLI,
             round_timeout: 700 * MILLI,
             zone_timeout: 3_000 * MILLI,
@@ -663,12 +660,6 @@
         outgoing
     }
 
-    /// Whether a majority of the voters confirmed the decided state within the contact lease.
-    pub fn has_recent_majority(&self, now: Micros) -> bool {
-        let as_of = self.current_as_of(now);
-        as_of.is_some_and(|moment| now < moment + self.config.contact_lease)
-    }
-
     /// The latest moment up to which the decided state here includes every decision made anywhere.
     ///
     /// Invariant *contact*: a majority of the voters was asked at or after it, and none had accepted anything newer.
--- a/crates/replication/tests/agreement.rs
+++ b/crates/replication/tests/agreement.rs
@@ -67,8 +67,7 @@
     assert_eq!(cluster.propose(0, config(3, "")), DONE);
     cluster.partition(&[0]);
     for second in 0..20 {
-        let now = cluster.now;
-        assert!(second < 4 || !cluster.nodes[0].replica.has_recent_majority(now));
+        assert!(second < 4 || !cluster.has_recent_majority(0));
         assert_eq!(cluster.read(0), None);
         assert_eq!(cluster.propose(0, config(90 + second, "")), None, "no outcome without a majority");
     }
@@ -362,5 +361,5 @@
     cluster.advance(3 * S);
     let later = cluster.nodes[0].replica.current_as_of(cluster.now).expect("earlier contact");
     assert!(later <= now + 4 * MILLI);
-    assert!(!cluster.nodes[0].replica.has_recent_majority(cluster.now));
+    assert!(!cluster.has_recent_majority(0));
 }
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -20,6 +20,8 @@
 const EXCHANGE_PERIOD: Micros = 300 * MILLI;
 /// Timeout of a caller.
 pub const CALL_TIMEOUT: Micros = 850 * MILLI;
+/// How long contact with a majority counts as recent.
+const CONTACT_LEASE: Micros = 2_500 * MILLI;
 /// Number of initial voters.
 pub const FOUNDERS: usize = 3;
 
@@ -76,6 +78,12 @@
 }
 
 impl Cluster {
+    /// Whether a majority of the voters confirmed a replica's decided state within the contact lease.
+    pub fn has_recent_majority(&self, number: usize) -> bool {
+        let as_of = self.nodes[number].replica.current_as_of(self.now);
+        as_of.is_some_and(|moment| self.now < moment + CONTACT_LEASE)
+    }
+
     /// Starts one replica per listed zone and lets the system bootstrap; the first three are the initial voters.
     pub fn new(zones: &[&str]) -> Cluster {
         let mut cluster = Cluster {
--- a/crates/replication/tests/trials.rs
+++ b/crates/replication/tests/trials.rs
@@ -111,7 +111,7 @@
     assert!(cluster.nodes[0].replica.current_as_of(cluster.now) <= Some(before + 4 * MILLI));
     cluster.heal();
     cluster.advance(2 * S);
-    assert!(cluster.nodes[0].replica.has_recent_majority(cluster.now));
+    assert!(cluster.has_recent_majority(0));
 }
 
 #[test]
